Build the thin path: a gang job from caller to workers and back

Cause: the repository was empty; the parts need common seams before they grow. Change: the core's events and actions (internal/core), the messages between processes (internal/wire), the platform's ports (internal/platform), and five binaries that carry one job end to end over a stand-in platform. Before: nothing ran. Conclusion: the seams hold for the thin path; policy, membership, recovery and the faults of the stand-in are still missing.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# Targets for building, running and testing agatewinch. Only Go, gcc and make are needed.
+GO ?= go
+export CGO_ENABLED = 1
+BINARIES = agatewinch-gate agatewinch-scheduler agatewinchctl agatewinch-standin agatewinch-bench
+# The race detector slows the tests; RACE= switches it off.
+RACE ?= -race
+SEED ?= 1
+N ?= 20
+
+.PHONY: build quickstart test lint bench faults soak capacity clean
+
+build:
+	@mkdir -p bin
+	$(GO) build -ldflags '-linkmode external' -o bin/ $(addprefix ./cmd/,$(BINARIES))
+
+quickstart: build
+	./scripts/quickstart.sh
+
+test: build
+	$(GO) test $(RACE) -timeout 540s ./...
+
+lint:
+	@out="$$(gofmt -l .)"; if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+bench: build
+	bin/agatewinch-bench run --scenario all --policy fifo,guaranteed --seed $(SEED) --json
+
+faults: build
+	$(GO) test ./test/faults -count=1 -timeout 540s -run TestSeed -seed $(SEED) -v
+
+soak: build
+	$(GO) test ./test/faults -count=1 -timeout 0 -run TestSoak -soak $(N) -v
+
+capacity: build
+	bin/agatewinch-bench capacity
+
+clean:
+	rm -rf bin build
--- /dev/null
+++ b/cmd/agatewinch-standin/main.go
@@ -0,0 +1,55 @@
+// Command agatewinch-standin is the platform in small, for tests and the quickstart.
+package main
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+
+	"github.com/gravitational/trace"
+	"github.com/spf13/cobra"
+
+	"agatewinch/internal/config"
+	"agatewinch/internal/core"
+	"agatewinch/internal/platform"
+	"agatewinch/internal/settings"
+	"agatewinch/internal/standin"
+)
+
+type standinSettings struct {
+	Listen     string      `yaml:"listen" validate:"required,hostname_port"`
+	WorkerBase string      `yaml:"worker_base" validate:"required,hostname_port"`
+	ConfigDir  string      `yaml:"config_dir" validate:"required"`
+	EntryHosts []entryHost `yaml:"entry_hosts" validate:"dive"`
+}
+
+type entryHost struct {
+	ID   string `yaml:"id" validate:"required"`
+	Zone string `yaml:"zone" validate:"required"`
+	Addr string `yaml:"addr" validate:"required,hostname_port"`
+}
+
+func main() {
+	var s standinSettings
+	settings.Main("agatewinch-standin", "The platform in small", &s, func(*cobra.Command) error { return run(s) })
+}
+
+func run(s standinSettings) error {
+	set, err := config.LoadDir(s.ConfigDir)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	opts := standin.Options{Listen: s.Listen, WorkerBase: s.WorkerBase, Workers: set.Core(0).Workers}
+	for _, h := range s.EntryHosts {
+		opts.EntryHosts = append(opts.EntryHosts, platform.Host{
+			ID: h.ID, Kind: platform.EntryHost, Zone: core.ZoneID(h.Zone), Addr: h.Addr, State: platform.HostLive,
+		})
+	}
+	server, err := standin.New(opts)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return trace.Wrap(server.Run(ctx))
+}
--- /dev/null
+++ b/internal/core/actions.go
@@ -0,0 +1,103 @@
+package core
+
+import "agatewinch/internal/errkind"
+
+// Action is something the core wants done. Actions of one step are carried out in
+// order; calls to one worker keep their order, calls to several may overlap.
+type Action interface{ isAction() }
+
+// RecordPlacement writes the placement of a non-idempotent job to the log before any
+// of it is sent. It is answered by PlacementRecorded.
+type RecordPlacement struct {
+	Job        JobID
+	Attempt    int
+	Placements []Placement
+}
+
+// Reserve asks a worker to hold a cell for a task. Answered by ReserveDone.
+type Reserve struct {
+	Placement Placement
+	Job       Job
+}
+
+// Start asks a worker to start a reserved task. Answered by StartDone.
+type Start struct {
+	Task   TaskRef
+	Worker WorkerID
+	// Resume is true when the task continues from a checkpoint.
+	Resume bool
+}
+
+// Release gives up a reservation. Answered by StopDone.
+type Release struct {
+	Task   TaskRef
+	Worker WorkerID
+}
+
+// Stop ends a task without keeping its progress. Answered by StopDone.
+type Stop struct {
+	Task   TaskRef
+	Worker WorkerID
+}
+
+// Preempt checkpoints a task and then stops it. Answered by StopDone.
+type Preempt struct {
+	Task   TaskRef
+	Worker WorkerID
+}
+
+// JobRefused answers a submission that was not admitted.
+type JobRefused struct {
+	Job  JobID
+	Kind errkind.Kind
+	// Message names the reason, with the resource that is missing if there is one.
+	Message string
+	// RetryAfterSeconds is when to come back; zero means never.
+	RetryAfterSeconds float64
+}
+
+// JobStarted reports that all tasks of a job run.
+type JobStarted struct {
+	Job     JobID
+	Workers []WorkerID
+}
+
+// JobEnded carries a job's final answer.
+type JobEnded struct {
+	Job     JobID
+	Outcome Outcome
+}
+
+// Note reports a decision that operators may want to see.
+type Note struct {
+	Code   NoteCode
+	Job    JobID
+	Worker WorkerID
+}
+
+// NoteCode numbers the kinds of decisions reported by Note.
+type NoteCode string
+
+// The decisions reported by Note.
+const (
+	NoteReclaim          NoteCode = "reclaim"
+	NoteQuarantined      NoteCode = "worker_quarantined"
+	NoteProbed           NoteCode = "worker_probed"
+	NoteGangBroken       NoteCode = "gang_broken"
+	NoteMoved            NoteCode = "task_moved"
+	NoteGuaranteeMissed  NoteCode = "guarantee_missed"
+	NoteAdopted          NoteCode = "task_adopted"
+	NoteOrphan           NoteCode = "orphan_stopped"
+	NoteReservationGiven NoteCode = "head_reservation"
+)
+
+func (RecordPlacement) isAction() {}
+func (Reserve) isAction()         {}
+func (Start) isAction()           {}
+func (Release) isAction()         {}
+func (Stop) isAction()            {}
+func (Preempt) isAction()         {}
+func (JobRefused) isAction()      {}
+func (JobStarted) isAction()      {}
+func (JobEnded) isAction()        {}
+func (Note) isAction()            {}
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,76 @@
+// Package event is the catalogue of numbered log events. Every log line of a process
+// carries one of these numbers; docs/events.md lists them.
+package event
+
+import (
+	"io"
+	"log/slog"
+
+	"github.com/go-logr/logr"
+)
+
+// Event is one entry of the catalogue.
+type Event struct {
+	// Number identifies the event for good; numbers are never reused.
+	Number int
+	// Name is the message of the log line.
+	Name string
+	// Meaning tells operators what happened and what they may do.
+	Meaning string
+}
+
+// The catalogue.
+var (
+	ProcessStarted  = Event{1001, "process started", "A process serves with the settings shown."}
+	ProcessStopping = Event{1002, "process stopping", "A planned stop began: nothing new is taken."}
+	ProcessStopped  = Event{1003, "process stopped", "A planned stop is complete."}
+	ProcessFailed   = Event{1004, "process failed", "A process could not go on; the error is shown."}
+
+	ConfigInForce = Event{2001, "configuration in force", "A new generation of the configuration is in force on this host."}
+
+	SchedulerActive  = Event{3001, "scheduler active", "This host now holds the zone's active role."}
+	SchedulerStandby = Event{3002, "scheduler standby", "This host gave up the zone's active role."}
+
+	WorkerHealth  = Event{4001, "worker health changed", "A worker became live, leaving, unreachable or gone."}
+	CoreNote      = Event{4002, "scheduling decision", "The core reports a decision; the code says which."}
+	LeaseRefused  = Event{4003, "lease refused", "A worker knows a higher term or another holder."}
+	LogWriteError = Event{5001, "log write failed", "The platform's log refused or lost an append."}
+)
+
+// Catalogue returns all events, by number.
+func Catalogue() []Event {
+	return []Event{
+		ProcessStarted, ProcessStopping, ProcessStopped, ProcessFailed,
+		ConfigInForce,
+		SchedulerActive, SchedulerStandby,
+		WorkerHealth, CoreNote, LeaseRefused,
+		LogWriteError,
+	}
+}
+
+// Info logs e.
+func Info(log logr.Logger, e Event, keysAndValues ...any) {
+	log.Info(e.Name, append([]any{"event", e.Number}, keysAndValues...)...)
+}
+
+// Error logs e with an error.
+func Error(log logr.Logger, err error, e Event, keysAndValues ...any) {
+	log.Error(err, e.Name, append([]any{"event", e.Number}, keysAndValues...)...)
+}
+
+// Format is the form of log lines.
+type Format string
+
+// The forms of log lines.
+const (
+	FormatJSON Format = "json"
+	FormatText Format = "text"
+)
+
+// NewLogger returns a logger that writes to w.
+func NewLogger(w io.Writer, format Format) logr.Logger {
+	if format == FormatText {
+		return logr.FromSlogHandler(slog.NewTextHandler(w, nil))
+	}
+	return logr.FromSlogHandler(slog.NewJSONHandler(w, nil))
+}
--- /dev/null
+++ b/internal/platform/httpadapter/httpadapter.go
@@ -0,0 +1,176 @@
+// Package httpadapter carries the platform's ports over HTTP and JSON, the form that
+// the stand-in platform speaks.
+package httpadapter
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"agatewinch/internal/platform"
+)
+
+const (
+	dialTimeout      = time.Second
+	callTimeout      = 5 * time.Second
+	maxReplyBytes    = 16 << 20
+	idleConnsPerHost = 4
+)
+
+// Paths of the platform's and the workers' HTTP interfaces.
+const (
+	PathLog   = "/log/"
+	PathHosts = "/hosts"
+	PathDo    = "/do"
+	PathRenew = "/renew"
+)
+
+// NewClient returns an HTTP client for the adapters. Connections to one address are
+// bounded by perHost, so that several users can share a worker's connections.
+func NewClient(perHost int) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxConnsPerHost:     perHost,
+		MaxIdleConnsPerHost: idleConnsPerHost,
+		IdleConnTimeout:     time.Minute,
+	}}
+}
+
+// AppendRequest is the body of an append.
+type AppendRequest struct {
+	Records [][]byte `json:"records"`
+}
+
+// AppendReply answers an append.
+type AppendReply struct {
+	First platform.Offset `json:"first"`
+}
+
+// TrimmedReply is the body of status 410.
+type TrimmedReply struct {
+	Oldest platform.Offset `json:"oldest"`
+}
+
+// Log reads and writes the platform's log.
+type Log struct {
+	// Base is the platform's URL.
+	Base   string
+	Client *http.Client
+}
+
+// Append implements platform.Log.
+func (l *Log) Append(ctx context.Context, stream platform.Stream, records [][]byte) (platform.Offset, error) {
+	var reply AppendReply
+	err := call(ctx, l.Client, callTimeout, l.Base+PathLog+url.PathEscape(string(stream)), AppendRequest{Records: records}, &reply)
+	return reply.First, trace.Wrap(err)
+}
+
+// Read implements platform.Log.
+func (l *Log) Read(ctx context.Context, stream platform.Stream, from platform.Offset, limit int, wait time.Duration) (platform.Page, error) {
+	q := url.Values{}
+	q.Set("from", strconv.FormatUint(uint64(from), 10))
+	q.Set("limit", strconv.Itoa(limit))
+	q.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	var page platform.Page
+	err := call(ctx, l.Client, callTimeout+wait, l.Base+PathLog+url.PathEscape(string(stream))+"?"+q.Encode(), nil, &page)
+	return page, trace.Wrap(err)
+}
+
+// Hosts reads the platform's host list.
+type Hosts struct {
+	Base   string
+	Client *http.Client
+}
+
+// Hosts implements platform.HostList.
+func (h *Hosts) Hosts(ctx context.Context) ([]platform.Host, error) {
+	var hosts []platform.Host
+	err := call(ctx, h.Client, callTimeout, h.Base+PathHosts, nil, &hosts)
+	return hosts, trace.Wrap(err)
+}
+
+// Backend calls workers' backend servers.
+type Backend struct{ Client *http.Client }
+
+// Do implements platform.Backend.
+func (b *Backend) Do(ctx context.Context, addr string, batch platform.Batch) ([]platform.OpResult, error) {
+	var results []platform.OpResult
+	err := call(ctx, b.Client, callTimeout, "http://"+addr+PathDo, batch, &results)
+	if err == nil && len(results) != len(batch.Ops) {
+		err = platform.ErrUnknown
+	}
+	return results, trace.Wrap(err)
+}
+
+// Renew implements platform.Backend.
+func (b *Backend) Renew(ctx context.Context, addr string, req platform.RenewRequest) (platform.RenewReply, error) {
+	var reply platform.RenewReply
+	err := call(ctx, b.Client, callTimeout+req.Wait, "http://"+addr+PathRenew, req, &reply)
+	return reply, trace.Wrap(err)
+}
+
+// call posts body as JSON, or gets when body is nil, and decodes the answer.
+func call(ctx context.Context, client *http.Client, timeout time.Duration, target string, body, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	method, payload := http.MethodGet, io.Reader(nil)
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		method, payload = http.MethodPost, bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, target, payload)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return classify(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return platform.ErrUnknown
+	}
+	return decode(resp.StatusCode, data, out)
+}
+
+func decode(status int, data []byte, out any) error {
+	switch status {
+	case http.StatusOK:
+		if err := json.Unmarshal(data, out); err != nil {
+			return platform.ErrUnknown
+		}
+		return nil
+	case http.StatusGone:
+		var t TrimmedReply
+		if err := json.Unmarshal(data, &t); err != nil {
+			return platform.ErrUnknown
+		}
+		return &platform.TrimmedError{Oldest: t.Oldest}
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusBadRequest, http.StatusNotFound:
+		return platform.ErrNotApplied
+	default:
+		return platform.ErrUnknown
+	}
+}
+
+// classify tells a call that was never sent from one that may have been.
+func classify(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return platform.ErrNotApplied
+	}
+	return platform.ErrUnknown
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,152 @@
+// Package wire declares the messages between agatewinch's own processes. They travel
+// as CBOR in WebSocket binary messages, one Envelope in each.
+package wire
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"agatewinch/internal/core"
+	"agatewinch/internal/errkind"
+)
+
+// Version is the protocol version that this build speaks.
+const Version = 1
+
+// MaxMessageBytes bounds one message, envelope included.
+const MaxMessageBytes = 4 << 20
+
+// Kind names a message type.
+type Kind string
+
+// The kinds of request.
+const (
+	KindSubmit    Kind = "submit"
+	KindWait      Kind = "wait"
+	KindCancel    Kind = "cancel"
+	KindList      Kind = "list"
+	KindExplain   Kind = "explain"
+	KindStatus    Kind = "status"
+	KindHeartbeat Kind = "heartbeat"
+	KindConfig    Kind = "config"
+	KindDrain     Kind = "drain"
+)
+
+// Envelope carries one request or one reply. A reply has the ID of its request.
+type Envelope struct {
+	Version int             `cbor:"1,keyasint"`
+	ID      uint64          `cbor:"2,keyasint"`
+	Kind    Kind            `cbor:"3,keyasint"`
+	Reply   bool            `cbor:"4,keyasint,omitempty"`
+	Body    cbor.RawMessage `cbor:"5,keyasint,omitempty"`
+	Error   *Error          `cbor:"6,keyasint,omitempty"`
+}
+
+// Error is a kinded error on the wire.
+type Error struct {
+	Kind              errkind.Kind `cbor:"1,keyasint"`
+	Message           string       `cbor:"2,keyasint"`
+	RetryAfterSeconds float64      `cbor:"3,keyasint,omitempty"`
+}
+
+// Submit hands a job to a zone's active scheduler and waits for its end.
+type Submit struct {
+	Job core.Job
+	// Digest is a hash of the caller's request, to tell a retry from another request
+	// with the same ID.
+	Digest uint64
+	// Wait bounds the wait for the job's end; zero answers at admission.
+	Wait time.Duration
+}
+
+// Wait asks for a job's end.
+type Wait struct {
+	Job  core.JobID
+	Wait time.Duration
+}
+
+// JobReply tells a job's state; Outcome is set when the job has ended.
+type JobReply struct {
+	Job     core.JobID
+	State   core.JobState
+	Workers []core.WorkerID
+	Outcome *core.Outcome
+}
+
+// Cancel asks for a job's end; answered by JobReply.
+type Cancel struct{ Job core.JobID }
+
+// List asks for an organisation's live jobs; an empty Org asks for all.
+type List struct {
+	Org   core.OrgID
+	Limit int
+}
+
+// ListReply answers List.
+type ListReply struct{ Jobs []JobSummary }
+
+// JobSummary is one line of a list of jobs.
+type JobSummary struct {
+	Job    core.JobID
+	Org    core.OrgID
+	Caller core.CallerID
+	Class  core.ClassName
+	State  core.JobState
+	Shape  core.Shape
+}
+
+// Explain asks why a job waits; answered by core.Explanation.
+type Explain struct{ Job core.JobID }
+
+// Drain marks a worker as leaving, or takes the mark back.
+type Drain struct {
+	Worker core.WorkerID
+	Undo   bool
+}
+
+// Heartbeat tells a peer about the sender; it is answered by the receiver's own.
+type Heartbeat struct {
+	Host       string
+	Role       string
+	Zone       core.ZoneID
+	Addr       string
+	Active     bool
+	Term       core.Term
+	Leaving    bool
+	Generation core.Generation
+	Load       core.Stats
+}
+
+// StatusReply describes one process to operators.
+type StatusReply struct {
+	Host       string
+	Zone       core.ZoneID
+	Active     bool
+	Term       core.Term
+	LogUp      bool
+	Generation core.Generation
+	Load       core.Stats
+	Workers    []WorkerStatus
+	Peers      []Heartbeat
+}
+
+// WorkerStatus describes one worker to operators.
+type WorkerStatus struct {
+	Worker core.WorkerID
+	Rack   core.RackID
+	Health core.WorkerHealth
+	Tasks  int
+}
+
+// Config asks for the accepted configuration if it is newer than Have.
+type Config struct{ Have core.Generation }
+
+// ConfigReply carries the sender's accepted configuration as it stands in the log.
+type ConfigReply struct {
+	Generation core.Generation
+	Record     []byte
+}
+
+// Empty is the body of a message that carries nothing.
+type Empty struct{}
