Tell restarts and one-way cuts in heartbeats; bound the decoder

Heartbeat gains Incarnation, Seq and Hears, and integer keys. Decode and DecodeBody refuse tags, indefinite lengths, duplicate keys and deep nesting.

--- /dev/null
+++ b/internal/wire/decode.go
@@ -0,0 +1,46 @@
+package wire
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+)
+
+// Bounds on the structure of a message from a peer.
+const (
+	maxNesting  = 16
+	maxElements = 1 << 17
+)
+
+var decoder = mustDecMode(cbor.DecOptions{
+	DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+	IndefLength:      cbor.IndefLengthForbidden,
+	TagsMd:           cbor.TagsForbidden,
+	MaxNestedLevels:  maxNesting,
+	MaxArrayElements: maxElements,
+	MaxMapPairs:      maxElements,
+})
+
+func mustDecMode(opts cbor.DecOptions) cbor.DecMode {
+	mode, err := opts.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Decode reads one envelope; data must hold nothing else.
+func Decode(data []byte) (Envelope, error) {
+	var env Envelope
+	if len(data) > MaxMessageBytes {
+		return env, trace.LimitExceeded("message of %d bytes", len(data))
+	}
+	if err := decoder.Unmarshal(data, &env); err != nil {
+		return Envelope{}, trace.Wrap(err)
+	}
+	return env, nil
+}
+
+// DecodeBody reads a request's or a reply's body into out.
+func DecodeBody(body cbor.RawMessage, out any) error {
+	return trace.Wrap(decoder.Unmarshal(body, out))
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -105,17 +105,29 @@
 	Undo   bool
 }
 
+// Roles of the processes that exchange heartbeats.
+const (
+	RoleGate      = "gate"
+	RoleScheduler = "scheduler"
+)
+
 // Heartbeat tells a peer about the sender; it is answered by the receiver's own.
 type Heartbeat struct {
-	Host       string
-	Role       string
-	Zone       core.ZoneID
-	Addr       string
-	Active     bool
-	Term       core.Term
-	Leaving    bool
-	Generation core.Generation
-	Load       core.Stats
+	Host       string          `cbor:"1,keyasint"`
+	Role       string          `cbor:"2,keyasint"`
+	Zone       core.ZoneID     `cbor:"3,keyasint"`
+	Addr       string          `cbor:"4,keyasint,omitempty"`
+	Active     bool            `cbor:"5,keyasint,omitempty"`
+	Term       core.Term       `cbor:"6,keyasint,omitempty"`
+	Leaving    bool            `cbor:"7,keyasint,omitempty"`
+	Generation core.Generation `cbor:"8,keyasint,omitempty"`
+	Load       core.Stats      `cbor:"9,keyasint,omitempty"`
+	// Incarnation is drawn anew at each start of a process.
+	Incarnation uint64 `cbor:"10,keyasint,omitempty"`
+	// Seq grows with each heartbeat of an incarnation, so that a late one is told apart.
+	Seq uint64 `cbor:"11,keyasint,omitempty"`
+	// Hears is true when the sender has heard the receiver within its timeout.
+	Hears bool `cbor:"12,keyasint,omitempty"`
 }
 
 // StatusReply describes one process to operators.
