Keep one caller's cancel from breaking a peer connection

Cause: a write used its caller's context, and the WebSocket library closes the connection when that ends in mid-write; all other calls on it were lost. Change: one goroutine writes; a message given up before its write is never sent (ErrNotSent). A dial outlives its first caller. Silent links are probed while an answer is awaited, requests are bounded with a share for heartbeats, and a server's Shutdown answers what it took and tells the peer that the rest did not run.

--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,256 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+
+	"agatewinch/internal/errkind"
+	"agatewinch/internal/wire"
+)
+
+// Client sends requests to one peer over one connection, made when first needed.
+type Client struct {
+	addr   string
+	scheme string
+	client *http.Client
+	nextID atomic.Uint64
+	slots  chan struct{}
+
+	mu      sync.Mutex
+	conn    *clientConn
+	dialing chan struct{}
+	closed  bool
+}
+
+// Option changes how a client connects.
+type Option func(*Client)
+
+// WithHTTPClient dials with client; a nil client changes nothing. A client whose
+// transport has a TLS configuration dials with TLS.
+func WithHTTPClient(client *http.Client) Option {
+	return func(c *Client) {
+		if client == nil {
+			return
+		}
+		c.client = client
+		if t, ok := client.Transport.(*http.Transport); ok && t.TLSClientConfig != nil {
+			c.scheme = "wss"
+		}
+	}
+}
+
+// NewClient returns a client for the peer at addr, an IP and port.
+func NewClient(addr string, opts ...Option) *Client {
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+	c := &Client{
+		addr: addr, scheme: "ws", client: &http.Client{Transport: transport},
+		slots: make(chan struct{}, maxRequestsPerConn),
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// Addr returns the peer's address.
+func (c *Client) Addr() string { return c.addr }
+
+// Close ends the connection; calls in progress fail with ErrLost and later ones with
+// ErrNotSent.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	if c.conn != nil {
+		c.conn.fail()
+	}
+	c.conn = nil
+}
+
+// Call sends a request and decodes the reply into out. It fails with ErrNotSent, with
+// ErrLost, with the context's error when the request was sent, or with the peer's
+// kinded error. The end of one call's context does not disturb other calls.
+func (c *Client) Call(ctx context.Context, kind wire.Kind, body, out any) error {
+	if !control(kind) {
+		select {
+		case c.slots <- struct{}{}:
+			defer func() { <-c.slots }()
+		case <-ctx.Done():
+			return trace.Wrap(ErrNotSent)
+		}
+	}
+	data, err := cbor.Marshal(body)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	conn, err := c.connect(ctx)
+	if err != nil || conn == nil {
+		return trace.Wrap(ErrNotSent)
+	}
+	env, err := conn.call(ctx, wire.Envelope{Version: wire.Version, ID: c.nextID.Add(1), Kind: kind, Body: data})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if e := env.Error; e != nil {
+		return trace.Wrap(&errkind.Error{Kind: e.Kind, Message: e.Message, RetryAfterSeconds: e.RetryAfterSeconds})
+	}
+	return trace.Wrap(wire.DecodeBody(env.Body, out))
+}
+
+// connect returns the present connection or waits for a new one.
+func (c *Client) connect(ctx context.Context) (*clientConn, error) {
+	conn, dialing := c.connOrDial()
+	if conn != nil || dialing == nil {
+		return conn, nil
+	}
+	select {
+	case <-dialing:
+		return c.current(), nil
+	case <-ctx.Done():
+		return nil, trace.Wrap(ctx.Err())
+	}
+}
+
+// connOrDial returns a connection, or a channel that is closed when the dial in
+// progress ends, or neither when the client is closed. One dial serves all callers and
+// outlives any one of them.
+func (c *Client) connOrDial() (*clientConn, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, nil
+	}
+	if c.conn != nil && !c.conn.failed() {
+		return c.conn, nil
+	}
+	if c.dialing == nil {
+		c.dialing = make(chan struct{})
+		go c.dial(c.dialing)
+	}
+	return nil, c.dialing
+}
+
+func (c *Client) current() *clientConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conn
+}
+
+func (c *Client) dial(finished chan struct{}) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	l := newLink()
+	ws, _, err := websocket.Dial(ctx, c.scheme+"://"+c.addr+Path, &websocket.DialOptions{
+		HTTPClient: c.client, OnPingReceived: l.onPing, OnPongReceived: l.onPong,
+	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	defer close(finished)
+	c.dialing = nil
+	c.conn = nil
+	if err != nil {
+		return
+	}
+	if c.closed {
+		_ = ws.CloseNow()
+		return
+	}
+	l.bind(ws)
+	c.conn = startClientConn(l)
+}
+
+// clientConn is a link on which this side asks.
+type clientConn struct {
+	*link
+	mu      sync.Mutex
+	waiting map[uint64]chan wire.Envelope
+}
+
+func startClientConn(l *link) *clientConn {
+	c := &clientConn{link: l, waiting: map[uint64]chan wire.Envelope{}}
+	go c.write()
+	go c.keepAlive(clientPingAfter)
+	go c.receive()
+	return c
+}
+
+// receive hands each reply to the call that waits for its ID. Replies that nobody
+// waits for are dropped.
+func (c *clientConn) receive() {
+	defer c.end()
+	for {
+		env, err := c.read()
+		if err != nil {
+			return
+		}
+		if !env.Reply {
+			continue
+		}
+		c.mu.Lock()
+		ch, ok := c.waiting[env.ID]
+		delete(c.waiting, env.ID)
+		c.mu.Unlock()
+		if ok {
+			ch <- env
+		}
+	}
+}
+
+func (c *clientConn) call(ctx context.Context, env wire.Envelope) (wire.Envelope, error) {
+	m, err := newMessage(env)
+	if err != nil {
+		return env, err
+	}
+	ch := c.register(env.ID)
+	defer c.forget(env.ID)
+	if err := c.send(ctx, m); err != nil {
+		return env, err
+	}
+	select {
+	case reply := <-ch:
+		return reply, nil
+	case <-c.done:
+		return c.lost(ch, m)
+	case <-ctx.Done():
+		if m.take() {
+			return env, ErrNotSent
+		}
+		return env, ctx.Err()
+	}
+}
+
+// lost returns the reply if it came before the link ended.
+func (c *clientConn) lost(ch <-chan wire.Envelope, m *message) (wire.Envelope, error) {
+	select {
+	case reply := <-ch:
+		return reply, nil
+	default:
+	}
+	if m.take() || c.drained.Load() {
+		return wire.Envelope{}, ErrNotSent
+	}
+	return wire.Envelope{}, ErrLost
+}
+
+func (c *clientConn) register(id uint64) chan wire.Envelope {
+	ch := make(chan wire.Envelope, 1)
+	c.active.Add(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting[id] = ch
+	return ch
+}
+
+func (c *clientConn) forget(id uint64) {
+	c.active.Add(-1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.waiting, id)
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,334 @@
+package peer_test
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"agatewinch/internal/core"
+	"agatewinch/internal/errkind"
+	"agatewinch/internal/peer"
+	"agatewinch/internal/peer/peertest"
+	"agatewinch/internal/wire"
+)
+
+// patience bounds a test that would otherwise hang.
+const patience = 30 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// fixture is a server that counts and can hold the requests it gets.
+type fixture struct {
+	server *peer.Server
+	addr   string
+	client *peer.Client
+	seen   atomic.Int64
+	hold   chan struct{}
+}
+
+func (f *fixture) handle(ctx context.Context, kind wire.Kind, body cbor.RawMessage) (any, error) {
+	if kind == wire.KindHeartbeat {
+		return wire.Heartbeat{Host: "server"}, nil
+	}
+	f.seen.Add(1)
+	var req wire.Wait
+	if err := wire.DecodeBody(body, &req); err != nil {
+		return nil, errkind.New(errkind.InvalidRequest, "malformed")
+	}
+	if strings.HasPrefix(string(req.Job), "held") {
+		select {
+		case <-f.hold:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	time.Sleep(req.Wait)
+	return wire.JobReply{Job: req.Job}, nil
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{hold: make(chan struct{})}
+	f.server = peer.NewServer(f.handle)
+	web := httptest.NewServer(f.server)
+	f.addr = strings.TrimPrefix(web.URL, "http://")
+	f.client = f.dial(t, f.addr)
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = f.server.Shutdown(ctx)
+		web.Close()
+	})
+	return f
+}
+
+func (f *fixture) dial(t *testing.T, addr string) *peer.Client {
+	c := peer.NewClient(addr)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func call(ctx context.Context, c *peer.Client, job core.JobID, wait time.Duration) (core.JobID, error) {
+	var reply wire.JobReply
+	err := c.Call(ctx, wire.KindWait, wire.Wait{Job: job, Wait: wait}, &reply)
+	return reply.Job, err
+}
+
+// start makes a call in the background.
+func start(ctx context.Context, c *peer.Client, job core.JobID) <-chan error {
+	result := make(chan error, 1)
+	go func() {
+		got, err := call(ctx, c, job, 0)
+		if err == nil && got != job {
+			err = errors.New("answer of another request: " + string(got))
+		}
+		result <- err
+	}()
+	return result
+}
+
+func (f *fixture) waitSeen(t *testing.T, n int64) {
+	t.Helper()
+	ctx := testContext(t)
+	for f.seen.Load() < n {
+		assert.NilError(t, ctx.Err(), "the server saw %d of %d requests", f.seen.Load(), n)
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestAnswersOutOfOrderReachTheirOwnCalls(t *testing.T) {
+	f := newFixture(t)
+	ctx := testContext(t)
+	var calls sync.WaitGroup
+	for i := range 100 {
+		calls.Go(func() {
+			job := core.JobID(strings.Repeat("x", i+1))
+			got, err := call(ctx, f.client, job, time.Duration(100-i)*time.Millisecond/4)
+			assert.Check(t, err)
+			assert.Check(t, got == job)
+		})
+	}
+	calls.Wait()
+}
+
+// fillLink sends more than the sockets on the way can buffer while the relay holds the
+// way to the target, so that the last messages wait to be written.
+func fillLink(ctx context.Context, client *peer.Client, relay *peertest.Relay) []<-chan error {
+	const messages = 6
+	relay.Hold(peertest.ToTarget, true)
+	large := core.JobID(strings.Repeat("y", wire.MaxMessageBytes-1000))
+	var results []<-chan error
+	for range messages {
+		results = append(results, start(ctx, client, large))
+	}
+	relay.AwaitHeld(peertest.ToTarget)
+	return results
+}
+
+func TestCancelledCallsInMidWriteLeaveOthersAlone(t *testing.T) {
+	f := newFixture(t)
+	ctx := testContext(t)
+	relay := peertest.NewRelay(t, f.addr)
+	client := f.dial(t, relay.Addr())
+	other := start(ctx, client, "held-other")
+	f.waitSeen(t, 1)
+	cancelled, cancel := context.WithCancel(ctx)
+	results := fillLink(cancelled, client, relay)
+	cancel()
+	for _, r := range results {
+		err := <-r
+		assert.Assert(t, errors.Is(err, context.Canceled) || errors.Is(err, peer.ErrNotSent), "%v", err)
+	}
+	relay.Hold(peertest.ToTarget, false)
+	close(f.hold)
+	assert.NilError(t, <-other)
+}
+
+func TestCallCancelledBeforeItsWriteIsNeverSent(t *testing.T) {
+	f := newFixture(t)
+	ctx := testContext(t)
+	relay := peertest.NewRelay(t, f.addr)
+	client := f.dial(t, relay.Addr())
+	_, err := call(ctx, client, "first", 0)
+	assert.NilError(t, err)
+	results := fillLink(ctx, client, relay)
+	sent := int64(1 + len(results))
+	for {
+		cancelled, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		_, err = call(cancelled, client, "small", 0)
+		cancel()
+		if errors.Is(err, peer.ErrNotSent) {
+			break
+		}
+		assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
+		sent++ // The buffers were not full yet.
+	}
+	relay.Hold(peertest.ToTarget, false)
+	for _, r := range results {
+		assert.NilError(t, <-r)
+	}
+	_, err = call(ctx, client, "last", 0)
+	assert.NilError(t, err)
+	assert.Equal(t, f.seen.Load(), sent+1)
+}
+
+func TestSilentLinkFailsTheCallsOnItAsLost(t *testing.T) {
+	for _, d := range []peertest.Direction{peertest.ToTarget, peertest.FromTarget} {
+		f := newFixture(t)
+		relay := peertest.NewRelay(t, f.addr)
+		client := f.dial(t, relay.Addr())
+		waiting := start(testContext(t), client, "held")
+		f.waitSeen(t, 1)
+		relay.Hold(d, true)
+		assert.Assert(t, errors.Is(<-waiting, peer.ErrLost))
+		relay.Hold(d, false)
+	}
+}
+
+func TestBrokenLinkIsDialledAnew(t *testing.T) {
+	f := newFixture(t)
+	ctx := testContext(t)
+	relay := peertest.NewRelay(t, f.addr)
+	client := f.dial(t, relay.Addr())
+	waiting := start(ctx, client, "held")
+	f.waitSeen(t, 1)
+	relay.Break()
+	assert.Assert(t, errors.Is(<-waiting, peer.ErrLost))
+	_, err := call(ctx, client, "again", 0)
+	assert.NilError(t, err)
+}
+
+func TestSlowReaderDelaysOnlyItself(t *testing.T) {
+	f := newFixture(t)
+	ctx := testContext(t)
+	relay := peertest.NewRelay(t, f.addr)
+	slow := f.dial(t, relay.Addr())
+	relay.Hold(peertest.FromTarget, true)
+	for range 4 {
+		start(ctx, slow, core.JobID(strings.Repeat("s", 1<<20)))
+	}
+	for range 20 {
+		_, err := call(ctx, f.client, "quick", 0)
+		assert.NilError(t, err)
+	}
+	relay.Hold(peertest.FromTarget, false)
+}
+
+func TestRequestsOverTheBoundAreRefusedAsNotRunAndHeartbeatsPass(t *testing.T) {
+	f := newFixture(t)
+	ctx := testContext(t)
+	clients := []*peer.Client{f.client}
+	const bound = 4096
+	var results []<-chan error
+	for range bound {
+		results = append(results, start(ctx, clients[0], "held"))
+	}
+	f.waitSeen(t, bound)
+	short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer cancel()
+	_, err := call(short, clients[0], "one more", 0)
+	assert.Assert(t, errors.Is(err, peer.ErrNotSent), "%v", err)
+	var hb wire.Heartbeat
+	assert.NilError(t, clients[0].Call(ctx, wire.KindHeartbeat, wire.Heartbeat{}, &hb))
+	close(f.hold)
+	for _, r := range results {
+		assert.NilError(t, <-r)
+	}
+	assert.Equal(t, f.seen.Load(), int64(bound))
+}
+
+func TestShutdownAnswersWhatItTookAndRefusesTheRestAsNotRun(t *testing.T) {
+	f := newFixture(t)
+	ctx := testContext(t)
+	taken := start(ctx, f.client, "held")
+	f.waitSeen(t, 1)
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.server.Shutdown(ctx) }()
+	for {
+		err := <-start(ctx, f.client, "late")
+		if errkind.Is(err, errkind.Draining) {
+			break
+		}
+		assert.NilError(t, err)
+	}
+	seen := f.seen.Load()
+	close(f.hold)
+	assert.NilError(t, <-taken)
+	assert.NilError(t, <-stopped)
+	assert.Equal(t, f.seen.Load(), seen)
+}
+
+// TestStopUnderLoadLosesNoRequest checks that each call was either answered or is known
+// not to have run, whenever the server stops.
+func TestStopUnderLoadLosesNoRequest(t *testing.T) {
+	f := newFixture(t)
+	ctx := testContext(t)
+	var answered atomic.Int64
+	var callers sync.WaitGroup
+	for range 16 {
+		callers.Go(func() {
+			for {
+				err := <-start(ctx, f.client, "job")
+				if err == nil {
+					answered.Add(1)
+					continue
+				}
+				if errkind.Is(err, errkind.Draining) {
+					continue
+				}
+				assert.Check(t, errors.Is(err, peer.ErrNotSent), "%v", err)
+				return
+			}
+		})
+	}
+	f.waitSeen(t, 100)
+	assert.NilError(t, f.server.Shutdown(ctx))
+	f.client.Close()
+	callers.Wait()
+	assert.Equal(t, f.seen.Load(), answered.Load())
+}
+
+func TestCallsAfterCloseAreNotSent(t *testing.T) {
+	f := newFixture(t)
+	f.client.Close()
+	_, err := call(testContext(t), f.client, "job", 0)
+	assert.Assert(t, errors.Is(err, peer.ErrNotSent))
+}
+
+func TestKindedErrorsCrossTheLink(t *testing.T) {
+	f := newFixture(t)
+	err := f.client.Call(testContext(t), wire.KindWait, []string{"not a wait"}, &wire.JobReply{})
+	assert.Assert(t, errkind.Is(err, errkind.InvalidRequest))
+}
+
+func TestClientDialsWithTheGivenTLSConfiguration(t *testing.T) {
+	f := &fixture{}
+	f.server = peer.NewServer(f.handle)
+	web := httptest.NewTLSServer(f.server)
+	defer web.Close()
+	roots := x509.NewCertPool()
+	roots.AddCert(web.Certificate())
+	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots}}
+	client := peer.NewClient(strings.TrimPrefix(web.URL, "https://"), peer.WithHTTPClient(&http.Client{Transport: transport}))
+	_, err := call(testContext(t), client, "job", 0)
+	assert.NilError(t, err)
+	assert.NilError(t, f.server.Shutdown(testContext(t)))
+	client.Close()
+}
--- /dev/null
+++ b/internal/peer/peertest/relay.go
@@ -0,0 +1,154 @@
+// Package peertest has helpers for tests of links between processes.
+package peertest
+
+import (
+	"net"
+	"sync"
+	"testing"
+)
+
+// Relay forwards TCP connections to a target and can hold or break them.
+type Relay struct {
+	listener net.Listener
+	target   string
+	wg       sync.WaitGroup
+
+	mu     sync.Mutex
+	cond   *sync.Cond
+	held   [2]bool
+	parked [2]int
+	closed bool
+	conns  map[net.Conn]bool
+}
+
+// Direction is one way through a relay.
+type Direction int
+
+// The two directions of a relay.
+const (
+	ToTarget Direction = iota
+	FromTarget
+)
+
+// NewRelay starts a relay to target that ends with the test.
+func NewRelay(t testing.TB, target string) *Relay {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &Relay{listener: l, target: target, conns: map[net.Conn]bool{}}
+	r.cond = sync.NewCond(&r.mu)
+	r.wg.Go(r.accept)
+	t.Cleanup(r.close)
+	return r
+}
+
+// Addr returns the relay's own address.
+func (r *Relay) Addr() string { return r.listener.Addr().String() }
+
+// Hold stops or resumes one direction; what arrives meanwhile waits.
+func (r *Relay) Hold(d Direction, on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held[d] = on
+	r.cond.Broadcast()
+}
+
+// AwaitHeld returns when a held direction has data that waits.
+func (r *Relay) AwaitHeld(d Direction) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for (r.parked[d] == 0 || !r.held[d]) && !r.closed {
+		r.cond.Wait()
+	}
+}
+
+// Break ends all present connections.
+func (r *Relay) Break() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		_ = c.Close()
+	}
+}
+
+func (r *Relay) close() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	r.closed = true
+	r.cond.Broadcast()
+	r.mu.Unlock()
+	r.Break()
+	r.wg.Wait()
+}
+
+func (r *Relay) accept() {
+	for {
+		in, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", r.target)
+		if err != nil || !r.add(in, out) {
+			_ = in.Close()
+			continue
+		}
+		r.wg.Go(func() { r.copy(out, in, ToTarget) })
+		r.wg.Go(func() { r.copy(in, out, FromTarget) })
+	}
+}
+
+func (r *Relay) add(conns ...net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range conns {
+		if r.closed {
+			_ = c.Close()
+			continue
+		}
+		r.conns[c] = true
+	}
+	return !r.closed
+}
+
+func (r *Relay) copy(dst, src net.Conn, d Direction) {
+	defer r.drop(dst, src)
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := src.Read(buf)
+		if !r.pass(d) {
+			return
+		}
+		if n > 0 {
+			if _, err := dst.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// pass waits while the direction is held.
+func (r *Relay) pass(d Direction) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.parked[d]++
+	r.cond.Broadcast()
+	for r.held[d] && !r.closed {
+		r.cond.Wait()
+	}
+	r.parked[d]--
+	return !r.closed
+}
+
+func (r *Relay) drop(conns ...net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close()
+		delete(r.conns, c)
+	}
+}
