Add membership by heartbeats

Peers come from settings, the host list and heartbeats, as hints; live is who is heard within the timeout. Heard and reached are kept apart, so that a link cut one way shows. A peer's heartbeat spares one's own. Newer configurations are fetched from the peer that shows them: expects ConfigStore.Offer(record, generation) error of the configuration's follower.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -45,6 +45,7 @@
 		SchedulerActive, SchedulerStandby,
 		WorkerHealth, CoreNote, LeaseRefused,
 		LogWriteError,
+		PeerLive, PeerSilent, PeerReplaced, PeerForgotten, PeerConfigFailed,
 	}
 }
 
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,342 @@
+package membership_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"agatewinch/internal/core"
+	"agatewinch/internal/errkind"
+	"agatewinch/internal/membership"
+	"agatewinch/internal/peer"
+	"agatewinch/internal/peer/peertest"
+	"agatewinch/internal/platform"
+	"agatewinch/internal/wire"
+)
+
+const (
+	patience = 30 * time.Second
+	interval = 20 * time.Millisecond
+	timeout  = 200 * time.Millisecond
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// node is one process with a membership and, unless it is mute, a peer server.
+type node struct {
+	*membership.Membership
+	addr   string
+	server *peer.Server
+	stop   func()
+
+	mu     sync.Mutex
+	self   wire.Heartbeat
+	record []byte
+}
+
+func (n *node) heartbeat() wire.Heartbeat {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.self
+}
+
+func (n *node) set(change func(*wire.Heartbeat)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change(&n.self)
+}
+
+func (n *node) Offer(record []byte, gen core.Generation) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.record = record
+	n.self.Generation = gen
+	return nil
+}
+
+func (n *node) handle(_ context.Context, kind wire.Kind, body cbor.RawMessage) (any, error) {
+	if kind == wire.KindConfig {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return wire.ConfigReply{Generation: n.self.Generation, Record: n.record}, nil
+	}
+	var hb wire.Heartbeat
+	if err := wire.DecodeBody(body, &hb); err != nil {
+		return nil, errkind.New(errkind.InvalidRequest, "malformed")
+	}
+	return n.HandleHeartbeat(hb), nil
+}
+
+// listen returns a node that answers but does not run yet.
+func listen(t *testing.T, host, role string, zone core.ZoneID) *node {
+	n := &node{self: wire.Heartbeat{Host: host, Role: role, Zone: zone}}
+	n.server = peer.NewServer(n.handle)
+	web := httptest.NewUnstartedServer(n.server)
+	n.addr = web.Listener.Addr().String()
+	n.self.Addr = n.addr
+	n.stop = sync.OnceFunc(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = n.server.Shutdown(ctx)
+		web.Close()
+	})
+	n.Membership = membership.New(membership.Options{}, n.heartbeat)
+	web.Start()
+	t.Cleanup(n.stop)
+	return n
+}
+
+// run gives the node its options and runs it until the test or the returned function
+// ends it.
+func (n *node) run(t *testing.T, opts membership.Options) func() {
+	if opts.Interval == 0 {
+		opts.Interval = interval
+	}
+	if opts.Timeout == 0 {
+		opts.Timeout = timeout
+	}
+	opts.FarFactor = max(opts.FarFactor, 1)
+	n.Membership = membership.New(opts, n.heartbeat)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = n.Run(ctx) })
+	stop := sync.OnceFunc(func() {
+		cancel()
+		running.Wait()
+	})
+	t.Cleanup(stop)
+	return stop
+}
+
+func seeds(addrs ...string) []membership.Seed {
+	var out []membership.Seed
+	for _, a := range addrs {
+		out = append(out, membership.Seed{Addr: a, Zone: "a"})
+	}
+	return out
+}
+
+// eventually waits until cond holds, woken by the node's changes and by time.
+func eventually(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !cond() {
+		assert.Assert(t, time.Now().Before(deadline), "never came: %s", what)
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (n *node) find(host string) (membership.Peer, bool) {
+	for _, p := range n.Peers() {
+		if p.Host == host {
+			return p, true
+		}
+	}
+	return membership.Peer{}, false
+}
+
+func (n *node) heard(host string) bool {
+	p, ok := n.find(host)
+	return ok && p.Heard
+}
+
+func TestPeersFromSettingsHearEachOther(t *testing.T) {
+	a, b := listen(t, "a", wire.RoleScheduler, "a"), listen(t, "b", wire.RoleScheduler, "a")
+	a.run(t, membership.Options{Seeds: seeds(a.addr, b.addr)})
+	b.run(t, membership.Options{})
+	for _, pair := range []struct {
+		n    *node
+		host string
+	}{{a, "b"}, {b, "a"}} {
+		eventually(t, pair.host+" heard and reached", func() bool {
+			p, ok := pair.n.find(pair.host)
+			return ok && p.Heard && p.Reached
+		})
+	}
+	assert.Equal(t, len(a.LivePeers("a")), 1)
+	assert.Equal(t, len(a.LivePeers("elsewhere")), 0)
+	assert.Assert(t, a.Client("b") != nil)
+	assert.Assert(t, a.Client("nobody") == nil)
+}
+
+type hostList struct {
+	mu    sync.Mutex
+	hosts []platform.Host
+	err   error
+}
+
+func (l *hostList) Hosts(context.Context) ([]platform.Host, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.hosts, l.err
+}
+
+func (l *hostList) set(err error, addrs ...string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hosts, l.err = nil, err
+	for _, a := range addrs {
+		l.hosts = append(l.hosts, platform.Host{Kind: platform.EntryHost, Zone: "a", Addr: a, State: platform.HostLive})
+	}
+}
+
+func TestHostListIsAHintThatItsAbsenceDoesNotTakeBack(t *testing.T) {
+	a, b := listen(t, "a", wire.RoleScheduler, "a"), listen(t, "b", wire.RoleScheduler, "a")
+	list := &hostList{}
+	list.set(nil, b.addr)
+	a.run(t, membership.Options{Hosts: list, HostsInterval: interval})
+	eventually(t, "b heard", func() bool { return a.heard("b") })
+	list.set(platform.ErrUnknown)
+	time.Sleep(2 * timeout)
+	assert.Assert(t, a.heard("b"), "the list's outage ended a live peer")
+	list.set(nil)
+	time.Sleep(2 * timeout)
+	assert.Assert(t, a.heard("b"), "a list without the peer ended a live peer")
+}
+
+func TestListedHostThatIsNotHeardIsNotLive(t *testing.T) {
+	a, b := listen(t, "a", wire.RoleScheduler, "a"), listen(t, "b", wire.RoleScheduler, "a")
+	b.stop()
+	list := &hostList{}
+	list.set(nil, b.addr)
+	a.run(t, membership.Options{Hosts: list, HostsInterval: interval})
+	time.Sleep(2 * timeout)
+	assert.Equal(t, len(a.All()), 0)
+}
+
+func TestSilentPeerIsReportedAndThenForgotten(t *testing.T) {
+	a, b := listen(t, "a", wire.RoleScheduler, "a"), listen(t, "b", wire.RoleScheduler, "a")
+	a.run(t, membership.Options{Seeds: seeds(b.addr), Forget: 4 * timeout})
+	eventually(t, "b heard", func() bool { return a.heard("b") })
+	changed := a.Changed()
+	b.stop()
+	select {
+	case <-changed:
+	case <-time.After(patience):
+		t.Fatal("no change was reported")
+	}
+	eventually(t, "b silent", func() bool { p, ok := a.find("b"); return !ok || !p.Heard })
+	eventually(t, "b forgotten", func() bool { _, ok := a.find("b"); return !ok })
+}
+
+func TestChangeOfActiveRoleIsReported(t *testing.T) {
+	a, b := listen(t, "a", wire.RoleScheduler, "a"), listen(t, "b", wire.RoleScheduler, "a")
+	a.run(t, membership.Options{Seeds: seeds(b.addr)})
+	eventually(t, "b heard", func() bool { return a.heard("b") })
+	changed := a.Changed()
+	b.set(func(hb *wire.Heartbeat) { hb.Active, hb.Term = true, 7 })
+	select {
+	case <-changed:
+	case <-time.After(patience):
+		t.Fatal("no change was reported")
+	}
+	p, _ := a.find("b")
+	assert.Assert(t, p.Active && p.Term == 7)
+}
+
+func TestRestartedAndReplacedHostsTakeOverTheirName(t *testing.T) {
+	a, old := listen(t, "a", wire.RoleScheduler, "a"), listen(t, "b", wire.RoleScheduler, "a")
+	old.set(func(hb *wire.Heartbeat) { hb.Term = 9 })
+	a.run(t, membership.Options{Seeds: seeds(old.addr)})
+	eventually(t, "b heard", func() bool { return a.heard("b") })
+	before, _ := a.find("b")
+	old.stop()
+	b := listen(t, "b", wire.RoleScheduler, "a")
+	b.run(t, membership.Options{Seeds: seeds(a.addr)})
+	eventually(t, "b back at its new address", func() bool {
+		p, ok := a.find("b")
+		return ok && p.Heard && p.Addr == b.addr && p.Incarnation != before.Incarnation
+	})
+	assert.Equal(t, a.Client("b").Addr(), b.addr)
+}
+
+func TestLateHeartbeatDoesNotUndoANewerOne(t *testing.T) {
+	a := listen(t, "a", wire.RoleScheduler, "a")
+	beat := wire.Heartbeat{Host: "b", Role: wire.RoleScheduler, Zone: "a", Incarnation: 1}
+	newer, older := beat, beat
+	newer.Seq, newer.Leaving = 2, true
+	older.Seq = 1
+	a.HandleHeartbeat(newer)
+	a.HandleHeartbeat(older)
+	p, _ := a.find("b")
+	assert.Assert(t, p.Leaving)
+}
+
+func TestOwnAddressIsNotAPeer(t *testing.T) {
+	a := listen(t, "a", wire.RoleScheduler, "a")
+	relay := peertest.NewRelay(t, a.addr)
+	a.run(t, membership.Options{Seeds: seeds(a.addr, relay.Addr())})
+	time.Sleep(2 * timeout)
+	assert.Equal(t, len(a.Peers()), 0)
+}
+
+// TestLinkCutOneWayIsToldApart lets b's heartbeats reach a while a's answers to them,
+// and a's own heartbeats, are held.
+func TestLinkCutOneWayIsToldApart(t *testing.T) {
+	a, b := listen(t, "a", wire.RoleScheduler, "a"), listen(t, "b", wire.RoleScheduler, "a")
+	toA := peertest.NewRelay(t, a.addr)
+	toB := peertest.NewRelay(t, b.addr)
+	a.set(func(hb *wire.Heartbeat) { hb.Addr = toA.Addr() })
+	b.set(func(hb *wire.Heartbeat) { hb.Addr = toB.Addr() })
+	a.run(t, membership.Options{})
+	b.run(t, membership.Options{Seeds: seeds(toA.Addr())})
+	eventually(t, "both ways", func() bool { p, ok := a.find("b"); return ok && p.Heard && p.Reached })
+	toA.Hold(peertest.FromTarget, true)
+	toB.Hold(peertest.ToTarget, true)
+	eventually(t, "heard but not reached", func() bool { p, _ := a.find("b"); return p.Heard && !p.Reached })
+	eventually(t, "not heard at the other end", func() bool { p, ok := b.find("a"); return !ok || !p.Heard })
+	toA.Hold(peertest.FromTarget, false)
+	toB.Hold(peertest.ToTarget, false)
+	eventually(t, "healed", func() bool {
+		p, _ := a.find("b")
+		q, _ := b.find("a")
+		return p.Reached && q.Reached
+	})
+}
+
+func TestNewerConfigurationIsFetchedFromAPeer(t *testing.T) {
+	a, b := listen(t, "a", wire.RoleScheduler, "a"), listen(t, "b", wire.RoleScheduler, "a")
+	b.set(func(hb *wire.Heartbeat) { hb.Generation = 5 })
+	b.record = []byte("five")
+	a.run(t, membership.Options{Seeds: seeds(b.addr), Config: a})
+	eventually(t, "generation 5", func() bool { return a.heartbeat().Generation == 5 })
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	assert.Equal(t, string(a.record), "five")
+}
+
+func TestOlderConfigurationIsLeftAlone(t *testing.T) {
+	a, b := listen(t, "a", wire.RoleScheduler, "a"), listen(t, "b", wire.RoleScheduler, "a")
+	a.set(func(hb *wire.Heartbeat) { hb.Generation = 6 })
+	b.set(func(hb *wire.Heartbeat) { hb.Generation = 5 })
+	a.run(t, membership.Options{Seeds: seeds(b.addr), Config: a})
+	eventually(t, "b heard", func() bool { return a.heard("b") })
+	time.Sleep(timeout)
+	assert.Equal(t, a.heartbeat().Generation, core.Generation(6))
+}
+
+func TestGateIsAMemberThoughNobodyDialsIt(t *testing.T) {
+	s, g := listen(t, "a", wire.RoleScheduler, "a"), listen(t, "a", wire.RoleGate, "a")
+	g.set(func(hb *wire.Heartbeat) { hb.Addr = "" })
+	s.run(t, membership.Options{})
+	g.run(t, membership.Options{Seeds: []membership.Seed{{Addr: strings.Clone(s.addr), Zone: "a"}}})
+	eventually(t, "the gate is heard", func() bool { return s.heard("a") })
+	assert.Equal(t, s.LivePeers("a")[0].Role, wire.RoleGate)
+}
+
+func TestProbeAsksAtOnce(t *testing.T) {
+	g, s := listen(t, "g", wire.RoleGate, "a"), listen(t, "s", wire.RoleScheduler, "a")
+	g.run(t, membership.Options{Seeds: seeds(s.addr), Interval: time.Hour, Timeout: patience})
+	eventually(t, "first heartbeat", func() bool { return g.heard("s") })
+	s.set(func(hb *wire.Heartbeat) { hb.Active = true })
+	g.Probe(t.Context(), "a")
+	p, _ := g.find("s")
+	assert.Assert(t, p.Active)
+}
