--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -177,7 +177,7 @@
 	t.timer.Stop()
 	t.Started = true
 	t.began = time.Now()
-	w.ledger.started(t.Job, t.Task, w.def.ID)
+	w.ledger.started(t.Job, t.Task, w.def.ID, t.Cell)
 	var b Behaviour
 	_ = json.Unmarshal(t.Job.Payload, &b)
 	run := time.Duration(b.RunSeconds * float64(time.Second))
