--- /dev/null
+++ b/internal/audit/audit_test.go
@@ -0,0 +1,57 @@
+package audit
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"agatewinch/internal/core"
+	"agatewinch/internal/errkind"
+	"agatewinch/internal/standin"
+)
+
+const lease = time.Second
+
+func start(job core.JobID, attempt, index, cells int, at time.Duration) standin.Entry {
+	return standin.Entry{Kind: standin.EntryStarted, At: at, Cells: cells, Worker: "w", Task: core.TaskRef{Job: job, Attempt: attempt, Index: index}}
+}
+
+func end(kind string, job core.JobID, attempt, index int, at time.Duration) standin.Entry {
+	return standin.Entry{Kind: kind, OK: kind == standin.EntryEnded, At: at, Worker: "w", Task: core.TaskRef{Job: job, Attempt: attempt, Index: index}}
+}
+
+func TestCompareFindsEachKindOfWrongBehaviour(t *testing.T) {
+	whole := []standin.Entry{
+		start("j", 1, 0, 2, 1), start("j", 1, 1, 2, 2),
+		end(standin.EntryEnded, "j", 1, 0, 3*lease), end(standin.EntryEnded, "j", 1, 1, 3*lease),
+	}
+	good := Told{Job: "j", Cells: 2, Nonce: "n", Accepted: true, Ended: true, Succeeded: true, Outputs: []string{"n", "n"}}
+	refused := Told{Job: "j", Cells: 2, Ended: true, Ran: errkind.RanNo}
+	twice := append(append([]standin.Entry{}, whole...), start("j", 2, 0, 2, 4*lease))
+	lostMember := []standin.Entry{
+		start("j", 1, 0, 2, 1), start("j", 1, 1, 2, 2),
+		end(standin.EntryStopped, "j", 1, 0, lease), end(standin.EntryEnded, "j", 1, 1, 3*lease),
+	}
+	halfStarted := []standin.Entry{start("j", 1, 0, 2, 1), end(standin.EntryStopped, "j", 1, 0, 2*lease)}
+	for _, tc := range []struct {
+		name   string
+		told   Told
+		ledger []standin.Entry
+		want   Counts
+	}{
+		{"a sound run has no finding", good, whole, Counts{}},
+		{"second start of a non-idempotent job", good, twice, Counts{DuplicateRuns: 1}},
+		{"accepted job without an end", Told{Job: "j", Cells: 2, Accepted: true}, nil, Counts{LostJobs: 1}},
+		{"told not run although it ran", refused, whole, Counts{FalseNotRun: 1}},
+		{"another job's output", Told{Job: "j", Cells: 2, Nonce: "m", Ended: true, Succeeded: true, Outputs: []string{"n", "n"}}, whole, Counts{WrongAnswers: 1}},
+		{"answer cut short", Told{Job: "j", Cells: 2, Nonce: "n", Ended: true, Succeeded: true, Outputs: []string{"n"}}, whole, Counts{WrongAnswers: 1}},
+		{"success without a run", good, nil, Counts{WrongAnswers: 1}},
+		{"gang goes on after a member's loss", Told{Job: "j", Cells: 2}, lostMember, Counts{PartialGangs: 1}},
+		{"gang runs half started", Told{Job: "j", Cells: 2}, halfStarted, Counts{PartialGangs: 1}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			assert.DeepEqual(t, Compare([]Told{tc.told}, tc.ledger, lease).Counts, tc.want)
+		})
+	}
+}
