wire: say in a job reply which zone serves the job

Cause: a retry may reach another zone than the one whose admission stands first in the log, and a scheduler that stands down holds calls for jobs it no longer serves. Neither is "not run". Expected of the gate: on Elsewhere, look up the active scheduler of Zone and send the same Submit (idempotent) or Wait, within the caller's own wait.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -72,6 +72,12 @@
 	State   core.JobState
 	Workers []core.WorkerID
 	Outcome *core.Outcome
+	// Zone is the availability zone that owns the job.
+	Zone core.ZoneID
+	// Elsewhere is true when the answering scheduler does not serve the job, or no
+	// longer does: the job is admitted, and the active scheduler of Zone is to be asked
+	// again, with the same Submit where the job is idempotent and with Wait otherwise.
+	Elsewhere bool
 }
 
 // Cancel asks for a job's end; answered by JobReply.
