Drive scenarios on real processes and measure them

Change: agatewinch-bench prepare writes a cluster's settings for each policy, run drives a seeded workload against the gates and works out the JSON line from the callers' results and the ledger; scripts/bench.sh starts the processes.

--- /dev/null
+++ b/internal/bench/drive.go
@@ -0,0 +1,177 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"agatewinch/internal/api"
+	"agatewinch/internal/audit"
+	"agatewinch/internal/core"
+	"agatewinch/internal/errkind"
+	"agatewinch/internal/standin"
+)
+
+const (
+	longPoll       = 30 * time.Second
+	maxTries       = 8
+	maxRetryPause  = 5 * time.Second
+	leastPause     = 100 * time.Millisecond
+	connsPerGate   = 2048
+	nanosPerSecond = float64(time.Second)
+)
+
+// Result is what became of one arrival.
+type Result struct {
+	Arrival
+	audit.Told
+	Submitted time.Time
+	Finished  time.Time
+	Kind      errkind.Kind
+	Tries     int
+}
+
+// Driver submits workloads to one cluster.
+type Driver struct {
+	Target Target
+	// Prefix makes the request IDs of this run unique.
+	Prefix string
+	http   *http.Client
+}
+
+// NewDriver returns a driver for target.
+func NewDriver(target Target, prefix string) *Driver {
+	transport := &http.Transport{MaxIdleConnsPerHost: connsPerGate, MaxConnsPerHost: connsPerGate}
+	return &Driver{Target: target, Prefix: prefix, http: &http.Client{Transport: transport}}
+}
+
+func (d *Driver) client(gate int, org string) *api.Client {
+	return &api.Client{Base: d.Target.Gates[gate%len(d.Target.Gates)], Key: Key(org), HTTP: d.http}
+}
+
+// Run submits every arrival at its time and waits for all ends or the horizon.
+func (d *Driver) Run(ctx context.Context, w Workload) []Result {
+	began := time.Now()
+	ctx, cancel := context.WithDeadline(ctx, began.Add(w.Horizon))
+	defer cancel()
+	results := make([]Result, len(w.Arrivals))
+	var running sync.WaitGroup
+	for i, a := range w.Arrivals {
+		select {
+		case <-time.After(time.Until(began.Add(a.At))):
+		case <-ctx.Done():
+		}
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			results[i] = d.one(ctx, i, a)
+		}()
+	}
+	running.Wait()
+	return results
+}
+
+func (d *Driver) one(ctx context.Context, i int, a Arrival) Result {
+	req := d.request(a)
+	r := Result{Arrival: a, Submitted: time.Now(), Told: audit.Told{
+		Job:   core.MakeJobID(core.OrgID(a.Org), core.RequestID(req.RequestID)),
+		Cells: a.Shape.Cells, Idempotent: a.Idempotent, Nonce: req.RequestID,
+	}}
+	if a.CancelAfter > 0 {
+		timer := time.AfterFunc(a.CancelAfter, func() { d.cancel(i, a.Org, req.RequestID) })
+		defer timer.Stop()
+	}
+	for ; r.Tries < maxTries && !r.Ended && ctx.Err() == nil; r.Tries++ {
+		d.try(ctx, i+r.Tries, req, &r)
+	}
+	r.Finished = time.Now()
+	return r
+}
+
+func (d *Driver) request(a Arrival) api.SubmitRequest {
+	id := d.Prefix + a.Request
+	payload, _ := json.Marshal(standin.Behaviour{RunSeconds: a.Actual.Seconds(), Fail: a.Broken, Output: id})
+	return api.SubmitRequest{
+		RequestID: id, Caller: a.Caller, Class: a.Class, Shape: a.Shape, Idempotent: a.Idempotent,
+		DeclaredRunSeconds: a.Declared.Seconds(), WaitSeconds: longPoll.Seconds(), Payload: payload,
+	}
+}
+
+// try submits once and follows the job by long polls until it ends or the call fails.
+func (d *Driver) try(ctx context.Context, gate int, req api.SubmitRequest, r *Result) {
+	client := d.client(gate, r.Org)
+	var answer api.JobAnswer
+	err := client.Call(ctx, http.MethodPost, api.PathJobs, req, &answer)
+	path := api.PathJobs + "/" + url.PathEscape(req.RequestID) + "?wait_seconds=30"
+	for err == nil && !answer.State.Ended() && ctx.Err() == nil {
+		r.Accepted = true
+		answer = api.JobAnswer{}
+		err = client.Call(ctx, http.MethodGet, path, nil, &answer)
+	}
+	if err != nil {
+		d.failed(ctx, err, r)
+		return
+	}
+	r.finish(answer)
+}
+
+func (r *Result) finish(answer api.JobAnswer) {
+	if !answer.State.Ended() {
+		return
+	}
+	r.Ended = true
+	r.Succeeded = answer.State == core.Succeeded
+	for _, out := range answer.Outputs {
+		r.Outputs = append(r.Outputs, out.Text)
+	}
+}
+
+// failed takes an error answer: a retryable one is tried again after its pause.
+func (d *Driver) failed(ctx context.Context, err error, r *Result) {
+	var pauseFor = leastPause
+	if e := errkind.Of(err); e.Kind != errkind.Internal {
+		r.Kind = e.Kind
+		row := errkind.AnswerFor(e.Kind)
+		if !row.Retryable {
+			r.Ended, r.Ran = true, row.Ran
+			return
+		}
+		pauseFor = max(leastPause, time.Duration(e.RetryAfterSeconds*nanosPerSecond))
+	}
+	select {
+	case <-time.After(min(pauseFor, maxRetryPause)):
+	case <-ctx.Done():
+	}
+}
+
+func (d *Driver) cancel(gate int, org, request string) {
+	ctx, cancel := context.WithTimeout(context.Background(), maxRetryPause)
+	defer cancel()
+	var answer api.JobAnswer
+	_ = d.client(gate, org).Call(ctx, http.MethodDelete, api.PathJobs+"/"+url.PathEscape(request), nil, &answer)
+}
+
+// Ledger reads what really ran.
+func (d *Driver) Ledger(ctx context.Context) ([]standin.Entry, error) {
+	var entries []standin.Entry
+	err := d.platform(ctx, http.MethodGet, standin.PathLedger, &entries)
+	return entries, trace.Wrap(err)
+}
+
+func (d *Driver) platform(ctx context.Context, method, path string, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, d.Target.Platform+path, nil)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	resp, err := d.http.Do(req)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return trace.Wrap(json.NewDecoder(resp.Body).Decode(out))
+}
--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,33 @@
+#!/usr/bin/env bash
+# Runs scenarios on real processes, a cluster for each policy side by side, and writes
+# JSON lines to build/bench/results.jsonl.
+# Usage: bench.sh [SCENARIOS] [SEEDS] [SIZES] [POLICIES], each a list in quotes.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+. scripts/cluster.sh
+scenarios=${1:-"haneul vatuwaqa reclaim liars"}
+seeds=${2:-"1 2 3"}
+sizes=${3:-"haneul vatuwaqa"}
+policies=${4:-"fifo guaranteed"}
+out=${BENCH_OUT:-build/bench}
+first_port=${BENCH_PORT:-32000}
+mkdir -p "$out"
+: >"$out/results.jsonl"
+trap cluster_stop EXIT
+for size in $sizes; do
+	for scenario in $scenarios; do
+		for seed in $seeds; do
+			dir=$out/$size-$scenario-$seed
+			bin/agatewinch-bench prepare --dir "$dir" --size "$size" --policy "${policies// /,}" --first-port "$first_port"
+			for policy in $policies; do
+				cluster_start "$dir/$policy"
+				gate=$(cluster_port "$dir/$policy/gate-1.yaml")
+				AGATEWINCH_KEY=bench-key- bin/agatewinchctl --gate "http://127.0.0.1:$gate" apply -f "$dir/config" >/dev/null
+			done
+			sleep 3
+			bin/agatewinch-bench run --targets "$dir/targets.yaml" --scenario "$scenario" --seed "$seed" --size "$size" \
+				--policy "${policies// /,}" --json | tee -a "$out/results.jsonl"
+			cluster_stop
+		done
+	done
+done
