--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -81,9 +81,15 @@
 
 // ApplyRequest replaces the whole configuration.
 type ApplyRequest struct {
-	Base   core.Generation `json:"base"`
-	Set    config.Set      `json:"set"`
-	DryRun bool            `json:"dry_run,omitempty"`
+	// ID names the attempt; the same ID again finds the first attempt's result.
+	ID string `json:"id,omitempty" validate:"max=64"`
+	// Base is the generation that the set builds on.
+	Base core.Generation `json:"base"`
+	Set  config.Set      `json:"set"`
+	// DryRun only checks the set.
+	DryRun bool `json:"dry_run,omitempty"`
+	// Force is for a log that has lost the configuration.
+	Force bool `json:"force,omitempty"`
 }
 
 // ApplyAnswer tells the accepted generation; zero for a dry run.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -1,20 +1,14 @@
-// Package config reads the operators' declarative files, checks them as one set and
-// turns them into what the log carries and what the core uses.
+// Package config reads the operators' declarative files, checks them as one set,
+// carries the set over the platform's log and turns it into what the core uses.
 package config
 
 import (
-	"bytes"
-	"errors"
-	"fmt"
-	"io"
-	"os"
-	"path/filepath"
-	"sort"
-	"strings"
+	"math"
+	"regexp"
+	"time"
 
 	"github.com/dustin/go-humanize"
 	"github.com/gravitational/trace"
-	"go.yaml.in/yaml/v3"
 
 	"agatewinch/internal/core"
 )
@@ -27,14 +21,25 @@
 	Keys          []Key          `yaml:"keys" json:"keys"`
 }
 
-// Organisation is a customer with its guarantees and quotas.
+// Organisation is a customer with its guarantees, quotas and limits. A number that is
+// left out takes its default.
 type Organisation struct {
-	Name        string      `yaml:"name" json:"name"`
-	Weight      int         `yaml:"weight" json:"weight"`
-	Quota       int         `yaml:"quota" json:"quota"`
-	UrgentQuota int         `yaml:"urgent_quota" json:"urgent_quota"`
-	MaxQueued   int         `yaml:"max_queued" json:"max_queued"`
-	Guarantees  []Guarantee `yaml:"guarantees" json:"guarantees"`
+	Name string `yaml:"name" json:"name"`
+	// Weight scales the fair share; the default is 1.
+	Weight int `yaml:"weight,omitempty" json:"weight"`
+	// Quota bounds the accelerators of all running jobs; the default is no bound.
+	Quota int `yaml:"quota,omitempty" json:"quota"`
+	// UrgentQuota bounds the accelerators of running urgent jobs; the default is the guarantee.
+	UrgentQuota int `yaml:"urgent_quota,omitempty" json:"urgent_quota"`
+	// MaxQueued bounds the waiting jobs of each class; the default is the scheduler's.
+	MaxQueued int `yaml:"max_queued,omitempty" json:"max_queued"`
+	// RequestRate and RequestBurst bound its requests a second at each gate; the
+	// defaults are the gate's.
+	RequestRate  int `yaml:"request_rate,omitempty" json:"request_rate,omitempty"`
+	RequestBurst int `yaml:"request_burst,omitempty" json:"request_burst,omitempty"`
+	// Classes lists what it may submit; the default is every class.
+	Classes    []string    `yaml:"classes,omitempty" json:"classes,omitempty"`
+	Guarantees []Guarantee `yaml:"guarantees,omitempty" json:"guarantees"`
 }
 
 // Guarantee is a guaranteed shape in one availability zone.
@@ -44,12 +49,17 @@
 	CellSize int    `yaml:"cell_size" json:"cell_size"`
 }
 
-// Class is a class of work.
+// Class is a class of work. A limit that is left out does not bind.
 type Class struct {
 	Name       string `yaml:"name" json:"name"`
 	Urgent     bool   `yaml:"urgent" json:"urgent"`
 	Checkpoint bool   `yaml:"checkpoint" json:"checkpoint"`
-	Weight     int    `yaml:"weight" json:"weight"`
+	// Weight scales the class inside its organisation; the default is 1.
+	Weight int `yaml:"weight,omitempty" json:"weight"`
+	// MaxAccelerators bounds the accelerators of one job.
+	MaxAccelerators int `yaml:"max_accelerators,omitempty" json:"max_accelerators,omitempty"`
+	// MaxRunTime bounds the declared run time, as in "90m".
+	MaxRunTime string `yaml:"max_run_time,omitempty" json:"max_run_time,omitempty"`
 }
 
 // Rack is a group of workers in one availability zone.
@@ -61,10 +71,11 @@
 
 // Worker is one machine of a rack.
 type Worker struct {
-	Name         string `yaml:"name" json:"name"`
-	CPU          int    `yaml:"cpu" json:"cpu"`
+	Name string `yaml:"name" json:"name"`
+	CPU  int    `yaml:"cpu" json:"cpu"`
+	// Memory is a size with its unit, as in "128GiB".
 	Memory       string `yaml:"memory" json:"memory"`
-	Accelerators int    `yaml:"accelerators" json:"accelerators"`
+	Accelerators int    `yaml:"accelerators" json:"accelerators" min:"0"`
 	Slots        int    `yaml:"slots" json:"slots"`
 }
 
@@ -79,101 +90,61 @@
 
 // Key is an API key, kept as the hexadecimal SHA-256 of its text.
 type Key struct {
-	Name         string `yaml:"name" json:"name"`
-	Role         Role   `yaml:"role" json:"role"`
-	Organisation string `yaml:"organisation" json:"organisation"`
+	Name string `yaml:"name" json:"name"`
+	Role Role   `yaml:"role" json:"role"`
+	// Organisation is the one that a caller's key acts for.
+	Organisation string `yaml:"organisation,omitempty" json:"organisation"`
 	SHA256       string `yaml:"sha256" json:"sha256"`
 }
 
-// Record is one configuration as the log carries it.
-type Record struct {
-	// ID names the attempt, so that its writer finds it again after a lost answer.
-	ID string `json:"id"`
-	// Base is the generation that the set builds on; readers accept the record only
-	// when Base is the newest accepted generation.
-	Base core.Generation `json:"base"`
-	Set  Set             `json:"set"`
-}
+var sizePattern = regexp.MustCompile(`^[0-9]+(\.[0-9]+)? ?([kKMGTP]i?)?B$`)
 
-// LoadDir reads every *.yaml file of dir into one set. All faults are returned
-// together, each with its file and line.
-func LoadDir(dir string) (*Set, error) {
-	files, err := filepath.Glob(filepath.Join(dir, "*.yaml"))
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	if len(files) == 0 {
-		return nil, trace.NotFound("no *.yaml file in %s", dir)
+// parseSize reads a size in bytes that names its unit.
+func parseSize(text string) (int64, error) {
+	if !sizePattern.MatchString(text) {
+		return 0, trace.BadParameter("%q is not a size with a unit such as 128GiB", text)
 	}
-	sort.Strings(files)
-	set := &Set{}
-	var faults []error
-	for _, file := range files {
-		data, err := os.ReadFile(file)
-		if err != nil {
-			return nil, trace.ConvertSystemError(err)
-		}
-		if err := set.merge(data); err != nil {
-			faults = append(faults, fmt.Errorf("%s: %w", filepath.Base(file), err))
-		}
+	n, err := humanize.ParseBytes(text)
+	if err != nil || n == 0 || n > math.MaxInt64 {
+		return 0, trace.BadParameter("%q is not a size in range", text)
 	}
-	faults = append(faults, set.Check()...)
-	if len(faults) > 0 {
-		return nil, trace.NewAggregate(faults...)
+	return int64(n), nil
+}
+
+// RunTimeLimit returns MaxRunTime; zero means no limit.
+func (c Class) RunTimeLimit() time.Duration {
+	d, err := time.ParseDuration(c.MaxRunTime)
+	if err != nil {
+		return 0
 	}
-	return set, nil
+	return d
 }
 
-func (s *Set) merge(data []byte) error {
-	dec := yaml.NewDecoder(bytes.NewReader(data))
-	dec.KnownFields(true)
-	for {
-		var part Set
-		err := dec.Decode(&part)
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
+// Organisation returns the organisation of that name.
+func (s *Set) Organisation(name string) (Organisation, bool) {
+	for _, o := range s.Organisations {
+		if o.Name == name {
+			return o, true
 		}
-		s.Organisations = append(s.Organisations, part.Organisations...)
-		s.Classes = append(s.Classes, part.Classes...)
-		s.Racks = append(s.Racks, part.Racks...)
-		s.Keys = append(s.Keys, part.Keys...)
 	}
+	return Organisation{}, false
 }
 
-// Check returns every fault of the set.
-func (s *Set) Check() []error {
-	var faults []error
-	fail := func(format string, args ...any) { faults = append(faults, fmt.Errorf(format, args...)) }
-	if len(s.Racks) == 0 {
-		fail("no rack is configured")
-	}
-	seen := map[string]bool{}
-	for _, r := range s.Racks {
-		for _, w := range r.Workers {
-			if seen[w.Name] {
-				fail("worker %s appears twice", w.Name)
-			}
-			seen[w.Name] = true
-			if _, err := humanize.ParseBytes(w.Memory); err != nil {
-				fail("worker %s: memory %q is not a size", w.Name, w.Memory)
-			}
+// Class returns the class of that name.
+func (s *Set) Class(name string) (Class, bool) {
+	for _, c := range s.Classes {
+		if c.Name == name {
+			return c, true
 		}
 	}
-	return faults
+	return Class{}, false
 }
 
 // Core returns the set as the core uses it.
 func (s *Set) Core(gen core.Generation) *core.Config {
 	cfg := &core.Config{Generation: gen}
 	for _, o := range s.Organisations {
-		org := core.Organisation{ID: core.OrgID(o.Name), Weight: max(o.Weight, 1), Quota: o.Quota, UrgentQuota: o.UrgentQuota, MaxQueued: o.MaxQueued}
-		for _, g := range o.Guarantees {
-			org.Guarantees = append(org.Guarantees, core.Guarantee{Zone: core.ZoneID(g.Zone), Cells: g.Cells, CellSize: g.CellSize})
-		}
-		cfg.Organisations = append(cfg.Organisations, org)
+		cfg.Organisations = append(cfg.Organisations, o.core())
 	}
 	for _, c := range s.Classes {
 		cfg.Classes = append(cfg.Classes, core.Class{Name: core.ClassName(c.Name), Urgent: c.Urgent, Checkpoint: c.Checkpoint, Weight: max(c.Weight, 1)})
@@ -186,20 +157,18 @@
 	return cfg
 }
 
-func (w Worker) core(r Rack) core.Worker {
-	memory, _ := humanize.ParseBytes(w.Memory)
-	return core.Worker{
-		ID: core.WorkerID(w.Name), Zone: core.ZoneID(r.Zone), Rack: core.RackID(r.Name), CPU: w.CPU,
-		MemoryBytes: int64(memory), Accelerators: w.Accelerators, Slots: w.Slots,
+func (o Organisation) core() core.Organisation {
+	org := core.Organisation{ID: core.OrgID(o.Name), Weight: max(o.Weight, 1), Quota: o.Quota, UrgentQuota: o.UrgentQuota, MaxQueued: o.MaxQueued}
+	for _, g := range o.Guarantees {
+		org.Guarantees = append(org.Guarantees, core.Guarantee{Zone: core.ZoneID(g.Zone), Cells: g.Cells, CellSize: g.CellSize})
 	}
+	return org
 }
 
-// FindKey returns the key whose hash is sum, in hexadecimal.
-func (s *Set) FindKey(sum string) (Key, bool) {
-	for _, k := range s.Keys {
-		if constantTimeEqual(strings.ToLower(k.SHA256), sum) {
-			return k, true
-		}
+func (w Worker) core(r Rack) core.Worker {
+	memory, _ := parseSize(w.Memory)
+	return core.Worker{
+		ID: core.WorkerID(w.Name), Zone: core.ZoneID(r.Zone), Rack: core.RackID(r.Name), CPU: w.CPU,
+		MemoryBytes: memory, Accelerators: w.Accelerators, Slots: w.Slots,
 	}
-	return Key{}, false
 }
--- a/internal/config/follow.go
+++ b/internal/config/follow.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
 
 	"agatewinch/internal/core"
 	"agatewinch/internal/errkind"
@@ -20,121 +21,128 @@
 	readWait    = 20 * time.Second
 	retryLowest = 100 * time.Millisecond
 	retryHigh   = time.Second
+	// DefaultSnapshotInterval is how often the set in force is appended again; it must
+	// be well under the log's retention.
+	DefaultSnapshotInterval = 5 * time.Minute
+	snapshotChecks          = 10
 )
 
-// Accepted is a configuration in force.
-type Accepted struct {
-	Generation core.Generation
-	Set        *Set
-	// Record is the log record's data, as peers pass it on.
-	Record []byte
-}
-
-// Follower reads the configuration stream and holds what is in force. A record is
-// accepted when its base is the newest accepted generation; its own generation is
-// then its offset plus one, so all readers agree and generations only grow.
+// Follower reads the configuration stream and holds what is in force.
 type Follower struct {
+	// SnapshotInterval is set before Run; zero means DefaultSnapshotInterval.
+	SnapshotInterval time.Duration
+
 	log platform.Log
 
-	mu      sync.Mutex
-	current Accepted
-	next    platform.Offset
-	results map[string]core.Generation
-	changed chan struct{}
-	caught  bool
+	mu        sync.Mutex
+	reader    *reader
+	consulted bool
+	oldest    platform.Offset
+	// anchoredAt is when the reader's anchor last grew.
+	anchoredAt time.Time
+	changed    chan struct{}
 }
 
 // NewFollower returns a follower that has read nothing yet.
 func NewFollower(log platform.Log) *Follower {
-	return &Follower{log: log, results: map[string]core.Generation{}, changed: make(chan struct{})}
+	return &Follower{log: log, reader: newReader(), changed: make(chan struct{})}
 }
 
-// Run reads the stream until ctx ends.
+// Run reads the stream, and appends the set in force again before the log's retention
+// ends, until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return f.follow(ctx) })
+	group.Go(func() error { return f.keepSnapshot(ctx) })
+	return trace.Wrap(group.Wait())
+}
+
+func (f *Follower) follow(ctx context.Context) error {
 	wait := &backoff.ExponentialBackOff{InitialInterval: retryLowest, MaxInterval: retryHigh, Multiplier: 2, RandomizationFactor: 0.5}
 	for ctx.Err() == nil {
-		page, err := f.log.Read(ctx, platform.StreamConfig, f.position(), readLimit, f.waitTime())
+		from, hold := f.position()
+		page, err := f.log.Read(ctx, platform.StreamConfig, from, readLimit, hold)
 		var trimmed *platform.TrimmedError
-		if errors.As(err, &trimmed) {
-			f.skipTo(trimmed.Oldest)
-			continue
-		}
-		if err != nil {
+		switch {
+		case errors.As(err, &trimmed):
+			f.update(func(r *reader) { r.trimmed(trimmed.Oldest) })
+		case err != nil:
 			sleep(ctx, wait.NextBackOff())
-			continue
+		default:
+			wait.Reset()
+			f.readPage(page)
 		}
-		wait.Reset()
-		f.apply(page)
 	}
 	return trace.Wrap(ctx.Err())
 }
 
 func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
 	select {
-	case <-time.After(d):
+	case <-timer.C:
 	case <-ctx.Done():
 	}
 }
 
-func (f *Follower) position() platform.Offset {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.next
-}
-
-// waitTime does not wait before the end of the stream was reached once.
-func (f *Follower) waitTime() time.Duration {
+// position returns where to read on and how long to wait there: not at all before the
+// end of the stream was reached.
+func (f *Follower) position() (platform.Offset, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.caught {
-		return 0
+	if !f.reader.caught && f.reader.known {
+		return f.reader.next, 0
 	}
-	return readWait
+	if !f.reader.known {
+		return f.reader.next, retryHigh
+	}
+	return f.reader.next, readWait
 }
 
-func (f *Follower) skipTo(oldest platform.Offset) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.next = oldest
+func (f *Follower) readPage(page platform.Page) {
+	f.update(func(r *reader) {
+		before := r.anchor
+		r.page(page)
+		f.oldest = page.Oldest
+		if r.anchor > before || f.anchoredAt.IsZero() {
+			f.anchoredAt = time.Now()
+		}
+	})
 }
 
-func (f *Follower) apply(page platform.Page) {
+// update changes the reader and wakes those who wait for a change.
+func (f *Follower) update(change func(r *reader)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, r := range page.Records {
-		f.applyRecord(r)
-	}
-	f.next = page.Next
-	f.caught = f.caught || page.Next >= page.End
+	change(f.reader)
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
 
-func (f *Follower) applyRecord(r platform.Record) {
-	var rec Record
-	if json.Unmarshal(r.Data, &rec) != nil || len(rec.Set.Check()) > 0 {
-		return
-	}
-	if rec.Base != f.current.Generation {
-		f.results[rec.ID] = 0
-		return
-	}
-	f.current = Accepted{Generation: core.Generation(r.Offset) + 1, Set: &rec.Set, Record: r.Data}
-	f.results[rec.ID] = f.current.Generation
-}
-
 // Current returns the configuration in force; its Set is nil before the first.
 func (f *Follower) Current() Accepted {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.current
+	return f.reader.current
 }
 
-// Ready reports whether the follower has read to the stream's end.
+// Unreadable returns an accepted generation that this build cannot use, and why; zero
+// when there is none. Such a host keeps what it has and is not ready.
+func (f *Follower) Unreadable() (core.Generation, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reader.unreadable, f.reader.reason
+}
+
+// Ready reports whether the host may serve: it has read to the stream's end or, with
+// the log away, has taken the highest generation that its peers hold.
 func (f *Follower) Ready() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.caught
+	if f.reader.unreadable > f.reader.current.Generation {
+		return false
+	}
+	return f.reader.caught || f.consulted && f.reader.current.Set != nil
 }
 
 // Changed returns a channel that is closed at the next change.
@@ -144,37 +152,147 @@
 	return f.changed
 }
 
-// Apply appends a set that builds on base and waits until the stream shows whether it
-// was accepted. It fails with a conflict when another set came first.
-func (f *Follower) Apply(ctx context.Context, id string, base core.Generation, set Set) (core.Generation, error) {
-	data, err := json.Marshal(Record{ID: id, Base: base, Set: set})
+// Offer takes a configuration that a peer holds as accepted with generation gen, as
+// its Accepted has it. It reports whether it is newer and now in force.
+func (f *Follower) Offer(record []byte, gen core.Generation) bool {
+	if _, ok := decodeRecord(record); !ok {
+		return false
+	}
+	var taken bool
+	f.update(func(r *reader) {
+		r.use(gen, record)
+		taken = r.current.Generation == gen
+	})
+	return taken
+}
+
+// PeersConsulted notes that every peer that can be reached was asked for its
+// configuration and that its answer was offered.
+func (f *Follower) PeersConsulted() {
+	f.update(func(*reader) { f.consulted = true })
+}
+
+// keepSnapshot appends the set in force again when no record seen lately lets a new
+// reader start, or when the log no longer holds that record.
+func (f *Follower) keepSnapshot(ctx context.Context) error {
+	interval := f.SnapshotInterval
+	if interval <= 0 {
+		interval = DefaultSnapshotInterval
+	}
+	// The spread keeps hosts from appending at once: the first one's record sets back
+	// all others.
+	interval += rand.N(interval/2 + 1)
+	tick := time.NewTicker(max(interval/snapshotChecks, time.Millisecond))
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			f.snapshotIfDue(ctx, interval)
+		case <-ctx.Done():
+			return trace.Wrap(ctx.Err())
+		}
+	}
+}
+
+func (f *Follower) snapshotIfDue(ctx context.Context, interval time.Duration) {
+	f.mu.Lock()
+	r := f.reader
+	current := r.current
+	complete := r.known && r.caught && r.unreadable == 0 && current.Set != nil && r.gen == current.Generation
+	due := time.Since(f.anchoredAt) >= interval || r.anchor < f.oldest
+	rec := Record{Kind: RecordSnapshot, ID: newID(), AsOf: r.next, Generation: r.gen}
+	f.mu.Unlock()
+	if !complete || !due {
+		return
+	}
+	data, err := encodeRecord(rec, current.Set)
 	if err != nil {
+		return
+	}
+	// A failed append is tried again at the next check.
+	_, _ = f.log.Append(ctx, platform.StreamConfig, [][]byte{data})
+}
+
+// Proposal is a set to be put in force.
+type Proposal struct {
+	// ID names the attempt; the same ID again finds the first attempt's result.
+	ID string
+	// Base is the generation that the set builds on.
+	Base core.Generation
+	// Force puts the set in force over any other. It is for a log that has lost the
+	// configuration, and refused while one is in force.
+	Force bool
+	Set   *Set
+}
+
+// Apply appends a proposal and waits until the stream shows whether it was accepted.
+// It fails with a conflict when another set came first, and with an unknown outcome
+// when the log shows neither before ctx ends.
+func (f *Follower) Apply(ctx context.Context, p Proposal) (core.Generation, error) {
+	if p.ID == "" {
+		p.ID = newID()
+	}
+	if gen, done, err := f.resolved(p); done {
+		return gen, err
+	}
+	if err := f.mayPropose(p); err != nil {
 		return 0, trace.Wrap(err)
 	}
+	rec := Record{Kind: RecordApply, ID: p.ID, Base: p.Base, Force: p.Force}
+	data, err := encodeRecord(rec, p.Set)
+	if err != nil {
+		return 0, errkind.New(errkind.TooLarge, "%v", err)
+	}
 	_, err = f.log.Append(ctx, platform.StreamConfig, [][]byte{data})
 	if errors.Is(err, platform.ErrNotApplied) {
 		return 0, errkind.New(errkind.LogUnavailable, "the log refused the configuration")
 	}
 	for {
 		changed := f.Changed()
-		gen, seen := f.result(id)
-		if seen && gen == 0 {
-			return 0, errkind.New(errkind.Conflict, "built on generation %d, but generation %d is in force", base, f.Current().Generation)
-		}
-		if seen {
-			return gen, nil
+		if gen, done, err := f.resolved(p); done {
+			return gen, err
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return 0, errkind.New(errkind.OutcomeUnknown, "the log did not confirm the configuration in time")
+			return 0, errkind.New(errkind.OutcomeUnknown, "the log did not confirm the configuration in time; apply ID %s again to find out", p.ID)
 		}
 	}
 }
 
-func (f *Follower) result(id string) (core.Generation, bool) {
+// resolved returns the result of a proposal if the stream has shown it.
+func (f *Follower) resolved(p Proposal) (core.Generation, bool, error) {
+	f.mu.Lock()
+	result, ok := f.reader.results[p.ID]
+	f.mu.Unlock()
+	if !ok {
+		return 0, false, nil
+	}
+	if result.Generation == 0 {
+		return 0, true, conflict(p.Base, result.InForce)
+	}
+	return result.Generation, true, nil
+}
+
+// mayPropose refuses what no log could accept, before anything is appended.
+func (f *Follower) mayPropose(p Proposal) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	gen, ok := f.results[id]
-	return gen, ok
+	r := f.reader
+	newest := max(r.gen, r.current.Generation, r.unreadable)
+	switch {
+	case p.Force && newest > 0:
+		return errkind.New(errkind.Conflict, "forced, but generation %d is in force", newest)
+	case p.Force:
+		return nil
+	case !r.known:
+		return errkind.New(errkind.LogUnavailable, "the generation in force cannot be read from the log")
+	case p.Base < newest:
+		return conflict(p.Base, newest)
+	}
+	return nil
+}
+
+func conflict(base, inForce core.Generation) error {
+	return errkind.New(errkind.Conflict, "built on generation %d, but generation %d is in force", base, inForce)
 }
--- /dev/null
+++ b/internal/config/id.go
@@ -0,0 +1,15 @@
+package config
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+)
+
+const idBytes = 12
+
+// newID returns a random ID for an attempt to append.
+func newID() string {
+	var id [idBytes]byte
+	_, _ = rand.Read(id[:]) // never fails, by its documentation
+	return hex.EncodeToString(id[:])
+}
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -57,7 +57,7 @@
 		}
 		return config.Key{}, errkind.New(errkind.Unauthenticated, "no configuration is in force yet")
 	}
-	key, ok := set.FindKey(config.HashKey(text))
+	key, ok := config.FindKey(set.Keys, config.HashKey(text))
 	if !ok {
 		return config.Key{}, errkind.New(errkind.Unauthenticated, "the key is not known")
 	}
@@ -193,33 +193,6 @@
 	return nil
 }
 
-func (g *Gate) serveGetConfig(w http.ResponseWriter, _ *http.Request, _ config.Key) error {
-	cur := g.follow.Current()
-	writeJSON(w, http.StatusOK, api.ConfigAnswer{Generation: cur.Generation, Set: cur.Set})
-	return nil
-}
-
-func (g *Gate) serveApply(w http.ResponseWriter, r *http.Request, _ config.Key) error {
-	var req api.ApplyRequest
-	if err := readBody(r, &req); err != nil {
-		return err
-	}
-	if faults := req.Set.Check(); len(faults) > 0 {
-		return errkind.New(errkind.InvalidConfig, "%v", errors.Join(faults...))
-	}
-	if req.DryRun {
-		writeJSON(w, http.StatusOK, api.ApplyAnswer{})
-		return nil
-	}
-	id := g.opts.Host + "-" + strconv.FormatInt(time.Now().UnixNano(), 36)
-	gen, err := g.follow.Apply(r.Context(), id, req.Base, req.Set)
-	if err != nil {
-		return err
-	}
-	writeJSON(w, http.StatusOK, api.ApplyAnswer{Generation: gen})
-	return nil
-}
-
 func (g *Gate) serveStatus(w http.ResponseWriter, r *http.Request, _ config.Key) error {
 	answer := api.StatusAnswer{Gate: g.opts.Host, Generation: g.follow.Current().Generation}
 	for _, p := range g.peers {
