--- a/cmd/agatewinch-standin/main.go
+++ b/cmd/agatewinch-standin/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
@@ -16,11 +17,24 @@
 	"agatewinch/internal/standin"
 )
 
+// The limits of the platform that the users describe.
+const (
+	appendsPerSecond = 400
+	keepFor          = time.Hour
+	workerConns      = 64
+	usageEvery       = 5 * time.Second
+	usageLag         = 3 * time.Second
+)
+
 type standinSettings struct {
 	Listen     string      `yaml:"listen" validate:"required,hostname_port"`
 	WorkerBase string      `yaml:"worker_base" validate:"required,hostname_port"`
 	ConfigDir  string      `yaml:"config_dir" validate:"required"`
 	EntryHosts []entryHost `yaml:"entry_hosts" validate:"dive"`
+	// Log, HostList and Worker are the limits and faults at the start.
+	Log      standin.LogFaults      `yaml:"log"`
+	HostList standin.HostListFaults `yaml:"host_list"`
+	Worker   standin.WorkerFaults   `yaml:"worker"`
 }
 
 type entryHost struct {
@@ -30,7 +44,10 @@
 }
 
 func main() {
-	var s standinSettings
+	s := standinSettings{
+		Log:    standin.LogFaults{AppendsPerSecond: appendsPerSecond, KeepFor: keepFor},
+		Worker: standin.WorkerFaults{MaxConns: workerConns, UsageEvery: usageEvery, UsageLag: usageLag},
+	}
 	settings.Main("agatewinch-standin", "The platform in small", &s, func(*cobra.Command) error { return run(s) })
 }
 
@@ -39,7 +56,8 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	opts := standin.Options{Listen: s.Listen, WorkerBase: s.WorkerBase, Workers: set.Core(0).Workers}
+	opts := standin.Options{Listen: s.Listen, WorkerBase: s.WorkerBase, Workers: set.Core(0).Workers,
+		LogFaults: s.Log, HostFaults: s.HostList, WorkerFaults: s.Worker}
 	for _, h := range s.EntryHosts {
 		opts.EntryHosts = append(opts.EntryHosts, platform.Host{
 			ID: h.ID, Kind: platform.EntryHost, Zone: core.ZoneID(h.Zone), Addr: h.Addr, State: platform.HostLive,
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -205,6 +205,8 @@
 	Reports []TaskReport       `json:"reports,omitempty"`
 	Tasks   []HeldTask         `json:"tasks,omitempty"`
 	Leaving bool               `json:"leaving,omitempty"`
+	// Boot changes when the worker has restarted and lost all that it held.
+	Boot uint64 `json:"boot,omitempty"`
 }
 
 // Backend is the backend server of a worker. Every call names its holder; a worker
--- /dev/null
+++ b/internal/standin/client.go
@@ -0,0 +1,111 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/gravitational/trace"
+
+	"agatewinch/internal/core"
+	"agatewinch/internal/platform"
+	"agatewinch/internal/platform/httpadapter"
+)
+
+// Admin is a client of a stand-in's admin interface.
+type Admin struct {
+	// Base is the stand-in's URL.
+	Base   string
+	Client *http.Client
+}
+
+// Ledger returns the entries with numbers above after.
+func (a *Admin) Ledger(ctx context.Context, after int) (Ledger, error) {
+	var l Ledger
+	err := a.call(ctx, http.MethodGet, PathLedger+"?after="+strconv.Itoa(after), nil, &l)
+	return l, trace.Wrap(err)
+}
+
+// Log returns the log's counts and faults.
+func (a *Admin) Log(ctx context.Context) (LogStatus, error) {
+	var s LogStatus
+	err := a.call(ctx, http.MethodGet, PathLogFaults, nil, &s)
+	return s, trace.Wrap(err)
+}
+
+// SetLog replaces the log's faults.
+func (a *Admin) SetLog(ctx context.Context, f LogFaults) error {
+	return a.call(ctx, http.MethodPut, PathLogFaults, f, nil)
+}
+
+// SetHostList replaces the host list's faults.
+func (a *Admin) SetHostList(ctx context.Context, f HostListFaults) error {
+	return a.call(ctx, http.MethodPut, PathHostFaults, f, nil)
+}
+
+// Hosts returns the host list as the system's hosts see it.
+func (a *Admin) Hosts(ctx context.Context) ([]platform.Host, error) {
+	var hosts []platform.Host
+	err := a.call(ctx, http.MethodGet, httpadapter.PathHosts, nil, &hosts)
+	return hosts, trace.Wrap(err)
+}
+
+// PutHost adds or replaces a host in the host list.
+func (a *Admin) PutHost(ctx context.Context, h platform.Host) error {
+	return a.call(ctx, http.MethodPut, PathListedHosts+url.PathEscape(h.ID), h, nil)
+}
+
+// RemoveHost takes a host off the host list.
+func (a *Admin) RemoveHost(ctx context.Context, id string) error {
+	return a.call(ctx, http.MethodDelete, PathListedHosts+url.PathEscape(id), nil, nil)
+}
+
+// Worker returns what a worker holds.
+func (a *Admin) Worker(ctx context.Context, id core.WorkerID) (WorkerStatus, error) {
+	var s WorkerStatus
+	err := a.call(ctx, http.MethodGet, workerPath(id), nil, &s)
+	return s, trace.Wrap(err)
+}
+
+// SetWorker replaces a worker's faults.
+func (a *Admin) SetWorker(ctx context.Context, id core.WorkerID, f WorkerFaults) error {
+	return a.call(ctx, http.MethodPut, workerPath(id), f, nil)
+}
+
+// RestartWorker makes a worker lose all that it holds.
+func (a *Admin) RestartWorker(ctx context.Context, id core.WorkerID) error {
+	return a.call(ctx, http.MethodPost, workerPath(id)+suffixForRestart, nil, nil)
+}
+
+func workerPath(id core.WorkerID) string { return PathWorkers + url.PathEscape(string(id)) }
+
+func (a *Admin) call(ctx context.Context, method, path string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, a.Base+path, body)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	resp, err := a.Client.Do(req)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return trace.BadParameter("%s %s answered status %d", method, path, resp.StatusCode)
+	}
+	if out == nil {
+		return nil
+	}
+	return trace.Wrap(json.NewDecoder(resp.Body).Decode(out))
+}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"agatewinch/internal/core"
+	"agatewinch/internal/errkind"
 	"agatewinch/internal/platform"
 	"agatewinch/internal/platform/httpadapter"
 )
@@ -24,33 +25,33 @@
 	maxReadWait       = 30 * time.Second
 )
 
-// PathLedger serves the ledger as JSON.
-const PathLedger = "/ledger"
-
-// Options are the stand-in's fixed parameters.
+// Options are the stand-in's fixed parameters, and the faults it starts with.
 type Options struct {
-	// Listen is the IP and port of the log and host list.
+	// Listen is the IP and port of the log, the host list and the admin interface.
 	Listen string
 	// WorkerBase is the IP and port of the first worker; each further worker takes the
 	// next port.
 	WorkerBase string
 	Workers    []core.Worker
 	// EntryHosts are listed beside the workers.
-	EntryHosts []platform.Host
+	EntryHosts   []platform.Host
+	LogFaults    LogFaults
+	HostFaults   HostListFaults
+	WorkerFaults WorkerFaults
 }
 
 // Server is the stand-in platform.
 type Server struct {
 	opts    Options
-	log     *logStore
+	log     *logService
 	ledger  *ledger
-	workers []*worker
-	hosts   []platform.Host
+	hosts   *hostList
+	workers map[core.WorkerID]*worker
+	addrs   map[core.WorkerID]string
 }
 
 // New returns a stand-in that does not serve yet.
 func New(opts Options) (*Server, error) {
-	s := &Server{opts: opts, log: newLogStore(), ledger: newLedger(), hosts: opts.EntryHosts}
 	ip, portText, err := net.SplitHostPort(opts.WorkerBase)
 	if err != nil {
 		return nil, trace.BadParameter("worker base: %v", err)
@@ -59,31 +60,46 @@
 	if err != nil {
 		return nil, trace.BadParameter("worker base: %v", err)
 	}
+	s := &Server{
+		opts: opts, log: newLogService(opts.LogFaults), ledger: newLedger(),
+		workers: map[core.WorkerID]*worker{}, addrs: map[core.WorkerID]string{},
+	}
+	hosts := append([]platform.Host(nil), opts.EntryHosts...)
+	stored := newCheckpoints()
 	for i, def := range opts.Workers {
-		s.workers = append(s.workers, newWorker(def, s.ledger))
 		addr := net.JoinHostPort(ip, strconv.Itoa(port+i))
-		s.hosts = append(s.hosts, platform.Host{ID: string(def.ID), Kind: platform.BackendHost, Zone: def.Zone, Addr: addr, State: platform.HostLive})
+		s.workers[def.ID] = newWorker(def, opts.WorkerFaults, s.ledger, stored)
+		s.addrs[def.ID] = addr
+		hosts = append(hosts, platform.Host{ID: string(def.ID), Kind: platform.BackendHost, Zone: def.Zone, Addr: addr, State: platform.HostLive})
 	}
+	s.hosts = newHostList(hosts, opts.HostFaults)
 	return s, nil
 }
 
 // Run serves until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	serve := func(addr string, h http.Handler) { group.Go(func() error { return serveHTTP(ctx, addr, h) }) }
-	serve(s.opts.Listen, s.platformHandler())
-	first := len(s.hosts) - len(s.workers)
-	for i, w := range s.workers {
-		serve(s.hosts[first+i].Addr, workerHandler(w))
+	listener, err := net.Listen("tcp", s.opts.Listen)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	group.Go(func() error { return serveHTTP(ctx, listener, s.platformHandler()) })
+	for id, w := range s.workers {
+		listener, err := net.Listen("tcp", s.addrs[id])
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		limited := &limitedListener{Listener: listener, counter: &w.conns}
+		group.Go(func() error { return serveHTTP(ctx, limited, workerHandler(w)) })
 	}
 	return trace.Wrap(group.Wait())
 }
 
-func serveHTTP(ctx context.Context, addr string, h http.Handler) error {
-	server := &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+func serveHTTP(ctx context.Context, l net.Listener, h http.Handler) error {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return trace.Wrap(err)
 	}
 	return nil
@@ -93,8 +109,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+httpadapter.PathLog+"{stream}", s.serveAppend)
 	mux.HandleFunc("GET "+httpadapter.PathLog+"{stream}", s.serveRead)
-	mux.HandleFunc("GET "+httpadapter.PathHosts, func(w http.ResponseWriter, _ *http.Request) { reply(w, s.hosts) })
-	mux.HandleFunc("GET "+PathLedger, func(w http.ResponseWriter, _ *http.Request) { reply(w, s.ledger.all()) })
+	mux.HandleFunc("GET "+httpadapter.PathHosts, s.serveHosts)
+	s.addAdmin(mux)
 	return mux
 }
 
@@ -103,7 +119,15 @@
 	if !readJSON(w, r, &req) {
 		return
 	}
-	first := s.log.append(platform.Stream(r.PathValue("stream")), req.Records)
+	first, code, lost := s.log.append(r.Context(), platform.Stream(r.PathValue("stream")), req.Records)
+	if code != http.StatusOK {
+		http.Error(w, http.StatusText(code), code)
+		return
+	}
+	if lost {
+		// The append stands, but its answer never arrives.
+		panic(http.ErrAbortHandler)
+	}
 	reply(w, httpadapter.AppendReply{First: first})
 }
 
@@ -118,6 +142,10 @@
 	}
 	wait := min(time.Duration(waitMS)*time.Millisecond, maxReadWait)
 	page, err := s.log.read(r.Context(), platform.Stream(r.PathValue("stream")), platform.Offset(from), limit, wait)
+	if errkind.Is(err, errkind.LogUnavailable) {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
 	var trimmed *platform.TrimmedError
 	if errors.As(err, &trimmed) {
 		w.WriteHeader(http.StatusGone)
@@ -127,6 +155,15 @@
 	reply(w, page)
 }
 
+func (s *Server) serveHosts(w http.ResponseWriter, _ *http.Request) {
+	hosts, ok := s.hosts.visible()
+	if !ok {
+		http.Error(w, "the host list is down", http.StatusServiceUnavailable)
+		return
+	}
+	reply(w, hosts)
+}
+
 func workerHandler(wk *worker) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+httpadapter.PathDo, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"sync"
 	"time"
 
@@ -11,246 +10,270 @@
 	"agatewinch/internal/platform"
 )
 
+const (
+	// maxReports bounds the reports that wait for a holder's receipt.
+	maxReports = 4096
+	// maxTombstones bounds the memory of tasks that may not start any more.
+	maxTombstones = 65536
+	// bootShift keeps report numbers growing over a worker's restarts.
+	bootShift = 32
+)
+
 // Behaviour is what a task's payload asks of the stand-in worker.
 type Behaviour struct {
 	// RunSeconds is how long the task runs; the declared time when zero.
 	RunSeconds float64 `json:"run_seconds"`
 	// Fail ends the task with a failure.
-	Fail bool `json:"fail"`
+	Fail bool `json:"fail,omitempty"`
 	// Output is returned when the task succeeds.
-	Output string `json:"output"`
+	Output string `json:"output,omitempty"`
+	// NoCheckpoint makes a preemption lose the task's progress.
+	NoCheckpoint bool `json:"no_checkpoint,omitempty"`
+}
+
+// WorkerFaults are a worker's limits and faults. Durations are in nanoseconds.
+type WorkerFaults struct {
+	// Leaving refuses new reservations and lets tasks finish.
+	Leaving bool `json:"leaving" yaml:"leaving"`
+	// FailAll makes every task fail at its end.
+	FailAll bool `json:"fail_all" yaml:"fail_all"`
+	// FailAfter, with FailAll, ends tasks after this time instead of their own.
+	FailAfter time.Duration `json:"fail_after" yaml:"fail_after"`
+	// Frozen holds every call. Held calls are carried out when it ends, whether or not
+	// the client still waits. Leases and tasks go on.
+	Frozen bool `json:"frozen" yaml:"frozen"`
+	// DoubleReports repeats every report once in the next answer.
+	DoubleReports bool `json:"double_reports" yaml:"double_reports"`
+	// CheckpointTime is how long a checkpoint takes; the task goes on meanwhile.
+	CheckpointTime time.Duration `json:"checkpoint_time" yaml:"checkpoint_time"`
+	// UsageEvery is the interval of usage reports for each task; zero means none.
+	UsageEvery time.Duration `json:"usage_every" yaml:"usage_every"`
+	// UsageLag is how old the figures in usage reports are.
+	UsageLag time.Duration `json:"usage_lag" yaml:"usage_lag"`
+	// MaxConns is the number of connections above which new ones are closed at once;
+	// zero means without a bound.
+	MaxConns int `json:"max_conns" yaml:"max_conns"`
 }
 
 // worker is one machine with its backend server.
 type worker struct {
-	def    core.Worker
-	ledger *ledger
+	def         core.Worker
+	ledger      *ledger
+	checkpoints *checkpoints
+	conns       connCounter
 
-	mu      sync.Mutex
-	holder  platform.Holder
-	lease   *time.Timer
-	tasks   map[core.TaskRef]*heldTask
-	refused map[core.TaskRef]bool
-	seq     uint64
-	reports []platform.TaskReport
-	news    chan struct{}
-	leaving bool
-	failAll bool
+	mu       sync.Mutex
+	faults   WorkerFaults
+	thawed   chan struct{}
+	boot     uint64
+	holder   platform.Holder
+	leaseEnd time.Time
+	lease    *time.Timer
+	tasks    map[core.TaskRef]*heldTask
+	refused  tombstones
+	seq      uint64
+	reports  []platform.TaskReport
+	received uint64
+	doubled  uint64
+	news     chan struct{}
 }
 
-type heldTask struct {
-	platform.HeldTask
-	began time.Time
-	timer *time.Timer
+func newWorker(def core.Worker, f WorkerFaults, l *ledger, c *checkpoints) *worker {
+	w := &worker{def: def, ledger: l, checkpoints: c, faults: f, news: make(chan struct{}), thawed: make(chan struct{})}
+	w.conns.limit.Store(int64(f.MaxConns))
+	w.forget()
+	return w
 }
 
-func newWorker(def core.Worker, l *ledger) *worker {
-	return &worker{
-		def: def, ledger: l, tasks: map[core.TaskRef]*heldTask{},
-		refused: map[core.TaskRef]bool{}, news: make(chan struct{}),
-	}
+// forget puts the worker into the state after a boot.
+func (w *worker) forget() {
+	w.boot++
+	w.seq = w.boot << bootShift
+	w.holder = platform.Holder{}
+	w.leaseEnd = time.Time{}
+	w.tasks = map[core.TaskRef]*heldTask{}
+	w.refused = newTombstones(maxTombstones)
+	w.reports, w.received, w.doubled = nil, 0, 0
 }
 
-// fence admits a call by its holder: a lower term and a second holder of the same
-// term are refused.
-func (w *worker) fence(h platform.Holder, ttl time.Duration) core.RefusalReason {
-	if h.Term < w.holder.Term || (h.Term == w.holder.Term && h.ID != w.holder.ID) {
-		return core.RefusedLowTerm
+// restart loses everything that the worker holds.
+func (w *worker) restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, t := range w.tasks {
+		t.timer.Stop()
+		if t.Started {
+			w.ledger.task(EntryLost, w.def.ID, t, false, "")
+		}
 	}
-	w.holder = h
 	if w.lease != nil {
 		w.lease.Stop()
 	}
-	w.lease = time.AfterFunc(ttl, func() { w.lapse(h) })
-	return ""
+	w.forget()
+	w.wake()
 }
 
-// lapse ends everything that was held under h.
-func (w *worker) lapse(h platform.Holder) {
+func (w *worker) setFaults(f WorkerFaults) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.holder != h {
-		return
+	if f.Leaving != w.faults.Leaving {
+		kind := EntryReturned
+		if f.Leaving {
+			kind = EntryLeaving
+		}
+		w.ledger.add(Entry{Kind: kind, Worker: w.def.ID})
 	}
-	for ref, t := range w.tasks {
-		w.drop(t)
-		w.report(platform.TaskReport{Kind: platform.ReportLapsed, Task: ref, Started: t.Started})
+	if w.faults.Frozen && !f.Frozen {
+		close(w.thawed)
+		w.thawed = make(chan struct{})
 	}
+	w.faults = f
+	w.conns.limit.Store(int64(f.MaxConns))
+	w.wake()
 }
 
-func (w *worker) drop(t *heldTask) {
-	if t.timer != nil {
-		t.timer.Stop()
-	}
-	delete(w.tasks, t.Task)
-	w.refused[t.Task] = true
-	if t.Started {
-		w.ledger.stopped(t.Task, w.def.ID)
+// awaitThaw returns when the worker is not frozen.
+func (w *worker) awaitThaw() {
+	for {
+		w.mu.Lock()
+		frozen, thawed := w.faults.Frozen, w.thawed
+		w.mu.Unlock()
+		if !frozen {
+			return
+		}
+		<-thawed
 	}
 }
 
-func (w *worker) report(r platform.TaskReport) {
-	w.seq++
-	r.Seq = w.seq
-	w.reports = append(w.reports, r)
+func (w *worker) wake() {
 	close(w.news)
 	w.news = make(chan struct{})
 }
 
+// admits refuses a lower term and a second holder of the same term.
+func (w *worker) admits(h platform.Holder) bool {
+	return h.Term > w.holder.Term || h == w.holder
+}
+
+// fence admits a call by its holder and renews the lease.
+func (w *worker) fence(h platform.Holder, ttl time.Duration) core.RefusalReason {
+	if !w.admits(h) {
+		return core.RefusedLowTerm
+	}
+	if h != w.holder {
+		w.holder = h
+		w.wake()
+	}
+	w.leaseEnd = time.Now().Add(ttl)
+	if w.lease != nil {
+		w.lease.Stop()
+	}
+	w.lease = time.AfterFunc(ttl, w.lapse)
+	return ""
+}
+
+// lapse ends everything that is held under the lease, unless a renewal that overtook
+// the timer moved the lease's end.
+func (w *worker) lapse() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if time.Now().Before(w.leaseEnd) {
+		return
+	}
+	for ref, t := range w.tasks {
+		w.drop(t, EntryLapsed)
+		w.report(platform.TaskReport{Kind: platform.ReportLapsed, Task: ref, Started: t.Started})
+	}
+}
+
 func (w *worker) do(b platform.Batch) []platform.OpResult {
+	w.awaitThaw()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	results := make([]platform.OpResult, len(b.Ops))
 	reason := w.fence(b.Holder, b.TTL)
 	for i, op := range b.Ops {
+		if reason == "" && !w.admits(b.Holder) {
+			reason = core.RefusedLowTerm
+		}
 		if reason != "" {
 			results[i] = platform.OpResult{Reason: reason}
 			continue
 		}
-		results[i] = w.one(op)
+		results[i] = w.one(b.Holder, op)
 	}
 	return results
 }
 
-func (w *worker) one(op platform.Op) platform.OpResult {
+func (w *worker) one(h platform.Holder, op platform.Op) platform.OpResult {
 	switch op.Kind {
 	case platform.OpReserve:
-		return w.reserve(op)
+		return w.reserve(h, op)
 	case platform.OpStart:
-		return w.start(op)
-	case platform.OpRelease, platform.OpStop, platform.OpPreempt:
+		return w.start(h, op)
+	case platform.OpRelease, platform.OpStop:
 		return w.stop(op)
+	case platform.OpPreempt:
+		return w.preempt(op)
+	case platform.OpThrottle:
+		return w.throttle(op)
 	default:
 		return platform.OpResult{Reason: core.RefusedUnknown}
 	}
 }
 
-func (w *worker) reserve(op platform.Op) platform.OpResult {
-	if op.Job == nil || w.refused[op.Task] {
-		return platform.OpResult{Reason: core.RefusedUnknown}
-	}
-	if w.leaving {
-		return platform.OpResult{Reason: core.RefusedLeaving}
-	}
-	if _, ok := w.tasks[op.Task]; ok {
-		return platform.OpResult{OK: true}
-	}
-	if !w.fits(op) {
-		return platform.OpResult{Reason: core.RefusedBusy}
-	}
-	t := &heldTask{HeldTask: platform.HeldTask{Task: op.Task, Cell: op.Cell, Job: *op.Job}}
-	t.timer = time.AfterFunc(op.TTL, func() { w.expireReservation(t) })
-	w.tasks[op.Task] = t
-	return platform.OpResult{OK: true}
-}
-
-func (w *worker) fits(op platform.Op) bool {
-	cpu, memory := op.Job.Shape.CPU, op.Job.Shape.MemoryBytes
-	for _, t := range w.tasks {
-		if t.Cell&op.Cell != 0 {
-			return false
-		}
-		cpu += t.Job.Shape.CPU
-		memory += t.Job.Shape.MemoryBytes
-	}
-	return len(w.tasks) < w.def.Slots && cpu <= w.def.CPU && memory <= w.def.MemoryBytes
-}
-
-func (w *worker) expireReservation(t *heldTask) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.tasks[t.Task] != t || t.Started {
-		return
-	}
-	w.drop(t)
-	w.report(platform.TaskReport{Kind: platform.ReportLapsed, Task: t.Task})
-}
-
-func (w *worker) start(op platform.Op) platform.OpResult {
-	t, ok := w.tasks[op.Task]
-	if !ok {
-		return platform.OpResult{Reason: core.RefusedUnknown}
-	}
-	if t.Started {
-		return platform.OpResult{OK: true}
-	}
-	t.timer.Stop()
-	t.Started = true
-	t.began = time.Now()
-	w.ledger.started(t.Job, t.Task, w.def.ID)
-	var b Behaviour
-	_ = json.Unmarshal(t.Job.Payload, &b)
-	run := time.Duration(b.RunSeconds * float64(time.Second))
-	if run == 0 {
-		run = t.Job.Declared
-	}
-	t.timer = time.AfterFunc(run, func() { w.finish(t, b) })
-	return platform.OpResult{OK: true}
-}
-
-func (w *worker) finish(t *heldTask, b Behaviour) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.tasks[t.Task] != t {
-		return
-	}
-	delete(w.tasks, t.Task)
-	w.refused[t.Task] = true
-	ok := !b.Fail && !w.failAll
-	w.ledger.ended(t.Task, w.def.ID, ok)
-	out := b.Output
-	if out == "" {
-		out = fmt.Sprintf("%s ran on %s", t.Task.Job, w.def.ID)
-	}
-	w.report(platform.TaskReport{Kind: platform.ReportEnded, Task: t.Task, OK: ok, Output: []byte(out), Ran: time.Since(t.began)})
-}
-
-// stop ends a task or reservation; afterwards it can never start.
-func (w *worker) stop(op platform.Op) platform.OpResult {
-	t, ok := w.tasks[op.Task]
-	w.refused[op.Task] = true
-	if !ok {
-		return platform.OpResult{OK: true}
-	}
-	var lost time.Duration
-	if t.Started {
-		lost = time.Since(t.began)
-	}
-	w.drop(t)
-	if op.Kind == platform.OpPreempt {
-		return platform.OpResult{OK: true, Checkpointed: true}
-	}
-	return platform.OpResult{OK: true, Lost: lost}
-}
-
 func (w *worker) renew(ctx context.Context, req platform.RenewRequest) platform.RenewReply {
-	timeout := time.After(req.Wait)
+	w.awaitThaw()
+	timeout := time.NewTimer(req.Wait)
+	defer timeout.Stop()
+	reply, news := w.firstRenew(req)
 	for {
-		reply, news := w.tryRenew(req)
 		if !reply.OK || len(reply.Reports) > 0 || req.List || req.Wait <= 0 {
 			return reply
 		}
 		select {
 		case <-news:
-		case <-timeout:
+		case <-timeout.C:
 			return reply
 		case <-ctx.Done():
 			return reply
 		}
+		leaving := reply.Leaving
+		reply, news = w.look(req)
+		if reply.Leaving != leaving {
+			return reply
+		}
 	}
 }
 
-func (w *worker) tryRenew(req platform.RenewRequest) (platform.RenewReply, chan struct{}) {
+// firstRenew renews the lease, once for each call, however long the call then waits.
+func (w *worker) firstRenew(req platform.RenewRequest) (platform.RenewReply, chan struct{}) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if reason := w.fence(req.Holder, req.TTL); reason != "" {
-		return platform.RenewReply{Reason: reason, Term: w.holder.Term}, nil
+		return w.refusal(reason), nil
 	}
-	reply := platform.RenewReply{OK: true, Term: w.holder.Term, Leaving: w.leaving}
-	for len(w.reports) > 0 && w.reports[0].Seq <= req.After {
-		w.reports = w.reports[1:]
+	w.receive(req.After)
+	return w.reply(req)
+}
+
+func (w *worker) look(req platform.RenewRequest) (platform.RenewReply, chan struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.admits(req.Holder) {
+		return w.refusal(core.RefusedLowTerm), nil
 	}
-	reply.Reports = append(reply.Reports, w.reports...)
+	return w.reply(req)
+}
+
+func (w *worker) refusal(reason core.RefusalReason) platform.RenewReply {
+	return platform.RenewReply{Reason: reason, Term: w.holder.Term, Boot: w.boot}
+}
+
+func (w *worker) reply(req platform.RenewRequest) (platform.RenewReply, chan struct{}) {
+	w.reportUsage()
+	reply := platform.RenewReply{OK: true, Term: w.holder.Term, Leaving: w.faults.Leaving, Boot: w.boot}
+	reply.Reports = w.pending()
 	if req.List {
 		for _, t := range w.tasks {
 			reply.Tasks = append(reply.Tasks, t.HeldTask)
@@ -258,3 +281,9 @@
 	}
 	return reply, w.news
 }
+
+func behaviour(payload []byte) Behaviour {
+	var b Behaviour
+	_ = json.Unmarshal(payload, &b)
+	return b
+}
