--- a/internal/standin/admin.go
+++ b/internal/standin/admin.go
@@ -11,9 +11,11 @@
 // PathAdmin is the root of the interface that switches faults and shows the ledger.
 const PathAdmin = "/admin"
 
+// PathLedger serves the ledger's entries above the number in the query's "after".
+const PathLedger = "/ledger"
+
 // Paths under PathAdmin.
 const (
-	PathLedger       = PathAdmin + "/ledger"
 	PathLogFaults    = PathAdmin + "/log"
 	PathHostFaults   = PathAdmin + "/hostlist"
 	PathListedHosts  = PathAdmin + "/hosts/"
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -24,8 +24,8 @@
 }
 
 // Ledger returns the entries with numbers above after.
-func (a *Admin) Ledger(ctx context.Context, after int) (Ledger, error) {
-	var l Ledger
+func (a *Admin) Ledger(ctx context.Context, after int) ([]Entry, error) {
+	var l []Entry
 	err := a.call(ctx, http.MethodGet, PathLedger+"?after="+strconv.Itoa(after), nil, &l)
 	return l, trace.Wrap(err)
 }
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -53,15 +53,19 @@
 	// Seq numbers the entries from 1.
 	Seq int `json:"seq"`
 	// At is the time since the stand-in's start, in nanoseconds.
-	At      time.Duration  `json:"at"`
+	At time.Duration `json:"at"`
+	// Unix is the wall clock in nanoseconds, for measurements on one machine.
+	Unix    int64          `json:"unix"`
 	Kind    EntryKind      `json:"kind"`
 	Worker  core.WorkerID  `json:"worker"`
 	Task    core.TaskRef   `json:"task"`
 	Org     core.OrgID     `json:"org,omitempty"`
 	Request core.RequestID `json:"request,omitempty"`
 	// Cells is the number of tasks that make the job whole.
-	Cells      int  `json:"cells,omitempty"`
-	Idempotent bool `json:"idempotent,omitempty"`
+	Cells int `json:"cells,omitempty"`
+	// Cell is the accelerators that the task holds.
+	Cell       core.Cell `json:"cell,omitempty"`
+	Idempotent bool      `json:"idempotent,omitempty"`
 	// Digest is a hash of the payload.
 	Digest string `json:"digest,omitempty"`
 	// Holder gave the order to start.
@@ -71,13 +75,6 @@
 	Output string `json:"output,omitempty"`
 }
 
-// Ledger is a part of the ledger.
-type Ledger struct {
-	// Now is the time since the stand-in's start.
-	Now     time.Duration `json:"now"`
-	Entries []Entry       `json:"entries"`
-}
-
 type ledger struct {
 	mu      sync.Mutex
 	began   time.Time
@@ -89,7 +86,9 @@
 func (l *ledger) add(e Entry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e.At = time.Since(l.began)
+	now := time.Now()
+	e.At = now.Sub(l.began)
+	e.Unix = now.UnixNano()
 	e.Seq = len(l.entries) + 1
 	l.entries = append(l.entries, e)
 }
@@ -97,17 +96,17 @@
 // task adds an entry of a task.
 func (l *ledger) task(kind EntryKind, w core.WorkerID, t *heldTask, ok bool, output string) {
 	l.add(Entry{
-		Kind: kind, Worker: w, Task: t.Task, Org: t.Job.Org, Request: t.Job.Request, Cells: t.Job.Shape.Cells,
+		Kind: kind, Worker: w, Task: t.Task, Org: t.Job.Org, Request: t.Job.Request, Cells: t.Job.Shape.Cells, Cell: t.Cell,
 		Idempotent: t.Job.Idempotent, Digest: PayloadDigest(t.Job.Payload), Holder: t.holder, OK: ok, Output: output,
 	})
 }
 
 // after returns the entries above seq.
-func (l *ledger) after(seq int) Ledger {
+func (l *ledger) after(seq int) []Entry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	seq = min(max(seq, 0), len(l.entries))
-	return Ledger{Now: time.Since(l.began), Entries: append([]Entry{}, l.entries[seq:]...)}
+	return append([]Entry{}, l.entries[seq:]...)
 }
 
 // PayloadDigest returns the hash by which the ledger names a payload.
