--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -17,7 +17,7 @@
 	return standin.Entry{Kind: standin.EntryStarted, At: at, Cells: cells, Worker: "w", Task: core.TaskRef{Job: job, Attempt: attempt, Index: index}}
 }
 
-func end(kind string, job core.JobID, attempt, index int, at time.Duration) standin.Entry {
+func end(kind standin.EntryKind, job core.JobID, attempt, index int, at time.Duration) standin.Entry {
 	return standin.Entry{Kind: kind, OK: kind == standin.EntryEnded, At: at, Worker: "w", Task: core.TaskRef{Job: job, Attempt: attempt, Index: index}}
 }
 
