--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	$(GO) tool staticcheck ./...
 
 bench: build
-	bin/agatewinch-bench run --scenario all --policy fifo,guaranteed --seed $(SEED) --json
+	./scripts/bench.sh
 
 faults: build
 	$(GO) test ./test/faults -count=1 -timeout 540s -run TestSeed -seed $(SEED) -v
--- a/cmd/agatewinch-bench/main.go
+++ b/cmd/agatewinch-bench/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 
@@ -13,7 +14,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "agatewinch-bench", Short: "Measure agatewinch under load", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(prepareCmd(), runCmd())
+	root.AddCommand(prepareCmd(), runCmd(), reportCmd())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "error:", trace.UserMessage(err))
 		os.Exit(1)
@@ -40,3 +41,26 @@
 	}
 	return cmd
 }
+
+func reportCmd() *cobra.Command {
+	var in, out string
+	cmd := &cobra.Command{Use: "report", Short: "Write an HTML page with tables and plots from JSON lines", Args: cobra.NoArgs}
+	cmd.Flags().StringVar(&in, "in", "build/bench/results.jsonl", "JSON lines")
+	cmd.Flags().StringVar(&out, "out", "build/bench/report.html", "page to write")
+	cmd.RunE = func(*cobra.Command, []string) error {
+		data, err := os.ReadFile(in)
+		if err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		lines, err := bench.ReadLines(bytes.NewReader(data))
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		var page bytes.Buffer
+		if err := bench.WriteReport(&page, lines); err != nil {
+			return trace.Wrap(err)
+		}
+		return trace.ConvertSystemError(os.WriteFile(out, page.Bytes(), 0o644))
+	}
+	return cmd
+}
--- a/cmd/agatewinch-bench/run.go
+++ b/cmd/agatewinch-bench/run.go
@@ -118,7 +118,7 @@
 	}
 	w := bench.Build(s, o.seed, true)
 	driver := bench.NewDriver(target, prefix)
-	before, err := driver.Ledger(ctx)
+	before, err := driver.Ledger(ctx, 0)
 	if err != nil {
 		return bench.Line{}, trace.Wrap(err)
 	}
@@ -128,11 +128,11 @@
 	}
 	results := driver.Run(ctx, w)
 	restore()
-	ledger, err := driver.Ledger(ctx)
+	ledger, err := driver.Ledger(ctx, len(before))
 	if err != nil {
 		return bench.Line{}, trace.Wrap(err)
 	}
-	line := bench.Measure(w, results, base, ledger[len(before):], o.lease)
+	line := bench.Measure(w, results, base, ledger, o.lease)
 	line.Policy, line.Scenario, line.Seed, line.Size = target.Policy, s.Name, o.seed, o.size
 	return line, nil
 }
--- a/internal/bench/drive.go
+++ b/internal/bench/drive.go
@@ -156,22 +156,8 @@
 	_ = d.client(gate, org).Call(ctx, http.MethodDelete, api.PathJobs+"/"+url.PathEscape(request), nil, &answer)
 }
 
-// Ledger reads what really ran.
-func (d *Driver) Ledger(ctx context.Context) ([]standin.Entry, error) {
-	var entries []standin.Entry
-	err := d.platform(ctx, http.MethodGet, standin.PathLedger, &entries)
+// Ledger reads what ran after the entry numbered after.
+func (d *Driver) Ledger(ctx context.Context, after int) ([]standin.Entry, error) {
+	entries, err := d.admin().Ledger(ctx, after)
 	return entries, trace.Wrap(err)
 }
-
-func (d *Driver) platform(ctx context.Context, method, path string, out any) error {
-	req, err := http.NewRequestWithContext(ctx, method, d.Target.Platform+path, nil)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	resp, err := d.http.Do(req)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	return trace.Wrap(json.NewDecoder(resp.Body).Decode(out))
-}
--- a/internal/bench/fragmentation.go
+++ b/internal/bench/fragmentation.go
@@ -23,7 +23,7 @@
 // fragmentation returns the time-weighted mean of 1 − largest placeable gang / free
 // accelerators, and the mean share of accelerators in use, from the first start to the
 // last arrival. A gang is placeable in one zone on cells of a whole worker.
-func fragmentation(runs []*audit.Run, results []Result, w Workload) (frag, used float64) {
+func fragmentation(runs []*audit.Run, results []Result) (frag, used float64) {
 	changes := changesOf(runs)
 	if len(changes) == 0 || len(results) == 0 {
 		return 0, 0
--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -52,7 +52,7 @@
 	line.starts(results, starts, w)
 	line.SmallCallerSlowdown = slowdown(results, w, func(a Arrival) bool { return !a.Large })
 	line.LargeCallerSlowdown = slowdown(results, w, func(a Arrival) bool { return a.Large })
-	line.Fragmentation, line.Utilisation = fragmentation(runs, results, w)
+	line.Fragmentation, line.Utilisation = fragmentation(runs, results)
 	line.KeptWorkRatio = keptRatio(w, results, base)
 	return line
 }
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -31,3 +31,4 @@
 		done
 	done
 done
+bin/agatewinch-bench report --in "$out/results.jsonl" --out "$out/report.html"
