--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -35,6 +35,8 @@
 	CoreNote      = Event{4002, "scheduling decision", "The core reports a decision; the code says which."}
 	LeaseRefused  = Event{4003, "lease refused", "A worker knows a higher term or another holder."}
 	LogWriteError = Event{5001, "log write failed", "The platform's log refused or lost an append."}
+	JournalLoaded = Event{5002, "journal loaded", "The state of jobs was read from the newest snapshot and the records after it."}
+	JournalGap    = Event{5003, "journal gap", "Retention dropped records that no snapshot holds: jobs of that time may be missing. Raise the log's retention or lower snapshot_interval."}
 )
 
 // Catalogue returns all events, by number.
@@ -44,7 +46,7 @@
 		ConfigInForce,
 		SchedulerActive, SchedulerStandby,
 		WorkerHealth, CoreNote, LeaseRefused,
-		LogWriteError,
+		LogWriteError, JournalLoaded, JournalGap,
 	}
 }
 
--- /dev/null
+++ b/internal/journal/state.go
@@ -0,0 +1,147 @@
+package journal
+
+import (
+	"sort"
+
+	"agatewinch/internal/core"
+	"agatewinch/internal/errkind"
+	"agatewinch/internal/platform"
+)
+
+// State is the result of applying the records of the stream in offset order.
+type State struct {
+	entries map[core.JobID]*Entry
+	holders map[core.ZoneID]ZoneHolder
+	live    int
+	next    platform.Offset
+}
+
+// NewState returns the state before the first record.
+func NewState() *State {
+	return &State{entries: map[core.JobID]*Entry{}, holders: map[core.ZoneID]ZoneHolder{}}
+}
+
+// Next returns the offset of the next record to apply.
+func (s *State) Next() platform.Offset { return s.next }
+
+// Len returns the number of live jobs and of ended ones still held.
+func (s *State) Len() (live, ended int) { return s.live, len(s.entries) - s.live }
+
+// Entry returns what is known of a job.
+func (s *State) Entry(id core.JobID) (Entry, bool) {
+	e, ok := s.entries[id]
+	if !ok {
+		return Entry{}, false
+	}
+	return *e, true
+}
+
+// Holder returns the holder of a zone's highest term.
+func (s *State) Holder(zone core.ZoneID) ZoneHolder { return s.holders[zone] }
+
+// Entries returns the zone's entries that pass keep, by job ID; an empty zone means all.
+func (s *State) Entries(zone core.ZoneID, keep func(Entry) bool) []Entry {
+	var out []Entry
+	for _, e := range s.entries {
+		if (zone == "" || e.Zone == zone) && keep(*e) {
+			out = append(out, *e)
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Job.ID < out[b].Job.ID })
+	return out
+}
+
+// Apply applies the record at an offset. Offsets below Next are ignored.
+func (s *State) Apply(at platform.Offset, r Record) {
+	if at < s.next {
+		return
+	}
+	s.next = at + 1
+	current := s.raise(r)
+	switch {
+	case r.Admitted != nil:
+		s.admit(r)
+	case r.Placed != nil && current:
+		s.place(r)
+	case r.Ended != nil:
+		s.end(at, r, current)
+	case r.Expired != nil:
+		s.expire(r.Expired.Before)
+	}
+}
+
+// raise takes note of the writer's term and reports whether the writer is the holder of
+// the zone's highest term.
+func (s *State) raise(r Record) bool {
+	h := s.holders[r.Zone]
+	if r.Term > h.Term {
+		h = ZoneHolder{Zone: r.Zone, Holder: r.Holder, Term: r.Term}
+		s.holders[r.Zone] = h
+	}
+	return h.Term == r.Term && h.Holder == r.Holder
+}
+
+func (s *State) admit(r Record) {
+	id := r.Admitted.Job.ID
+	if _, ok := s.entries[id]; ok {
+		return
+	}
+	s.entries[id] = &Entry{Job: r.Admitted.Job, Digest: r.Admitted.Digest, Zone: r.Zone, AdmittedBy: r.ID}
+	s.live++
+}
+
+func (s *State) place(r Record) {
+	e, ok := s.entries[r.Placed.Job]
+	if !ok || !e.Live() || e.Zone != r.Zone {
+		return
+	}
+	if e.Placed != nil && r.Placed.Attempt <= e.Placed.Attempt {
+		return
+	}
+	e.Placed, e.PlacedBy = r.Placed, r.ID
+}
+
+// end records an outcome. A former holder's word counts only where it rests on what
+// workers reported, for its queue is no longer the zone's.
+func (s *State) end(at platform.Offset, r Record, current bool) {
+	e, ok := s.entries[r.Ended.Job]
+	if !ok || !e.Live() || e.Zone != r.Zone {
+		return
+	}
+	if !current && !reportedByWorkers(r.Ended.Outcome) {
+		return
+	}
+	outcome := r.Ended.Outcome
+	e.Outcome, e.EndedBy, e.EndedAt = &outcome, r.ID, at
+	s.live--
+}
+
+func reportedByWorkers(o core.Outcome) bool {
+	return o.State == core.Succeeded || o.Kind == errkind.TaskFailed
+}
+
+func (s *State) expire(before platform.Offset) {
+	for id, e := range s.entries {
+		if !e.Live() && e.EndedAt < before {
+			delete(s.entries, id)
+		}
+	}
+}
+
+// stands reports whether a record that was applied counts.
+func (s *State) stands(r Record) bool {
+	switch {
+	case r.Admitted != nil:
+		e, ok := s.entries[r.Admitted.Job.ID]
+		return ok && e.AdmittedBy == r.ID
+	case r.Placed != nil:
+		e, ok := s.entries[r.Placed.Job]
+		return ok && e.PlacedBy == r.ID
+	case r.Ended != nil:
+		e, ok := s.entries[r.Ended.Job]
+		return ok && e.EndedBy == r.ID
+	default:
+		h := s.holders[r.Zone]
+		return h.Holder == r.Holder && h.Term == r.Term
+	}
+}
