Measure the slopes of each role's cost

Cause: nothing says what a role costs at the size to design for. Change: agatewinch-bench capacity varies one factor at a time on real processes, reads processor time and memory from the operating system and bytes from the daemons' counters, fits lines with gonum and compares with the budget.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	$(GO) test ./test/faults -count=1 -timeout 0 -run TestSoak -soak $(N) -v
 
 capacity: build
-	bin/agatewinch-bench capacity
+	./scripts/capacity.sh
 
 clean:
 	rm -rf bin build
--- a/cmd/agatewinch-bench/main.go
+++ b/cmd/agatewinch-bench/main.go
@@ -14,7 +14,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "agatewinch-bench", Short: "Measure agatewinch under load", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(prepareCmd(), runCmd(), reportCmd())
+	root.AddCommand(prepareCmd(), runCmd(), reportCmd(), capacityCmd())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "error:", trace.UserMessage(err))
 		os.Exit(1)
--- /dev/null
+++ b/internal/capacity/fit.go
@@ -0,0 +1,174 @@
+package capacity
+
+import (
+	"math"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Factor is a size that a role's cost depends on.
+type Factor string
+
+// The factors that are measured, one at a time.
+const (
+	Workers Factor = "workers"
+	Running Factor = "running"
+	Waiting Factor = "waiting"
+	Orgs    Factor = "organisations"
+	Changes Factor = "changes_per_s"
+	Peers   Factor = "entry_hosts"
+)
+
+// Point is one measurement: the size of every factor and the cost of one role.
+type Point struct {
+	// Factor is the one that this series varies.
+	Factor Factor             `json:"factor"`
+	Sizes  map[Factor]float64 `json:"sizes"`
+	Role   string             `json:"role"`
+	Rates  Rates              `json:"rates"`
+}
+
+// Cost is one of the three budgeted figures.
+type Cost struct {
+	Name   string
+	Unit   string
+	Budget float64
+	Value  func(Rates) float64
+}
+
+// The budgets for control of each daemon.
+const (
+	cpuBudget    = 0.04
+	memoryBudget = 128 << 20
+	bytesBudget  = 5000
+)
+
+// Costs returns the budgeted figures.
+func Costs() []Cost {
+	return []Cost{
+		{"processor", "share of a core", cpuBudget, func(r Rates) float64 { return r.CPU }},
+		{"memory", "bytes", memoryBudget, func(r Rates) float64 { return r.Resident }},
+		{"traffic", "bytes/s", bytesBudget, func(r Rates) float64 { return r.BytesPerSecond }},
+	}
+}
+
+// Slope is a least-squares line through one series.
+type Slope struct {
+	Role      string
+	Factor    Factor
+	Cost      string
+	Intercept float64
+	PerUnit   float64
+	// R2 is the share of the variance that the line explains.
+	R2 float64
+	N  int
+}
+
+// Fit returns the slope of every role, factor and cost with at least two sizes.
+func Fit(points []Point) []Slope {
+	var slopes []Slope
+	for _, role := range roles(points) {
+		for _, factor := range []Factor{Workers, Running, Waiting, Orgs, Changes, Peers} {
+			for _, cost := range Costs() {
+				if s, ok := fitOne(points, role, factor, cost); ok {
+					slopes = append(slopes, s)
+				}
+			}
+		}
+	}
+	return slopes
+}
+
+func roles(points []Point) []string {
+	var names []string
+	seen := map[string]bool{}
+	for _, p := range points {
+		if !seen[p.Role] {
+			seen[p.Role] = true
+			names = append(names, p.Role)
+		}
+	}
+	return names
+}
+
+func series(points []Point, role string, factor Factor, cost Cost) (xs, ys []float64) {
+	for _, p := range points {
+		if p.Role == role && p.Factor == factor {
+			xs = append(xs, p.Sizes[factor])
+			ys = append(ys, cost.Value(p.Rates))
+		}
+	}
+	return xs, ys
+}
+
+func fitOne(points []Point, role string, factor Factor, cost Cost) (Slope, bool) {
+	xs, ys := series(points, role, factor, cost)
+	if len(xs) < 2 || stat.Variance(xs, nil) == 0 {
+		return Slope{}, false
+	}
+	alpha, beta := stat.LinearRegression(xs, ys, nil, false)
+	r2 := stat.RSquared(xs, ys, nil, alpha, beta)
+	if math.IsNaN(r2) {
+		r2 = 1
+	}
+	return Slope{Role: role, Factor: factor, Cost: cost.Name, Intercept: alpha, PerUnit: beta, R2: r2, N: len(xs)}, true
+}
+
+// Estimate is a role's cost at a size, worked out from a base and the slopes.
+type Estimate struct {
+	Role   string
+	Cost   Cost
+	Value  float64
+	Budget float64
+	// Parts is what each factor adds beyond the base.
+	Parts map[Factor]float64
+}
+
+// Fits reports whether the estimate is within its budget.
+func (e Estimate) Fits() bool { return e.Value <= e.Budget }
+
+// At works out the cost of every role at the sizes given. The base is the mean of the
+// points at the smallest sizes; each factor adds its slope times the distance from
+// there. A negative slope, which only noise gives, counts as zero.
+func At(points []Point, base, sizes map[Factor]float64) []Estimate {
+	slopes := Fit(points)
+	var all []Estimate
+	for _, role := range roles(points) {
+		for _, cost := range Costs() {
+			e := Estimate{Role: role, Cost: cost, Budget: cost.Budget, Parts: map[Factor]float64{}}
+			e.Value = baseCost(points, role, base, cost)
+			for _, s := range slopes {
+				if s.Role != role || s.Cost != cost.Name {
+					continue
+				}
+				part := max(s.PerUnit, 0) * (sizes[s.Factor] - base[s.Factor])
+				e.Parts[s.Factor] = part
+				e.Value += part
+			}
+			all = append(all, e)
+		}
+	}
+	return all
+}
+
+func baseCost(points []Point, role string, base map[Factor]float64, cost Cost) float64 {
+	var values []float64
+	for _, p := range points {
+		if p.Role == role && sameSizes(p.Sizes, base) {
+			values = append(values, cost.Value(p.Rates))
+		}
+	}
+	if len(values) == 0 {
+		return math.NaN()
+	}
+	return stat.Mean(values, nil)
+}
+
+func sameSizes(a, b map[Factor]float64) bool {
+	for f, x := range b {
+		if a[f] != x {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/capacity/plan.go
@@ -0,0 +1,104 @@
+package capacity
+
+import (
+	"fmt"
+	"maps"
+
+	"agatewinch/internal/bench"
+	"agatewinch/internal/config"
+)
+
+// Step is one cluster to measure.
+type Step struct {
+	Name   string
+	Factor Factor
+	Sizes  map[Factor]float64
+	// Filled runs whole-worker jobs on every worker, so that further jobs wait.
+	Filled bool
+}
+
+// Base is the smallest size of every factor, from which the slopes count.
+func Base() map[Factor]float64 {
+	return map[Factor]float64{Workers: 48, Running: 0, Waiting: 0, Orgs: 4, Changes: 0, Peers: 2}
+}
+
+// Design is the size to design for, seen from one availability zone of five.
+func Design() map[Factor]float64 {
+	return map[Factor]float64{Workers: 92, Running: 440, Waiting: 50, Orgs: 59, Changes: 1200.0 / 86400, Peers: 9}
+}
+
+// CheckFactor marks the measurement at the design size, which no slope uses.
+const CheckFactor Factor = "design"
+
+// Steps returns the measurements: the base twice, each factor alone at two or three
+// sizes, and the design size as a check of the estimates.
+func Steps() []Step {
+	steps := []Step{{Name: "base-1", Factor: Workers, Sizes: Base()}, {Name: "base-2", Factor: Workers, Sizes: Base()}}
+	vary := func(f Factor, filled bool, values ...float64) {
+		for _, v := range values {
+			sizes := maps.Clone(Base())
+			sizes[f] = v
+			if filled {
+				sizes[Running] = sizes[Workers]
+			}
+			steps = append(steps, Step{Name: fmt.Sprintf("%s-%g", f, v), Factor: f, Sizes: sizes, Filled: filled})
+		}
+	}
+	vary(Workers, false, 12, 96)
+	vary(Running, false, 0, 192, 384)
+	vary(Waiting, true, 0, 2000, 8000)
+	vary(Orgs, false, 4, 30, 59)
+	vary(Changes, false, 0, 2, 10)
+	vary(Peers, false, 2, 5, 9)
+	return append(steps, Step{Name: "design", Factor: CheckFactor, Sizes: Design()})
+}
+
+// FindStep returns the step called name.
+func FindStep(name string) (Step, bool) {
+	for _, s := range Steps() {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Step{}, false
+}
+
+const (
+	firstZone    = "zone-1"
+	otherZones   = 4
+	workersInRow = 6
+)
+
+// hostZones puts the first two entry hosts into the measured zone and spreads the rest
+// over the other zones.
+func (s Step) hostZones() []string {
+	zones := []string{firstZone, firstZone}
+	for i := range int(s.Sizes[Peers]) - len(zones) {
+		zones = append(zones, fmt.Sprintf("zone-%d", 2+i%otherZones))
+	}
+	return zones
+}
+
+// OrgName returns the name of organisation i, counted from 0.
+func OrgName(i int) string { return fmt.Sprintf("org-%02d", i) }
+
+// Set returns the step's configuration: all its workers stand in the first zone.
+func (s Step) Set() config.Set {
+	set := config.Set{
+		Classes: []config.Class{{Name: "long", Checkpoint: true, Weight: 1}},
+		Keys:    []config.Key{{Name: "operations", Role: config.RoleOperator, SHA256: config.HashKey(bench.Key(""))}},
+	}
+	for i := range int(s.Sizes[Orgs]) {
+		name := OrgName(i)
+		set.Organisations = append(set.Organisations, config.Organisation{Name: name, Weight: 1, MaxQueued: 100000})
+		set.Keys = append(set.Keys, config.Key{Name: name + "-key", Role: config.RoleCaller, Organisation: name, SHA256: config.HashKey(bench.Key(name))})
+	}
+	for w := range int(s.Sizes[Workers]) {
+		if w%workersInRow == 0 {
+			set.Racks = append(set.Racks, config.Rack{Name: fmt.Sprintf("r%02d", w/workersInRow), Zone: firstZone})
+		}
+		r := &set.Racks[len(set.Racks)-1]
+		r.Workers = append(r.Workers, config.Worker{Name: fmt.Sprintf("w%03d", w), CPU: 64, Memory: "128GiB", Accelerators: 8, Slots: 8})
+	}
+	return set
+}
--- /dev/null
+++ b/internal/capacity/run.go
@@ -0,0 +1,238 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+
+	"agatewinch/internal/api"
+	"agatewinch/internal/bench"
+	"agatewinch/internal/core"
+	"agatewinch/internal/standin"
+	"agatewinch/internal/wire"
+)
+
+// The roles that are measured.
+const (
+	RoleActive  = "active scheduler"
+	RoleStandby = "standby scheduler"
+	RoleGate    = "gate"
+)
+
+const (
+	submitters   = 32
+	longRun      = time.Hour
+	settleTime   = 5 * time.Second
+	readyTimeout = 20 * time.Second
+	pollInterval = 200 * time.Millisecond
+)
+
+// Run is one step on running processes.
+type Run struct {
+	Step    Step
+	Cluster bench.Cluster
+	// Window is how long costs are counted.
+	Window time.Duration
+	http   http.Client
+}
+
+// NewRun returns the run of step on the cluster below dir.
+func NewRun(dir string, step Step, firstPort int, window time.Duration) *Run {
+	return &Run{Step: step, Window: window, Cluster: bench.Cluster{
+		Dir: dir, ConfigDir: filepath.Join(dir, "config"), Policy: string(core.PolicyGuaranteed),
+		FirstPort: firstPort, HostZones: step.hostZones(), LeaseTTL: LeaseTTL,
+	}}
+}
+
+// LeaseTTL is the lease time that the measured clusters use.
+const LeaseTTL = 30 * time.Second
+
+// Write writes the configuration and the settings of every process.
+func (r *Run) Write() error {
+	if err := bench.WriteConfig(r.Cluster.ConfigDir, r.Step.Set()); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(r.Cluster.Write())
+}
+
+// Measure applies the configuration, puts the load on and counts costs for the window.
+// The processes' IDs stand in NAME.pid beside their settings.
+func (r *Run) Measure(ctx context.Context) ([]Point, error) {
+	set := r.Step.Set()
+	base, err := r.apply(ctx, api.ApplyRequest{Set: set})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	active, err := r.waitReady(ctx)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if err := r.load(ctx); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	sleep(ctx, settleTime)
+	before, err := r.usages(ctx, active)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	began := time.Now()
+	if err := r.change(ctx, base); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	sleep(ctx, r.Window-time.Since(began))
+	window := time.Since(began)
+	after, err := r.usages(ctx, active)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	var points []Point
+	for role, u := range after {
+		points = append(points, Point{Factor: r.Step.Factor, Sizes: r.Step.Sizes, Role: role, Rates: Between(before[role], u, window)})
+	}
+	return points, nil
+}
+
+func (r *Run) call(ctx context.Context, org, method, path string, in, out any) error {
+	c := api.Client{Base: "http://" + r.Cluster.GateAddr(0), Key: bench.Key(org), HTTP: &r.http}
+	return trace.Wrap(c.Call(ctx, method, path, in, out))
+}
+
+func (r *Run) apply(ctx context.Context, req api.ApplyRequest) (core.Generation, error) {
+	var answer api.ApplyAnswer
+	err := r.call(ctx, "", http.MethodPut, api.PathConfig, req, &answer)
+	return answer.Generation, trace.Wrap(err)
+}
+
+// change applies the configuration again at the step's rate for the window.
+func (r *Run) change(ctx context.Context, base core.Generation) error {
+	rate := r.Step.Sizes[Changes]
+	if rate < 1 {
+		return nil
+	}
+	set := r.Step.Set()
+	began := time.Now()
+	for i := 0; time.Since(began) < r.Window; i++ {
+		set.Organisations[0].Weight = 1 + i%2
+		gen, err := r.apply(ctx, api.ApplyRequest{Base: base, Set: set})
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		base = gen
+		sleep(ctx, time.Until(began.Add(time.Duration(float64(i+1)/rate*float64(time.Second)))))
+	}
+	return nil
+}
+
+// waitReady returns the index of the entry host that is active in the measured zone,
+// once it sees every worker.
+func (r *Run) waitReady(ctx context.Context) (int, error) {
+	deadline := time.Now().Add(readyTimeout)
+	for time.Now().Before(deadline) {
+		var status api.StatusAnswer
+		err := r.call(ctx, "", http.MethodGet, api.PathStatus, nil, &status)
+		if i := activeHost(status.Schedulers, int(r.Step.Sizes[Workers])); err == nil && i >= 0 {
+			return i, nil
+		}
+		sleep(ctx, pollInterval)
+	}
+	return 0, trace.LimitExceeded("no active scheduler with all workers after %v", readyTimeout)
+}
+
+func activeHost(all []wire.StatusReply, workers int) int {
+	for _, s := range all {
+		if !s.Active || s.Zone != firstZone || live(s.Workers) < workers {
+			continue
+		}
+		n, err := strconv.Atoi(strings.TrimPrefix(s.Host, "entry-"))
+		if err == nil {
+			return n - 1
+		}
+	}
+	return -1
+}
+
+func live(workers []wire.WorkerStatus) int {
+	n := 0
+	for _, w := range workers {
+		if w.Health == core.WorkerLive {
+			n++
+		}
+	}
+	return n
+}
+
+// load submits the running jobs and then the waiting ones.
+func (r *Run) load(ctx context.Context) error {
+	size := 1
+	if r.Step.Filled {
+		size = 8
+	}
+	if err := r.submit(ctx, "run", int(r.Step.Sizes[Running]), size); err != nil {
+		return trace.Wrap(err)
+	}
+	sleep(ctx, settleTime)
+	return trace.Wrap(r.submit(ctx, "wait", int(r.Step.Sizes[Waiting]), 8))
+}
+
+func (r *Run) submit(ctx context.Context, prefix string, n, cellSize int) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(submitters)
+	payload, _ := json.Marshal(standin.Behaviour{RunSeconds: longRun.Seconds()})
+	for i := range n {
+		group.Go(func() error {
+			req := api.SubmitRequest{
+				RequestID: fmt.Sprintf("%s-%d", prefix, i), Caller: "load", Class: "long", Idempotent: true, DeclaredRunSeconds: longRun.Seconds(),
+				Shape: core.Shape{Cells: 1, CellSize: cellSize, CPU: 1, MemoryBytes: 1 << 28}, Payload: payload,
+			}
+			var answer api.JobAnswer
+			return r.call(ctx, OrgName(i%int(r.Step.Sizes[Orgs])), http.MethodPost, api.PathJobs, req, &answer)
+		})
+	}
+	return trace.Wrap(group.Wait())
+}
+
+// usages reads the usage of the active scheduler, the standby and the gate of host 1.
+func (r *Run) usages(ctx context.Context, active int) (map[string]Usage, error) {
+	all := map[string]Usage{}
+	for role, p := range map[string]struct{ name, addr string }{
+		RoleActive:  {fmt.Sprintf("scheduler-%d", active+1), r.Cluster.SchedulerAddr(active)},
+		RoleStandby: {fmt.Sprintf("scheduler-%d", 2-active), r.Cluster.SchedulerAddr(1 - active)},
+		RoleGate:    {"gate-1", r.Cluster.GateAddr(0)},
+	} {
+		pid, err := readPID(filepath.Join(r.Cluster.Dir, p.name+".pid"))
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		vars := url.URL{Scheme: "http", Host: p.addr, Path: "/debug/vars"}
+		if all[role], err = ReadUsage(ctx, pid, vars.String()); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+	return all, nil
+}
+
+func readPID(path string) (int, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return 0, trace.ConvertSystemError(err)
+	}
+	pid, err := strconv.Atoi(strings.TrimSpace(string(data)))
+	return pid, trace.Wrap(err)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/capacity/sample.go
@@ -0,0 +1,136 @@
+// Package capacity measures what each role costs against the size of the system, fits
+// the slopes and works out the cost at the size to design for.
+package capacity
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// ticksPerSecond is the unit of processor time in /proc on Linux.
+const ticksPerSecond = 100
+
+// Usage is what the operating system and the process itself count.
+type Usage struct {
+	// CPU is processor time since the process's start.
+	CPU time.Duration
+	// Resident is resident memory in bytes.
+	Resident int64
+	// Bytes counts control traffic in both directions, by name.
+	Bytes map[string]float64
+}
+
+// ReadUsage reads a process's usage from /proc and, when vars is not empty, its
+// counters of bytes from its metrics URL.
+func ReadUsage(ctx context.Context, pid int, vars string) (Usage, error) {
+	u := Usage{Bytes: map[string]float64{}}
+	dir := "/proc/" + strconv.Itoa(pid)
+	var err error
+	if u.CPU, err = readCPU(dir + "/stat"); err != nil {
+		return u, trace.Wrap(err)
+	}
+	if u.Resident, err = readResident(dir + "/status"); err != nil {
+		return u, trace.Wrap(err)
+	}
+	if vars == "" {
+		return u, nil
+	}
+	return u, trace.Wrap(readVars(ctx, vars, u.Bytes))
+}
+
+func readCPU(path string) (time.Duration, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return 0, trace.ConvertSystemError(err)
+	}
+	// The command's name is in brackets and may hold spaces; fields count from behind it.
+	_, rest, ok := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	const userField, systemField = 11, 12
+	if !ok || len(fields) <= systemField {
+		return 0, trace.BadParameter("%s has no processor time", path)
+	}
+	user, errUser := strconv.ParseInt(fields[userField], 10, 64)
+	system, errSystem := strconv.ParseInt(fields[systemField], 10, 64)
+	if errUser != nil || errSystem != nil {
+		return 0, trace.BadParameter("%s: processor time is not a number", path)
+	}
+	return time.Duration(user+system) * time.Second / ticksPerSecond, nil
+}
+
+func readResident(path string) (int64, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return 0, trace.ConvertSystemError(err)
+	}
+	for line := range bytes.Lines(data) {
+		fields := strings.Fields(string(line))
+		if len(fields) > 1 && fields[0] == "VmRSS:" {
+			kib, err := strconv.ParseInt(fields[1], 10, 64)
+			return kib * 1024, trace.Wrap(err)
+		}
+	}
+	return 0, trace.NotFound("%s has no resident size", path)
+}
+
+// readVars adds up every counter map whose name ends in "_bytes".
+func readVars(ctx context.Context, url string, into map[string]float64) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var vars map[string]json.RawMessage
+	if err := json.NewDecoder(resp.Body).Decode(&vars); err != nil {
+		return trace.Wrap(err)
+	}
+	for name, raw := range vars {
+		if !strings.HasSuffix(name, "_bytes") {
+			continue
+		}
+		var byKind map[string]float64
+		if json.Unmarshal(raw, &byKind) != nil {
+			continue
+		}
+		for kind, n := range byKind {
+			into[name+"/"+kind] += n
+		}
+	}
+	return nil
+}
+
+// Rates is what a process cost over a window.
+type Rates struct {
+	// CPU is the share of one core.
+	CPU float64 `json:"cpu"`
+	// Resident is the resident memory at the window's end, in bytes.
+	Resident float64 `json:"resident"`
+	// BytesPerSecond is control traffic, both directions, headers included.
+	BytesPerSecond float64 `json:"bytes_per_s"`
+	// ByKind splits the traffic by counter.
+	ByKind map[string]float64 `json:"by_kind"`
+}
+
+// Between returns the rates from one usage to a later one.
+func Between(before, after Usage, window time.Duration) Rates {
+	s := window.Seconds()
+	r := Rates{CPU: (after.CPU - before.CPU).Seconds() / s, Resident: float64(after.Resident), ByKind: map[string]float64{}}
+	for name, n := range after.Bytes {
+		rate := (n - before.Bytes[name]) / s
+		r.ByKind[name] = rate
+		r.BytesPerSecond += rate
+	}
+	return r
+}
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -26,6 +26,7 @@
 	for kind in standin scheduler gate; do
 		for file in "$dir/$kind"*.yaml; do
 			cluster_run "${file%.yaml}.log" "bin/agatewinch-$kind" --settings "$file"
+			echo "${cluster_pids[-1]}" >"${file%.yaml}.pid"
 		done
 		for file in "$dir/$kind"*.yaml; do cluster_wait_port "$(cluster_port "$file")"; done
 	done
