Let membership tell the configuration's holder when its peers were consulted

Matches config.Follower: Offer answers whether the record is in force, and a host without the log may serve once PeersConsulted was called. It is called once each contact answered or failed, some answered, and none has a newer generation.

--- a/internal/membership/contact.go
+++ b/internal/membership/contact.go
@@ -136,6 +136,7 @@
 		m.record(reply, now, true)
 		m.offerNewer(reply)
 	}
+	m.noteConsulted()
 }
 
 // hears reports whether the process at addr was heard within its timeout.
--- a/internal/membership/fetch.go
+++ b/internal/membership/fetch.go
@@ -5,6 +5,7 @@
 
 	"github.com/gravitational/trace"
 
+	"agatewinch/internal/core"
 	"agatewinch/internal/event"
 	"agatewinch/internal/wire"
 )
@@ -53,5 +54,42 @@
 	if reply.Generation <= have {
 		return nil
 	}
-	return trace.Wrap(m.opts.Config.Offer(reply.Record, reply.Generation))
+	if !m.opts.Config.Offer(reply.Record, reply.Generation) {
+		return trace.CompareFailed("generation %d from %s was not taken", reply.Generation, hb.Host)
+	}
+	m.noteConsulted()
+	return nil
+}
+
+// noteConsulted tells the configuration's holder once that the peers were consulted:
+// each contact has answered or failed, some have answered, and none of those has a
+// newer generation than this process.
+func (m *Membership) noteConsulted() {
+	if m.opts.Config == nil || m.consulted.Load() {
+		return
+	}
+	if m.peersAsked(m.self().Generation) && m.consulted.CompareAndSwap(false, true) {
+		m.opts.Config.PeersConsulted()
+	}
+}
+
+func (m *Membership) peersAsked(have core.Generation) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	answered := false
+	for _, c := range m.contacts {
+		if c.self {
+			continue
+		}
+		if c.sentAt.IsZero() {
+			return false
+		}
+		answered = answered || c.failures == 0
+	}
+	for _, mem := range m.members {
+		if mem.beat.Generation > have {
+			return false
+		}
+	}
+	return answered
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -41,8 +42,11 @@
 
 // ConfigStore holds the accepted configuration of this process.
 type ConfigStore interface {
-	// Offer hands over a record that a peer accepted as generation gen.
-	Offer(record []byte, gen core.Generation) error
+	// Offer hands over a record that a peer accepted as generation gen, and reports
+	// whether it is now in force.
+	Offer(record []byte, gen core.Generation) bool
+	// PeersConsulted notes that every peer that answers was asked for its configuration.
+	PeersConsulted()
 }
 
 // Options are a Membership's fixed parameters. Zero values take the defaults.
@@ -89,6 +93,7 @@
 	incarnation uint64
 	seq         sequence
 	newer       chan wire.Heartbeat
+	consulted   atomic.Bool
 
 	mu       sync.Mutex
 	contacts map[string]*contact
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -39,6 +39,8 @@
 	mu     sync.Mutex
 	self   wire.Heartbeat
 	record []byte
+	// consulted is the generation in force when the peers had been consulted.
+	consulted core.Generation
 }
 
 func (n *node) heartbeat() wire.Heartbeat {
@@ -53,12 +55,18 @@
 	change(&n.self)
 }
 
-func (n *node) Offer(record []byte, gen core.Generation) error {
+func (n *node) Offer(record []byte, gen core.Generation) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.record = record
 	n.self.Generation = gen
-	return nil
+	return true
+}
+
+func (n *node) PeersConsulted() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.consulted = n.self.Generation
 }
 
 func (n *node) handle(_ context.Context, kind wire.Kind, body cbor.RawMessage) (any, error) {
@@ -312,6 +320,36 @@
 	assert.Equal(t, string(a.record), "five")
 }
 
+func TestPeersCountAsConsultedOnceTheHighestGenerationIsTaken(t *testing.T) {
+	a := listen(t, "a", wire.RoleScheduler, "a")
+	silent := listen(t, "s", wire.RoleScheduler, "a")
+	silent.stop()
+	addrs := []string{silent.addr}
+	for gen, host := range []string{"b", "c", "d"} {
+		n := listen(t, host, wire.RoleScheduler, "a")
+		n.set(func(hb *wire.Heartbeat) { hb.Generation = core.Generation(gen + 1) })
+		addrs = append(addrs, n.addr)
+	}
+	a.run(t, membership.Options{Seeds: seeds(addrs...), Config: a})
+	eventually(t, "consulted", func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return a.consulted != 0
+	})
+	assert.Equal(t, a.consulted, core.Generation(3))
+}
+
+func TestAProcessAloneHasConsultedNobody(t *testing.T) {
+	a, silent := listen(t, "a", wire.RoleScheduler, "a"), listen(t, "s", wire.RoleScheduler, "a")
+	silent.stop()
+	a.set(func(hb *wire.Heartbeat) { hb.Generation = 1 })
+	a.run(t, membership.Options{Seeds: seeds(silent.addr), Config: a})
+	time.Sleep(2 * timeout)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	assert.Equal(t, a.consulted, core.Generation(0))
+}
+
 func TestOlderConfigurationIsLeftAlone(t *testing.T) {
 	a, b := listen(t, "a", wire.RoleScheduler, "a"), listen(t, "b", wire.RoleScheduler, "a")
 	a.set(func(hb *wire.Heartbeat) { hb.Generation = 6 })
