--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -48,6 +48,7 @@
 		WorkerHealth, CoreNote, LeaseRefused,
 		LogWriteError, JournalLoaded, JournalGap,
 		PeerLive, PeerSilent, PeerReplaced, PeerForgotten, PeerConfigFailed,
+		CircuitOpen, CircuitClosed, AnswerLost,
 	}
 }
 
--- a/internal/event/peers.go
+++ b/internal/event/peers.go
@@ -8,3 +8,10 @@
 	PeerForgotten    = Event{6004, "peer forgotten", "A process that was silent for long is no longer kept in view."}
 	PeerConfigFailed = Event{6005, "configuration from peer failed", "A peer has a newer configuration that could not be fetched or was refused; the next heartbeat tries again."}
 )
+
+// Events of the circuits to peers.
+var (
+	CircuitOpen   = Event{6101, "circuit open", "Calls to a peer failed several times in a row; it gets one call at a time until one is answered."}
+	CircuitClosed = Event{6102, "circuit closed", "A peer answers calls again."}
+	AnswerLost    = Event{6103, "answer lost", "A scheduler's answer to a submission was lost; the gate asks what became of the job."}
+)
