--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -73,6 +73,8 @@
 	Code   NoteCode
 	Job    JobID
 	Worker WorkerID
+	// Org is the organisation that the decision concerns, if there is one.
+	Org OrgID
 }
 
 // NoteCode numbers the kinds of decisions reported by Note.
