core: life cycle of gangs, guarantees, reclaim, order and restore

The core was a first-fit placeholder. Reserve, start, refusal, unknown results, lost members, cancel, deadlines, preemption with resume and restored jobs are now decided in small modules; guaranteed cells are bound as a pure function of the configuration; CheckGuarantees names the first shape that does not fit.

A property test drives the core with random events against fake workers and checks holders, quotas, guarantees, gang protocol, truthful answers, liveness and replay.

--- /dev/null
+++ b/internal/core/fake_test.go
@@ -0,0 +1,475 @@
+package core
+
+import (
+	"fmt"
+	"reflect"
+	"time"
+
+	"agatewinch/internal/core/cell"
+	"agatewinch/internal/errkind"
+)
+
+// reporter is what the checks need of a test.
+type reporter interface {
+	Fatalf(format string, args ...any)
+}
+
+// fakeTask is a task or reservation on a fake worker.
+type fakeTask struct {
+	ref     TaskRef
+	cell    Cell
+	job     Job
+	started bool
+}
+
+// fakeCall is a call on its way to a fake worker, or stuck there unanswered.
+type fakeCall struct {
+	action   Action
+	answered bool
+}
+
+// fakeWorker carries out calls in order and remembers what it must refuse.
+type fakeWorker struct {
+	id      WorkerID
+	calls   []*fakeCall
+	tasks   map[TaskRef]*fakeTask
+	refused map[TaskRef]bool
+	health  WorkerHealth
+}
+
+// truth is what really happened to a job.
+type truth struct {
+	job      Job
+	fresh    map[int]int
+	started  bool
+	ended    int
+	finished map[int]bool
+	saidNo   bool
+	outcome  *Outcome
+}
+
+// step is one recorded step of the core.
+type step struct {
+	at      Instant
+	event   Event
+	actions []Action
+}
+
+// fake drives a core against fake workers and checks every step.
+type fake struct {
+	t       reporter
+	core    *Core
+	now     Instant
+	workers map[WorkerID]*fakeWorker
+	order   []WorkerID
+	jobs    map[JobID]*truth
+	ids     []JobID
+	answers []Event
+	history []step
+	cfg     *Config
+	// newHolder is true when earlier holders may have left tasks behind.
+	newHolder bool
+}
+
+func newFake(t reporter, opts Options, cfg *Config, m mutation) *fake {
+	f := &fake{t: t, core: New(opts), workers: map[WorkerID]*fakeWorker{}, jobs: map[JobID]*truth{}, cfg: cfg}
+	f.core.mutation = m
+	f.step(ConfigChanged{Config: cfg})
+	for _, w := range cfg.Workers {
+		f.workers[w.ID] = &fakeWorker{id: w.ID, tasks: map[TaskRef]*fakeTask{}, refused: map[TaskRef]bool{}, health: WorkerLive}
+		f.order = append(f.order, w.ID)
+		f.step(TasksFound{Worker: w.ID})
+		f.step(WorkerChanged{Worker: w.ID, Health: WorkerLive})
+	}
+	return f
+}
+
+// step feeds the core one event, takes its actions and checks the invariants.
+func (f *fake) step(ev Event) {
+	out := f.core.Step(f.now, ev)
+	f.history = append(f.history, step{f.now, ev, out})
+	for _, a := range out {
+		f.take(a)
+	}
+	f.check()
+}
+
+func (f *fake) take(action Action) {
+	switch a := action.(type) {
+	case RecordPlacement:
+		f.answers = append(f.answers, PlacementRecorded{Job: a.Job, Attempt: a.Attempt, OK: true})
+	case Reserve:
+		f.call(a.Placement.Worker, a)
+	case Start:
+		f.checkWhollyReserved(a)
+		f.call(a.Worker, a)
+	case Release:
+		f.call(a.Worker, a)
+	case Stop:
+		f.call(a.Worker, a)
+	case Preempt:
+		f.call(a.Worker, a)
+	case JobRefused:
+		f.jobs[a.Job].ended++
+		f.jobs[a.Job].saidNo = true
+	case JobEnded:
+		f.jobEnded(a)
+	}
+}
+
+func (f *fake) call(id WorkerID, a Action) {
+	w := f.workers[id]
+	w.calls = append(w.calls, &fakeCall{action: a})
+}
+
+func (f *fake) submit(j Job) {
+	j.Request = RequestID(j.ID)
+	f.jobs[j.ID] = &truth{job: j, fresh: map[int]int{}, finished: map[int]bool{}}
+	f.ids = append(f.ids, j.ID)
+	f.step(JobSubmitted{Job: j})
+}
+
+// deliver carries out the worker's next call. Without an answer the core is told that
+// the result is unknown.
+func (f *fake) deliver(w *fakeWorker, answer bool) {
+	if len(w.calls) == 0 {
+		return
+	}
+	c := w.calls[0]
+	w.calls = w.calls[1:]
+	ev := f.carryOut(w, c.action)
+	if c.answered {
+		return
+	}
+	if !answer {
+		ev = unknown(ev)
+	}
+	f.answers = append(f.answers, ev)
+}
+
+// stall answers the worker's next call as unknown; it takes effect later.
+func (f *fake) stall(w *fakeWorker) {
+	for _, c := range w.calls {
+		if !c.answered {
+			c.answered = true
+			f.answers = append(f.answers, unknown(answerTo(c.action, CallUnknown)))
+			return
+		}
+	}
+}
+
+func answerTo(action Action, r CallResult) Event {
+	switch a := action.(type) {
+	case Reserve:
+		return ReserveDone{Task: a.Placement.Task, Worker: a.Placement.Worker, Result: r, Reason: RefusedBusy}
+	case Start:
+		return StartDone{Task: a.Task, Worker: a.Worker, Result: r, Reason: RefusedUnknown}
+	case Release:
+		return StopDone{Task: a.Task, Worker: a.Worker, Result: r}
+	case Stop:
+		return StopDone{Task: a.Task, Worker: a.Worker, Result: r}
+	case Preempt:
+		return StopDone{Task: a.Task, Worker: a.Worker, Result: r}
+	}
+	return Tick{}
+}
+
+func unknown(ev Event) Event {
+	switch e := ev.(type) {
+	case ReserveDone:
+		e.Result = CallUnknown
+		return e
+	case StartDone:
+		e.Result = CallUnknown
+		return e
+	case StopDone:
+		e.Result, e.Checkpointed = CallUnknown, false
+		return e
+	}
+	return ev
+}
+
+func (f *fake) carryOut(w *fakeWorker, action Action) Event {
+	switch a := action.(type) {
+	case Reserve:
+		return f.reserve(w, a)
+	case Start:
+		return f.start(w, a)
+	case Release:
+		return f.stop(w, a.Task, action, false)
+	case Stop:
+		return f.stop(w, a.Task, action, false)
+	case Preempt:
+		return f.stop(w, a.Task, action, true)
+	}
+	return Tick{}
+}
+
+func (f *fake) reserve(w *fakeWorker, a Reserve) Event {
+	ref := a.Placement.Task
+	if w.refused[ref] || w.health == WorkerLeaving {
+		w.refused[ref] = true
+		return answerTo(a, CallRefused)
+	}
+	for _, t := range w.tasks {
+		if t.cell&a.Placement.Cell == 0 {
+			continue
+		}
+		if !f.newHolder {
+			f.t.Fatalf("two holders: %v and %v on %s", t.ref, ref, w.id)
+		}
+		w.refused[ref] = true
+		return answerTo(a, CallRefused)
+	}
+	w.tasks[ref] = &fakeTask{ref: ref, cell: a.Placement.Cell, job: a.Job}
+	return answerTo(a, CallDone)
+}
+
+func (f *fake) start(w *fakeWorker, a Start) Event {
+	t := w.tasks[a.Task]
+	if t == nil {
+		return answerTo(a, CallRefused)
+	}
+	if t.started {
+		return answerTo(a, CallDone)
+	}
+	t.started = true
+	tr := f.jobs[a.Task.Job]
+	tr.started = true
+	if tr.saidNo {
+		f.t.Fatalf("false not-run: %s started after it was answered as not run", a.Task.Job)
+	}
+	if !a.Resume {
+		tr.fresh[a.Task.Index]++
+	}
+	if !tr.job.Idempotent && tr.fresh[a.Task.Index] > 1 {
+		f.t.Fatalf("duplicate run: %s started twice", a.Task.Job)
+	}
+	return answerTo(a, CallDone)
+}
+
+func (f *fake) stop(w *fakeWorker, ref TaskRef, a Action, checkpoint bool) Event {
+	t := w.tasks[ref]
+	delete(w.tasks, ref)
+	w.refused[ref] = true
+	ev := answerTo(a, CallDone).(StopDone)
+	ev.Checkpointed = checkpoint && t != nil && t.started
+	return ev
+}
+
+// end lets a started task end on its worker.
+func (f *fake) end(w *fakeWorker, ref TaskRef, ok bool) {
+	t := w.tasks[ref]
+	delete(w.tasks, ref)
+	w.refused[ref] = true
+	if ok {
+		f.jobs[ref.Job].finished[ref.Index] = true
+	}
+	out := fmt.Sprintf("%s/%d", ref.Job, ref.Index)
+	f.answers = append(f.answers, TaskEnded{Task: t.ref, Worker: w.id, OK: ok, Output: []byte(out), Ran: time.Second})
+}
+
+// lapse lets the worker drop a task because its lease ran out.
+func (f *fake) lapse(w *fakeWorker, ref TaskRef) {
+	t := w.tasks[ref]
+	delete(w.tasks, ref)
+	w.refused[ref] = true
+	f.answers = append(f.answers, TaskLapsed{Task: ref, Worker: w.id, Started: t.started})
+}
+
+// vanish ends all that the worker holds; the core learns that it is gone.
+func (f *fake) vanish(w *fakeWorker) {
+	for ref := range w.tasks {
+		w.refused[ref] = true
+	}
+	w.tasks = map[TaskRef]*fakeTask{}
+	for _, c := range w.calls {
+		if r, ok := c.action.(Reserve); ok {
+			w.refused[r.Placement.Task] = true
+		}
+	}
+	w.health = WorkerGone
+	f.step(WorkerChanged{Worker: w.id, Health: WorkerGone})
+}
+
+func (f *fake) answer(i int, twice bool) {
+	ev := f.answers[i]
+	f.answers = append(f.answers[:i:i], f.answers[i+1:]...)
+	f.step(ev)
+	if twice {
+		f.step(ev)
+	}
+}
+
+func (f *fake) jobEnded(a JobEnded) {
+	tr := f.jobs[a.Job]
+	tr.ended++
+	tr.outcome = &a.Outcome
+	if tr.ended > 1 {
+		f.t.Fatalf("job %s ended twice", a.Job)
+	}
+	if a.Outcome.Ran == errkind.RanNo {
+		tr.saidNo = true
+		if tr.started {
+			f.t.Fatalf("false not-run: %s had started: %+v", a.Job, a.Outcome)
+		}
+	}
+	if a.Outcome.Ran == errkind.RanYes && !tr.started {
+		f.t.Fatalf("job %s answered as run but never started: %+v", a.Job, a.Outcome)
+	}
+	if a.Outcome.State != Succeeded {
+		return
+	}
+	for i, o := range a.Outcome.Outputs {
+		if !tr.finished[i] || string(o.Output) != fmt.Sprintf("%s/%d", a.Job, i) {
+			f.t.Fatalf("wrong answer: job %s part %d: %q", a.Job, i, o.Output)
+		}
+	}
+	if len(a.Outcome.Outputs) != tr.job.Shape.Cells {
+		f.t.Fatalf("wrong answer: job %s has %d outputs", a.Job, len(a.Outcome.Outputs))
+	}
+}
+
+// checkWhollyReserved holds every start to the gang protocol.
+func (f *fake) checkWhollyReserved(a Start) {
+	j := f.core.jobs[a.Task.Job]
+	for _, t := range j.tasks {
+		w := f.workers[t.Worker]
+		if t.state == taskDone || w.tasks[t.Task] != nil || w.refused[t.Task] {
+			continue
+		}
+		f.t.Fatalf("partial gang: %v starts before %v is reserved", a.Task, t.Task)
+	}
+}
+
+// check holds the invariants of the core's state after a step.
+func (f *fake) check() {
+	f.checkHolders()
+	f.checkQuotas()
+	f.checkGuarantee()
+}
+
+func (f *fake) checkHolders() {
+	for _, w := range f.core.ordered {
+		var m uint64
+		for _, t := range w.held {
+			if m&uint64(t.Cell) != 0 && !f.newHolder {
+				f.t.Fatalf("two holders in the core's books on %s", w.def.ID)
+			}
+			m |= uint64(t.Cell)
+		}
+	}
+}
+
+func (f *fake) checkQuotas() {
+	used := map[OrgID]int{}
+	for _, j := range f.core.jobs {
+		if j.state == Placing || j.state == Running {
+			used[j.Org] += j.Shape.Accelerators()
+		}
+	}
+	for _, o := range f.core.cfg.Organisations {
+		if o.Quota > 0 && used[o.ID] > o.Quota && !f.newHolder {
+			f.t.Fatalf("organisation %s uses %d of a quota of %d", o.ID, used[o.ID], o.Quota)
+		}
+	}
+}
+
+// checkGuarantee holds that every guaranteed cell on a usable worker is free, or held
+// by its owner or by jobs that can be stopped.
+func (f *fake) checkGuarantee() {
+	for _, b := range bindHomes(f.core.cfg, f.core.opts.Zone) {
+		for _, p := range b.parts {
+			for _, t := range f.core.workers[p.worker].held {
+				if uint64(t.Cell)&p.cell != 0 && t.job.Org != b.org && !t.job.Idempotent && !t.job.class.Checkpoint {
+					f.t.Fatalf("guarantee: %s cannot be stopped and holds a cell of %s on %s", t.job.ID, b.org, p.worker)
+				}
+			}
+		}
+	}
+}
+
+// heal delivers everything and lets all tasks end until nothing is left to do.
+func (f *fake) heal() {
+	for _, id := range f.order {
+		f.workers[id].health = WorkerLive
+		f.step(WorkerChanged{Worker: id, Health: WorkerLive})
+	}
+	for range 400 {
+		f.drain(true)
+		f.now = f.now.Add(2 * time.Second)
+		f.step(Tick{})
+		if len(f.core.jobs) == 0 {
+			return
+		}
+	}
+	for _, j := range f.core.jobs {
+		ex, _ := f.core.Explain(j.ID)
+		f.t.Fatalf("waits for ever: %s %+v", j.ID, ex)
+	}
+}
+
+// drain delivers every call and answer; with end, running tasks end well.
+func (f *fake) drain(end bool) {
+	for range 200 {
+		for _, id := range f.order {
+			w := f.workers[id]
+			for len(w.calls) > 0 {
+				f.deliver(w, true)
+			}
+			for _, ref := range w.startedRefs() {
+				if end {
+					f.end(w, ref, true)
+				}
+			}
+		}
+		if len(f.answers) == 0 {
+			return
+		}
+		for len(f.answers) > 0 {
+			f.answer(0, false)
+		}
+	}
+}
+
+// startedRefs lists the started tasks in a fixed order.
+func (w *fakeWorker) startedRefs() []TaskRef { return w.refs(true) }
+
+func (w *fakeWorker) refs(started bool) []TaskRef {
+	var refs []TaskRef
+	for ref, t := range w.tasks {
+		if t.started || !started {
+			refs = append(refs, ref)
+		}
+	}
+	sortRefs(refs)
+	return refs
+}
+
+// checkReplay feeds the recorded events to a new core and compares the actions.
+func (f *fake) checkReplay() {
+	again := New(f.core.opts)
+	again.mutation = f.core.mutation
+	for i, s := range f.history {
+		if out := again.Step(s.at, s.event); !reflect.DeepEqual(out, s.actions) {
+			f.t.Fatalf("replay differs at step %d (%T):\n%v\n%v", i, s.event, s.actions, out)
+		}
+	}
+}
+
+func (f *fake) checkAllEnded() {
+	for id, tr := range f.jobs {
+		if tr.ended != 1 {
+			f.t.Fatalf("lost job: %s ended %d times", id, tr.ended)
+		}
+	}
+}
+
+// freeOn counts free accelerators of the fake workers.
+func (w *fakeWorker) freeOn(width int) int {
+	m := cell.Mask(0, width)
+	for _, t := range w.tasks {
+		m &^= uint64(t.cell)
+	}
+	return cell.Count(m)
+}
--- /dev/null
+++ b/internal/core/gang.go
@@ -0,0 +1,239 @@
+package core
+
+import (
+	"sort"
+
+	"agatewinch/internal/errkind"
+)
+
+// spot is a cell chosen for one task.
+type spot struct {
+	worker *worker
+	cell   uint64
+}
+
+// begin takes the chosen cells and starts an attempt: the placement of a job that may
+// run only once is recorded first, then every worker is asked to reserve.
+func (c *Core) begin(now Instant, j *job, spots []spot) {
+	j.attempt++
+	j.state = Placing
+	j.recorded = false
+	j.reason, j.short = "", nil
+	sort.SliceStable(spots, func(a, b int) bool { return spots[a].worker.def.ID < spots[b].worker.def.ID })
+	c.fillTasks(j, spots)
+	c.charge(now, j)
+	if j.Idempotent {
+		c.reserveAll(now, j)
+		return
+	}
+	placements := make([]Placement, len(j.tasks))
+	for i, t := range j.tasks {
+		placements[i] = t.Placement
+	}
+	c.emit(RecordPlacement{Job: j.ID, Attempt: j.attempt, Placements: placements})
+}
+
+// fillTasks gives the spots to the parts of the job that still have to run; a part
+// that ended before a preemption keeps its output.
+func (c *Core) fillTasks(j *job, spots []spot) {
+	tasks := make([]*task, c.parts(j.Shape))
+	next := 0
+	for i := range tasks {
+		if i < len(j.tasks) && j.tasks[i].state == taskDone {
+			tasks[i] = j.tasks[i]
+			continue
+		}
+		s := spots[next]
+		next++
+		ref := TaskRef{Job: j.ID, Attempt: j.attempt, Index: i}
+		t := &task{Placement: Placement{Task: ref, Worker: s.worker.def.ID, Cell: Cell(s.cell)}, job: j, shape: j.Shape}
+		tasks[i] = t
+		c.hold(t)
+	}
+	j.tasks = tasks
+}
+
+// hold books the task on its worker until it is proved gone.
+func (c *Core) hold(t *task) {
+	c.tasks[t.key()] = t
+	c.worker(t.Worker).add(t)
+}
+
+func (c *Core) placementRecorded(now Instant, e PlacementRecorded) {
+	j := c.jobs[e.Job]
+	if j == nil || j.attempt != e.Attempt || j.state != Placing || j.recorded || j.Idempotent {
+		return
+	}
+	if e.OK {
+		j.recorded = true
+		c.reserveAll(now, j)
+		return
+	}
+	out := Outcome{State: Failed, Kind: errkind.LogUnavailable, Message: "the placement could not be recorded"}
+	j.outcome = &out
+	c.abort(now, j, stopRelease)
+}
+
+func (c *Core) reserveAll(now Instant, j *job) {
+	for _, t := range j.tasks {
+		if t.state != taskReserving {
+			continue
+		}
+		c.emit(Reserve{Placement: t.Placement, Job: j.Job})
+		c.awaitCall(now, t)
+	}
+	if c.mutation == mutationNoReserve {
+		c.startAll(now, j)
+	}
+}
+
+// awaitCall sets the time after which an unanswered call counts as unknown.
+func (c *Core) awaitCall(now Instant, t *task) {
+	t.stamp++
+	c.after(timer{at: now.Add(callPatience), kind: timerCall, task: t, stamp: t.stamp})
+}
+
+func (c *Core) callDue(now Instant, due timer) {
+	t := due.task
+	if t.stamp != due.stamp {
+		return
+	}
+	switch t.state {
+	case taskReserving:
+		c.reserveDone(now, ReserveDone{Task: t.Task, Worker: t.Worker, Result: CallUnknown})
+	case taskStarting:
+		c.startDone(now, StartDone{Task: t.Task, Worker: t.Worker, Result: CallUnknown})
+	}
+}
+
+// find returns the live task of an answer. Answers for earlier attempts whose tasks
+// are proved gone find nothing and are dropped.
+func (c *Core) find(ref TaskRef, id WorkerID) *task {
+	if t := c.tasks[taskKey{ref, id}]; t != nil || c.mutation != mutationNoAttempt {
+		return t
+	}
+	j := c.jobs[ref.Job]
+	if j == nil || ref.Index >= len(j.tasks) || !j.tasks[ref.Index].held() {
+		return nil
+	}
+	return j.tasks[ref.Index]
+}
+
+func (c *Core) reserveDone(now Instant, e ReserveDone) {
+	t := c.find(e.Task, e.Worker)
+	if t == nil {
+		return
+	}
+	if t.state == taskStopping && t.began == beganNo && e.Result == CallRefused {
+		c.gone(now, t)
+		return
+	}
+	if t.state != taskReserving {
+		return
+	}
+	switch e.Result {
+	case CallDone:
+		t.state = taskReserved
+		if c.readyToStart(t.job) {
+			c.startAll(now, t.job)
+		}
+	case CallRefused:
+		t.state = taskReserved
+		c.refused(now, t, e.Reason)
+	case CallUnknown:
+		c.abort(now, t.job, stopRelease)
+	}
+}
+
+// refused takes the proof that a reservation or start had no effect and never will.
+func (c *Core) refused(now Instant, t *task, reason RefusalReason) {
+	j := t.job
+	j.reason = "worker " + string(t.Worker) + " refused: " + string(reason)
+	if reason == RefusedLeaving {
+		c.workerChanged(now, WorkerChanged{Worker: t.Worker, Health: WorkerLeaving})
+	}
+	t.state = taskStopping
+	if !t.detached {
+		c.abort(now, j, stopRelease)
+	}
+	c.gone(now, t)
+}
+
+// readyToStart reports whether every part is reserved or has ended already.
+func (c *Core) readyToStart(j *job) bool {
+	if j.state != Placing {
+		return false
+	}
+	for _, t := range j.tasks {
+		if t.state != taskReserved && t.state != taskDone {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) startAll(now Instant, j *job) {
+	for _, t := range j.tasks {
+		if t.state == taskDone {
+			continue
+		}
+		t.state = taskStarting
+		t.began = beganMaybe
+		c.emit(Start{Task: t.Task, Worker: t.Worker, Resume: j.resume})
+		c.awaitCall(now, t)
+	}
+	j.began = now
+}
+
+func (c *Core) startDone(now Instant, e StartDone) {
+	t := c.find(e.Task, e.Worker)
+	if t == nil {
+		return
+	}
+	if t.state == taskStopping && e.Result == CallDone {
+		t.began = beganYes
+	}
+	if t.state != taskStarting {
+		return
+	}
+	switch e.Result {
+	case CallDone:
+		t.state = taskRunning
+		t.began = beganYes
+		t.startedAt = now
+		c.startedWhole(now, t.job)
+	case CallRefused:
+		t.began = beganNo
+		c.refused(now, t, e.Reason)
+	case CallUnknown:
+		c.abort(now, t.job, stopNow)
+	}
+}
+
+// startedWhole reports the job as started once every part runs.
+func (c *Core) startedWhole(now Instant, j *job) {
+	if j.state != Placing {
+		return
+	}
+	for _, t := range j.tasks {
+		if t.state != taskRunning && t.state != taskDone {
+			return
+		}
+	}
+	j.state = Running
+	j.startedWhole = true
+	j.resume = false
+	j.retries = 0
+	c.emit(JobStarted{Job: j.ID, Workers: j.workerIDs()})
+	if j.all(taskDone) {
+		c.settle(now, j)
+	}
+}
+
+func (j *job) workerIDs() []WorkerID {
+	ids := make([]WorkerID, len(j.tasks))
+	for i, t := range j.tasks {
+		ids[i] = t.Worker
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/core/move.go
@@ -0,0 +1,97 @@
+package core
+
+import "agatewinch/internal/core/cell"
+
+// moveFor clears the head's cells by moving the small jobs that are on them, when all
+// of those keep their progress, fit elsewhere, and lose less work than the head gains.
+func (c *Core) moveFor(now Instant) {
+	h := c.head
+	gain := h.at.Sub(now).Seconds() * float64(h.job.Shape.Accelerators())
+	victims, ok := c.movable(h)
+	if !ok || len(victims) == 0 {
+		return
+	}
+	loss := 0.0
+	for _, v := range victims {
+		loss += c.loss(now, v)
+	}
+	if loss >= gain || !c.fitElsewhere(victims, h) {
+		return
+	}
+	j := h.job
+	chosen := make([]candidate, len(h.parts))
+	for i, p := range h.parts {
+		chosen[i] = candidate{part: p}
+	}
+	chosen[0].victims = victims
+	c.clearHead()
+	c.makeClaim(now, j, chosen, NoteMoved)
+}
+
+// movable returns the jobs on the head's cells; false when one of them cannot move.
+func (c *Core) movable(h *reservation) ([]*job, bool) {
+	seen := map[*job]bool{}
+	var victims []*job
+	for _, p := range h.parts {
+		for _, t := range p.worker.held {
+			if uint64(t.Cell)&p.cell == 0 || seen[t.job] {
+				continue
+			}
+			v := t.job
+			if t.state != taskRunning || t.detached || !v.class.Checkpoint || !v.evictable() || len(v.tasks) > 1 {
+				return nil, false
+			}
+			if v.withinGuarantee(p.worker, t) || v.Shape.CellSize >= c.partSize(h.job.Shape) {
+				return nil, false
+			}
+			seen[v] = true
+			victims = append(victims, v)
+		}
+		if !p.fits(seen) {
+			return nil, false
+		}
+	}
+	return victims, true
+}
+
+// fits reports whether the part has processors, memory and a slot once the moved jobs are gone.
+func (p *claimPart) fits(moved map[*job]bool) bool {
+	w := p.worker
+	sum := amount{w.claimedCPU + p.shape.CPU, w.claimedMemory + p.shape.MemoryBytes, w.claimedSlots + 1}
+	for _, t := range w.held {
+		if !moved[t.job] {
+			sum.add(amount{t.shape.CPU, t.shape.MemoryBytes, 1})
+		}
+	}
+	return sum.cpu <= w.def.CPU && sum.memory <= w.def.MemoryBytes && sum.slots <= w.def.Slots
+}
+
+// fitElsewhere reports whether the jobs fit at once on cells outside the head's.
+func (c *Core) fitElsewhere(victims []*job, h *reservation) bool {
+	var touched []*worker
+	defer func() {
+		for _, w := range touched {
+			w.refresh()
+		}
+	}()
+	for _, v := range victims {
+		p := placing{core: c, job: v, size: c.partSize(v.Shape), need: 1}
+		fit := false
+		for _, w := range c.ordered {
+			m := p.mask(w, tierUnbound)
+			if !w.usable() || !w.room(v.Shape) {
+				continue
+			}
+			if cells, _, ok := cell.BestFit(m, w.width(), p.size); ok {
+				p.take(w, cells)
+				touched = append(touched, w)
+				fit = true
+				break
+			}
+		}
+		if !fit {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/core/never.go
@@ -0,0 +1,138 @@
+package core
+
+import (
+	"fmt"
+
+	"agatewinch/internal/core/cell"
+	"agatewinch/internal/errkind"
+)
+
+// neverFits names the resource because of which no set of workers of the configuration
+// could ever hold the job, all free; it is empty when some could.
+func (c *Core) neverFits(submitted Job) string {
+	s := submitted.Shape
+	o := c.org(submitted.Org)
+	j := &job{Job: submitted, class: c.class(o, submitted.Class), org: o}
+	if quota := j.org.def.Quota; quota > 0 && s.Accelerators() > quota {
+		return fmt.Sprintf("the job needs %d accelerators and the quota of organisation %s is %d", s.Accelerators(), j.Org, quota)
+	}
+	if limit := c.urgentLimit(o); j.class.Urgent && c.opts.Policy != PolicyFIFO && s.Accelerators() > limit {
+		return fmt.Sprintf("the job needs %d accelerators and the urgent quota of organisation %s in zone %s is %d", s.Accelerators(), j.Org, c.opts.Zone, limit)
+	}
+	if s.Cells < 1 {
+		return "the shape has no cells"
+	}
+	if why := c.workerTooSmall(s); why != "" {
+		return why
+	}
+	fit := c.emptyFit(j)
+	if need := c.parts(s); fit < need {
+		return c.tooFew(j, fit, need)
+	}
+	return ""
+}
+
+// workerTooSmall names a resource of which no worker has enough for one task.
+func (c *Core) workerTooSmall(s Shape) string {
+	var most Worker
+	for _, w := range c.ordered {
+		most.CPU = max(most.CPU, w.def.CPU)
+		most.MemoryBytes = max(most.MemoryBytes, w.def.MemoryBytes)
+		most.Slots = max(most.Slots, w.def.Slots)
+	}
+	switch {
+	case s.CellSize > 0 && c.width == 0:
+		return "no worker has accelerators"
+	case s.CPU > most.CPU:
+		return fmt.Sprintf("a task needs %d processor cores and the largest worker has %d", s.CPU, most.CPU)
+	case s.MemoryBytes > most.MemoryBytes:
+		return fmt.Sprintf("a task needs %d bytes of memory and the largest worker has %d", s.MemoryBytes, most.MemoryBytes)
+	case most.Slots == 0:
+		return "no worker has slots"
+	}
+	return ""
+}
+
+func (c *Core) tooFew(j *job, fit, need int) string {
+	where := "all workers of the zone together"
+	if !j.stoppable() {
+		where = "the cells that no other organisation may reclaim, which is all that a job may use that cannot be stopped,"
+	}
+	if c.partsPerCell(j.Shape) > 1 {
+		where = "racks with enough whole workers"
+	}
+	return fmt.Sprintf("the job needs %d cells of %d accelerators with %d processor cores and %d bytes of memory each; %s hold %d",
+		need, c.partSize(j.Shape), j.Shape.CPU, j.Shape.MemoryBytes, where, fit)
+}
+
+// emptyFit counts the tasks of j that fit on the zone's workers when all are free.
+func (c *Core) emptyFit(j *job) int {
+	per, need := c.partsPerCell(j.Shape), c.parts(j.Shape)
+	fit := 0
+	for _, r := range c.racks {
+		inRack := 0
+		for _, w := range r.workers {
+			inRack += c.emptyFitOn(w, j)
+			if per == 1 && fit+inRack >= need {
+				return need
+			}
+		}
+		fit += inRack / per * per
+	}
+	return fit
+}
+
+func (c *Core) emptyFitOn(w *worker, j *job) int {
+	empty := &worker{def: w.def, bound: c.homesOn(w, j)}
+	may := empty.all()
+	if !j.stoppable() {
+		may &^= empty.reclaimable(j.org)
+	}
+	n := 0
+	for empty.room(j.Shape) {
+		m, ok := cell.FirstFit(may&^empty.used, empty.width(), c.partSize(j.Shape))
+		if !ok || !j.stoppable() && !empty.protects(j.org, j.Shape, m) {
+			break
+		}
+		empty.used |= m
+		empty.cpu += j.Shape.CPU
+		empty.memory += j.Shape.MemoryBytes
+		empty.slots++
+		if !j.stoppable() {
+			empty.hard.add(empty.excess(j.org, j.Shape, m))
+		}
+		n++
+	}
+	return n
+}
+
+// homesOn returns the guaranteed cells whose home is w; a job that can be stopped may use them all.
+func (c *Core) homesOn(w *worker, j *job) uint64 {
+	if j.stoppable() {
+		return 0
+	}
+	return w.homes
+}
+
+// becameUnplaceable ends a job that no workers of a newer configuration can hold.
+func (c *Core) becameUnplaceable(now Instant, j *job) bool {
+	if c.cfg == nil || j.checked == c.cfg.Generation {
+		return false
+	}
+	j.checked = c.cfg.Generation
+	why := c.neverFits(j.Job)
+	if why == "" {
+		return false
+	}
+	c.finish(now, j, Outcome{State: Failed, Kind: errkind.NeverRunnable, Message: "after a change of the configuration: " + why})
+	return true
+}
+
+// refuseUnplaceable ends the waiting jobs that no workers of a new configuration can hold.
+func (c *Core) refuseUnplaceable(now Instant) {
+	for _, e := range append(entryHeap(nil), c.queue.arrivals...) {
+		if !e.dead {
+			c.becameUnplaceable(now, e.job)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/place.go
@@ -0,0 +1,262 @@
+package core
+
+import (
+	"math/bits"
+
+	"agatewinch/internal/core/cell"
+)
+
+// tier is how good a cell is for a job. A tier includes the ones before it.
+type tier int
+
+const (
+	// tierOwn is the organisation's own guaranteed cells.
+	tierOwn tier = iota
+	// tierUnbound adds the cells that nobody may reclaim.
+	tierUnbound
+	// tierBorrowed adds the cells that other organisations may reclaim.
+	tierBorrowed
+	tierCount
+)
+
+// levels is the number of sizes of free block that best fit tells apart.
+const levels = 8
+
+// parts returns the number of tasks of a job of shape s: one for each cell, or one
+// for each whole worker of a cell that is larger than a worker.
+func (c *Core) parts(s Shape) int { return s.Cells * c.partsPerCell(s) }
+
+func (c *Core) partsPerCell(s Shape) int {
+	if s.CellSize <= c.width || c.width == 0 {
+		return 1
+	}
+	return (s.CellSize + c.width - 1) / c.width
+}
+
+// partSize is the number of accelerators of one task.
+func (c *Core) partSize(s Shape) int { return min(s.CellSize, c.width) }
+
+// missingParts is the number of tasks that still have to run.
+func (c *Core) missingParts(j *job) int {
+	n := c.parts(j.Shape)
+	for _, t := range j.tasks {
+		if t.state == taskDone {
+			n--
+		}
+	}
+	return n
+}
+
+// place chooses cells for all tasks of j that still have to run. It filters the workers by
+// what they have free, scores the rest by best fit, and returns false when the tasks
+// do not all fit.
+func (c *Core) place(now Instant, j *job) ([]spot, bool) {
+	if c.opts.Policy == PolicyFIFO {
+		return c.placeFirstFit(j)
+	}
+	p := placing{core: c, job: j, size: c.partSize(j.Shape), need: c.missingParts(j), backfill: c.mayBackfill(now, j)}
+	defer p.restore()
+	if spots, ok := p.choose(); ok || len(j.failedOn) == 0 {
+		return spots, ok
+	}
+	p.restore()
+	p.spots, p.touched, p.need, p.anywhere = nil, nil, c.missingParts(j), true
+	return p.choose()
+}
+
+// choose tries the tiers in order.
+func (p *placing) choose() ([]spot, bool) {
+	if p.core.partsPerCell(p.job.Shape) > 1 {
+		return p.wholeRacks()
+	}
+	for t := tierOwn; t < tierCount; t++ {
+		if t == tierBorrowed && !p.job.stoppable() && p.core.mutation != mutationNoProtection {
+			break
+		}
+		if p.fill(t) {
+			return p.spots, true
+		}
+	}
+	return nil, false
+}
+
+// placing is one attempt to place a job. Chosen cells are counted on their workers
+// until restore.
+type placing struct {
+	core     *Core
+	job      *job
+	size     int
+	need     int
+	backfill bool
+	// anywhere allows the workers on which the job failed before.
+	anywhere bool
+	spots    []spot
+	touched  []*worker
+	buckets  [levels][]*worker
+}
+
+// restore takes back what was counted on the workers.
+func (p *placing) restore() {
+	for _, w := range p.touched {
+		w.refresh()
+	}
+}
+
+// mask returns the accelerators of w that the job may take in tier t.
+func (p *placing) mask(w *worker, t tier) uint64 {
+	free := w.free()
+	if !p.backfill {
+		free &^= w.reserved
+	}
+	switch t {
+	case tierOwn:
+		return free & p.job.org.bound[w.def.ID]
+	case tierUnbound:
+		return free &^ w.reclaimable(p.job.org)
+	default:
+		return free
+	}
+}
+
+// best returns the best cell on w in tier t, and the level of the block it is taken from.
+func (p *placing) best(w *worker, t tier) (uint64, int, bool) {
+	if !w.room(p.job.Shape) || !p.anywhere && p.job.hasFailedOn(w.def.ID) {
+		return 0, 0, false
+	}
+	if p.size == 0 {
+		return p.bestWithout(w, t)
+	}
+	m, block, ok := cell.BestFit(p.mask(w, t), w.width(), p.size)
+	if !ok || !p.allowed(w, m) {
+		return 0, 0, false
+	}
+	return m, min(bits.Len(uint(block)), levels-1), true
+}
+
+// bestWithout ranks a worker for a task without accelerators: one with few of them
+// free comes first.
+func (p *placing) bestWithout(w *worker, t tier) (uint64, int, bool) {
+	if t == tierOwn || !p.allowed(w, 0) {
+		return 0, 0, false
+	}
+	return 0, min(bits.Len(uint(cell.Count(w.free()))), levels-1), true
+}
+
+func (p *placing) allowed(w *worker, m uint64) bool {
+	return p.job.stoppable() || p.core.mutation == mutationNoProtection || w.protects(p.job.org, p.job.Shape, m)
+}
+
+// fill takes cells of tier t, from the workers with the smallest fitting block first.
+func (p *placing) fill(t tier) bool {
+	for i := range p.buckets {
+		p.buckets[i] = p.buckets[i][:0]
+	}
+	for _, w := range p.core.ordered {
+		if !w.usable() {
+			continue
+		}
+		if _, level, ok := p.best(w, t); ok {
+			p.buckets[level] = append(p.buckets[level], w)
+			if p.need == 1 && level <= bits.Len(uint(p.size)) {
+				break
+			}
+		}
+	}
+	for _, bucket := range p.buckets {
+		for _, w := range bucket {
+			if p.takeFrom(w, t) {
+				return true
+			}
+		}
+	}
+	return p.need == 0
+}
+
+// takeFrom takes as many cells as w has, and reports whether that completes the job.
+func (p *placing) takeFrom(w *worker, t tier) bool {
+	for p.need > 0 {
+		m, _, ok := p.best(w, t)
+		if !ok {
+			return false
+		}
+		p.take(w, m)
+	}
+	return true
+}
+
+func (p *placing) take(w *worker, m uint64) {
+	p.spots = append(p.spots, spot{w, m})
+	p.touched = append(p.touched, w)
+	p.need--
+	w.used |= m
+	w.cpu += p.job.Shape.CPU
+	w.memory += p.job.Shape.MemoryBytes
+	w.slots++
+	if !p.job.stoppable() {
+		w.hard.add(w.excess(p.job.org, p.job.Shape, m))
+	}
+}
+
+// wholeRacks takes cells that are larger than a worker: whole workers of one rack for
+// each cell, from the rack with the fewest that still has enough.
+func (p *placing) wholeRacks() ([]spot, bool) {
+	per := p.core.partsPerCell(p.job.Shape)
+	if p.need%per != 0 {
+		return nil, false
+	}
+	for p.need > 0 {
+		workers := p.bestRack(per)
+		if workers == nil {
+			return nil, false
+		}
+		for _, w := range workers {
+			p.take(w, w.all())
+		}
+	}
+	return p.spots, true
+}
+
+func (p *placing) bestRack(per int) []*worker {
+	t := tierUnbound
+	if p.job.stoppable() {
+		t = tierBorrowed
+	}
+	var best []*worker
+	for _, r := range p.core.racks {
+		var whole []*worker
+		for _, w := range r.workers {
+			if w.width() != p.core.width || !w.usable() {
+				continue
+			}
+			if m, _, ok := p.best(w, t); ok && m == w.all() {
+				whole = append(whole, w)
+			}
+		}
+		if len(whole) >= per && (best == nil || len(whole) < len(best)) {
+			best = whole
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return best[:per]
+}
+
+// placeFirstFit is the baseline's placement: the first free cells in worker order.
+func (c *Core) placeFirstFit(j *job) ([]spot, bool) {
+	p := placing{core: c, job: j, size: c.partSize(j.Shape), need: c.missingParts(j)}
+	defer p.restore()
+	if c.partsPerCell(j.Shape) > 1 {
+		return p.wholeRacks()
+	}
+	for _, w := range c.ordered {
+		for p.need > 0 && w.usable() && w.room(j.Shape) {
+			m, ok := cell.FirstFit(w.free(), w.width(), p.size)
+			if !ok || !p.allowed(w, m) {
+				break
+			}
+			p.take(w, m)
+		}
+	}
+	return p.spots, p.need == 0
+}
--- /dev/null
+++ b/internal/core/settle.go
@@ -0,0 +1,181 @@
+package core
+
+import (
+	"agatewinch/internal/errkind"
+)
+
+// settle decides what follows once no task of the job's attempt is held any more.
+func (c *Core) settle(now Instant, j *job) {
+	if j.ended || j.restoring || len(j.tasks) == 0 || j.held() || j.state == Queued {
+		return
+	}
+	if j.all(taskDone) {
+		c.succeed(now, j)
+		return
+	}
+	if j.state != Stopping {
+		return
+	}
+	c.uncharge(now, j)
+	switch {
+	case j.orphan && j.outcome == nil:
+		c.forget(j)
+	case j.outcome != nil:
+		c.finish(now, j, *j.outcome)
+	case j.checkpointedWhole():
+		c.resumeLater(now, j)
+	case j.Idempotent, j.attemptBegan() == beganNo:
+		c.retry(now, j)
+	default:
+		c.finish(now, j, Outcome{
+			State: Failed, Kind: errkind.OutcomeUnknown,
+			Message: "a task was lost after it may have started: " + j.reason,
+		})
+	}
+}
+
+// attemptBegan says whether any task of the present attempt started.
+func (j *job) attemptBegan() began {
+	b := beganNo
+	for _, t := range j.tasks {
+		if t.Task.Attempt == j.attempt {
+			b = max(b, t.began)
+		}
+	}
+	return b
+}
+
+// checkpointedWhole reports whether every part ended or kept its progress.
+func (j *job) checkpointedWhole() bool {
+	for _, t := range j.tasks {
+		if !t.checkpointed && t.state != taskDone {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) succeed(now Instant, j *job) {
+	outputs := make([]TaskOutput, len(j.tasks))
+	for i, t := range j.tasks {
+		outputs[i] = TaskOutput{Worker: t.Worker, Output: t.output}
+	}
+	c.uncharge(now, j)
+	c.learn(j)
+	c.finish(now, j, Outcome{State: Succeeded, Outputs: outputs})
+}
+
+// resumeLater queues a preempted job again; its next start continues from the checkpoint.
+func (c *Core) resumeLater(now Instant, j *job) {
+	j.resume = true
+	j.ever = max(j.ever, j.attemptBegan())
+	j.state = Queued
+	c.enqueue(now, j)
+}
+
+// retry queues the job again after a pause. Parts that ended before a preemption are
+// kept only if nothing has run since.
+func (c *Core) retry(now Instant, j *job) {
+	started := j.attemptBegan()
+	j.ever = max(j.ever, started)
+	if started != beganNo || !j.resume {
+		j.tasks = nil
+		j.resume = false
+	}
+	j.state = Queued
+	if j.expired(now) {
+		c.deadline(now, j)
+		return
+	}
+	pause := backoff(j.ID, j.retries)
+	j.retries++
+	c.queue.delayed++
+	c.after(timer{at: now.Add(pause), kind: timerRequeue, job: j})
+}
+
+// expired reports whether the job's deadline for its start has passed.
+func (j *job) expired(now Instant) bool {
+	return j.Timeout > 0 && !j.startedWhole && now >= j.arrived.Add(j.Timeout)
+}
+
+func (c *Core) enqueueDelayed(now Instant, j *job) {
+	c.queue.delayed--
+	if j.ended || j.state != Queued || j.queued != nil {
+		return
+	}
+	c.enqueue(now, j)
+}
+
+// finish gives the job's answer, once.
+func (c *Core) finish(now Instant, j *job, out Outcome) {
+	if j.ended {
+		return
+	}
+	out.Ran = c.ran(j, out)
+	if out.Kind == errkind.DeadlineExceeded && out.Ran != errkind.RanNo {
+		out.Kind = errkind.OutcomeUnknown
+	}
+	if out.Kind == errkind.LogUnavailable && out.Ran != errkind.RanNo {
+		out.Kind = errkind.OutcomeUnknown
+	}
+	j.state = out.State
+	j.ended = true
+	c.uncharge(now, j)
+	c.leaveQueue(now, j)
+	c.dropHead(j)
+	delete(c.jobs, j.ID)
+	j.caller.jobs--
+	c.emit(JobEnded{Job: j.ID, Outcome: out})
+}
+
+func (c *Core) ran(j *job, out Outcome) errkind.Ran {
+	if out.State == Succeeded || out.Kind == errkind.TaskFailed {
+		return errkind.RanYes
+	}
+	if out.Kind == errkind.OutcomeUnknown {
+		return errkind.RanUnknown
+	}
+	return j.beganNow().ran()
+}
+
+// forget drops the job of stray tasks that nobody has named.
+func (c *Core) forget(j *job) {
+	j.ended = true
+	j.caller.jobs--
+	delete(c.jobs, j.ID)
+}
+
+func (c *Core) cancel(now Instant, id JobID) {
+	j := c.jobs[id]
+	if j == nil || j.outcome != nil {
+		return
+	}
+	c.endEarly(now, j, Outcome{State: Failed, Kind: errkind.Cancelled, Message: "cancelled by the caller"})
+}
+
+// endEarly answers a waiting job at once, and stops a placed one first.
+func (c *Core) endEarly(now Instant, j *job, out Outcome) {
+	if j.state == Queued && !j.restoring {
+		c.finish(now, j, out)
+		return
+	}
+	j.outcome = &out
+	if j.restoring {
+		c.resolve(now, j)
+		return
+	}
+	if j.state != Stopping {
+		c.abort(now, j, stopRelease)
+	}
+}
+
+// deadline ends a job that has not started in time. A start that is on its way is let go.
+func (c *Core) deadline(now Instant, j *job) {
+	if j.ended || j.outcome != nil || j.startedWhole || j.restoring {
+		return
+	}
+	if j.state == Placing && j.attemptBegan() != beganNo {
+		return
+	}
+	c.endEarly(now, j, Outcome{State: Failed, Kind: errkind.DeadlineExceeded, Message: "the deadline passed before the job started"})
+}
--- /dev/null
+++ b/internal/core/worker.go
@@ -0,0 +1,186 @@
+package core
+
+import (
+	"sort"
+
+	"agatewinch/internal/core/cell"
+)
+
+// worker is a machine with what the core has placed on it.
+type worker struct {
+	def     Worker
+	health  WorkerHealth
+	removed bool
+	heard   bool
+	held    []*task
+
+	// The sums over held.
+	used   uint64
+	cpu    int
+	memory int64
+	slots  int
+
+	claims []*claimPart
+	// The sums over claims.
+	claimed       uint64
+	claimedCPU    int
+	claimedMemory int64
+	claimedSlots  int
+
+	// The sums over tasks that cannot be stopped, beyond their share of their
+	// organisation's own guaranteed cells.
+	hard amount
+	// reserved is the accelerators kept for the job at the head.
+	reserved uint64
+
+	// bound is the union of all organisations' guaranteed cells here.
+	bound uint64
+	// homes is the part of bound that the configuration alone gives.
+	homes uint64
+	// slow marks accelerators whose task does not answer a stop.
+	slow   uint64
+	record record
+}
+
+// usable reports whether the worker takes new tasks.
+func (w *worker) usable() bool {
+	return w.health == WorkerLive && !w.removed && !w.record.quarantined
+}
+
+func (w *worker) width() int { return w.def.Accelerators }
+
+func (w *worker) all() uint64 { return cell.Mask(0, w.def.Accelerators) }
+
+// free returns the accelerators that are neither held nor claimed.
+func (w *worker) free() uint64 { return w.all() &^ (w.used | w.claimed) }
+
+// room reports whether another task of shape s fits beside the accelerators.
+func (w *worker) room(s Shape) bool {
+	return w.slots+w.claimedSlots < w.def.Slots &&
+		w.cpu+w.claimedCPU+s.CPU <= w.def.CPU &&
+		w.memory+w.claimedMemory+s.MemoryBytes <= w.def.MemoryBytes
+}
+
+func (w *worker) add(t *task) {
+	w.held = append(w.held, t)
+	w.refresh()
+}
+
+func (w *worker) remove(t *task) {
+	for i, h := range w.held {
+		if h == t {
+			w.held = append(w.held[:i], w.held[i+1:]...)
+			break
+		}
+	}
+	w.refresh()
+}
+
+func (w *worker) refresh() {
+	w.used, w.cpu, w.memory, w.slots = 0, 0, 0, 0
+	w.hard = amount{}
+	for _, t := range w.held {
+		w.used |= uint64(t.Cell)
+		w.cpu += t.shape.CPU
+		w.memory += t.shape.MemoryBytes
+		w.slots++
+		if !t.job.stoppable() {
+			w.hard.add(w.excess(t.job.org, t.shape, uint64(t.Cell)))
+		}
+	}
+	w.slow &= w.used
+	w.claimed, w.claimedCPU, w.claimedMemory, w.claimedSlots = 0, 0, 0, 0
+	for _, p := range w.claims {
+		w.claimed |= p.cell
+		w.claimedCPU += p.shape.CPU
+		w.claimedMemory += p.shape.MemoryBytes
+		w.claimedSlots++
+	}
+}
+
+// rack is the workers of one rack, in order of their IDs.
+type rack struct {
+	id      RackID
+	workers []*worker
+}
+
+func (c *Core) configure(now Instant, cfg *Config) {
+	if c.cfg != nil && cfg.Generation <= c.cfg.Generation {
+		return
+	}
+	c.cfg = cfg
+	for _, w := range c.workers {
+		w.removed = true
+	}
+	for _, def := range cfg.Workers {
+		if def.Zone != c.opts.Zone {
+			continue
+		}
+		w := c.worker(def.ID)
+		w.def = def
+		w.removed = false
+	}
+	c.indexWorkers()
+	c.configureOrgs(now)
+	c.binding = bindHomes(cfg, c.opts.Zone)
+	c.rebind()
+	c.refuseUnplaceable(now)
+}
+
+// worker returns the worker with this ID, adding one that takes nothing when it is not configured.
+func (c *Core) worker(id WorkerID) *worker {
+	w, ok := c.workers[id]
+	if !ok {
+		w = &worker{def: Worker{ID: id}, health: WorkerUnreachable, removed: true}
+		c.workers[id] = w
+	}
+	return w
+}
+
+func (c *Core) indexWorkers() {
+	c.ordered, c.racks = nil, nil
+	for _, w := range c.workers {
+		if !w.removed {
+			c.ordered = append(c.ordered, w)
+		}
+	}
+	sort.Slice(c.ordered, func(a, b int) bool { return c.ordered[a].def.ID < c.ordered[b].def.ID })
+	byID := map[RackID]*rack{}
+	c.total = resources{}
+	c.width = 0
+	for _, w := range c.ordered {
+		r := byID[w.def.Rack]
+		if r == nil {
+			r = &rack{id: w.def.Rack}
+			byID[r.id] = r
+			c.racks = append(c.racks, r)
+		}
+		r.workers = append(r.workers, w)
+		c.width = max(c.width, w.def.Accelerators)
+		c.total.add(resources{w.def.CPU, w.def.MemoryBytes, w.def.Accelerators})
+	}
+}
+
+func (c *Core) workerChanged(now Instant, e WorkerChanged) {
+	w, ok := c.workers[e.Worker]
+	if !ok || w.health == e.Health {
+		return
+	}
+	before := w.usable()
+	w.health = e.Health
+	if e.Health == WorkerGone {
+		c.workerGone(now, w)
+	}
+	if before != w.usable() {
+		c.rebind()
+		c.freed()
+	}
+}
+
+// workerGone takes the proof that the worker runs nothing.
+func (c *Core) workerGone(now Instant, w *worker) {
+	w.heard = true
+	for _, t := range append([]*task(nil), w.held...) {
+		c.lost(now, t)
+	}
+}
