--- /dev/null
+++ b/internal/core/drill_test.go
@@ -0,0 +1,96 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// reclaimTarget is the longest wait of an owner for its guaranteed cells.
+const reclaimTarget = 2900 * time.Millisecond
+
+// drill lets some organisations call for all their guaranteed cells at once, with
+// the processors and memory that go with them, and returns the jobs that had not
+// started in time.
+func (f *fake) drill(callers []Organisation, job Job) []JobID {
+	f.settleDown()
+	f.cancelAll(callers)
+	var called []JobID
+	for _, o := range callers {
+		for _, g := range o.Guarantees {
+			for i := range g.Cells {
+				j := job
+				j.Org, j.ID = o.ID, JobID(fmt.Sprintf("drill-%s-%d-%d", o.ID, g.CellSize, i))
+				j.Shape = Shape{Cells: 1, CellSize: g.CellSize, CPU: 8 * g.CellSize, MemoryBytes: int64(g.CellSize) * 16 << 30}
+				called = append(called, j.ID)
+				f.submit(j)
+			}
+		}
+	}
+	const round = 100 * time.Millisecond
+	for waited := time.Duration(0); waited < reclaimTarget; waited += round {
+		f.drain(false)
+		f.now = f.now.Add(round)
+		f.step(Tick{})
+	}
+	var late []JobID
+	for _, id := range called {
+		if !f.jobs[id].started {
+			late = append(late, id)
+		}
+	}
+	return late
+}
+
+// settleDown makes every worker live and lets all calls be answered.
+func (f *fake) settleDown() {
+	for _, id := range f.order {
+		f.workers[id].health = WorkerLive
+		f.step(WorkerChanged{Worker: id, Health: WorkerLive})
+	}
+	for range 40 {
+		f.drain(false)
+		f.now = f.now.Add(quarantinePause)
+		f.step(Tick{})
+	}
+}
+
+func (f *fake) cancelAll(orgs []Organisation) {
+	for _, id := range f.ids {
+		for _, o := range orgs {
+			if f.jobs[id].job.Org == o.ID {
+				f.step(JobCancelled{Job: id})
+			}
+		}
+	}
+	f.drain(false)
+}
+
+// TestOwnersReclaimTheirCellsTogether fills the fleet at random, then lets any set of
+// owners call for all their guaranteed cells at the same time.
+func TestOwnersReclaimTheirCellsTogether(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) { runDrill(rt, rt, mutationNone) })
+}
+
+func runDrill(rt *rapid.T, report reporter, m mutation) {
+	f := newFake(report, smallOptions(), smallConfig(), m)
+	for range rapid.IntRange(10, 120).Draw(rt, "steps") {
+		f.drive(rt)
+	}
+	var callers []Organisation
+	for _, o := range f.cfg.Organisations {
+		if len(o.Guarantees) > 0 && rapid.Bool().Draw(rt, "calls") {
+			callers = append(callers, o)
+		}
+	}
+	class := rapid.SampledFrom([]ClassName{"check", "reconcile", "bill"}).Draw(rt, "drill class")
+	late := f.drill(callers, Job{Class: class, Caller: "owner", Idempotent: rapid.Bool().Draw(rt, "drill idempotent")})
+	for _, id := range late {
+		ex, _ := f.core.Explain(id)
+		report.Fatalf("guarantee missed: %s did not start within %v: %+v", id, reclaimTarget, ex)
+	}
+	f.heal()
+	f.checkAllEnded()
+}
--- a/internal/core/fake_test.go
+++ b/internal/core/fake_test.go
@@ -5,7 +5,6 @@
 	"reflect"
 	"time"
 
-	"agatewinch/internal/core/cell"
 	"agatewinch/internal/errkind"
 )
 
@@ -158,6 +157,26 @@
 	}
 }
 
+// drop loses the worker's next call: it never takes effect, and the result is unknown.
+func (f *fake) drop(w *fakeWorker) {
+	if len(w.calls) == 0 {
+		return
+	}
+	c := w.calls[0]
+	w.calls = w.calls[1:]
+	if !c.answered {
+		f.answers = append(f.answers, unknown(answerTo(c.action, CallUnknown)))
+	}
+}
+
+// repeatLate feeds a worker's answer of an earlier step once more.
+func (f *fake) repeatLate(i int) {
+	switch ev := f.history[i].event.(type) {
+	case ReserveDone, StartDone, StopDone, TaskEnded, TaskLapsed, PlacementRecorded:
+		f.step(ev)
+	}
+}
+
 func answerTo(action Action, r CallResult) Event {
 	switch a := action.(type) {
 	case Reserve:
@@ -464,12 +483,3 @@
 		}
 	}
 }
-
-// freeOn counts free accelerators of the fake workers.
-func (w *fakeWorker) freeOn(width int) int {
-	m := cell.Mask(0, width)
-	for _, t := range w.tasks {
-		m &^= uint64(t.cell)
-	}
-	return cell.Count(m)
-}
--- /dev/null
+++ b/internal/core/mutation_test.go
@@ -0,0 +1,73 @@
+package core
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// failure is the panic by which failureReporter ends a run.
+type failure string
+
+// failureReporter turns a failed check into a result.
+type failureReporter struct{}
+
+func (failureReporter) Fatalf(format string, args ...any) {
+	panic(failure(fmt.Sprintf(format, args...)))
+}
+
+// run is a random drive of the core that reports to a reporter.
+type run func(rt *rapid.T, report reporter, m mutation)
+
+// firstFailure returns the first failed check of a run with this seed; it is empty
+// when all hold.
+func firstFailure(r run, m mutation, seed int) string {
+	return rapid.Custom(func(rt *rapid.T) (failed string) {
+		defer func() {
+			if p := recover(); p != nil {
+				f, ok := p.(failure)
+				if !ok {
+					panic(p)
+				}
+				failed = string(f)
+			}
+		}()
+		r(rt, failureReporter{}, m)
+		return ""
+	}).Example(seed)
+}
+
+// TestMutationsAreCaught switches one mechanism off at a time: the property that
+// guards it must fail within a bounded number of runs.
+func TestMutationsAreCaught(t *testing.T) {
+	const seeds = 3000
+	cases := []struct {
+		name     string
+		mutation mutation
+		run      run
+		property string
+	}{
+		{"reclaim rule", mutationNoReclaim, runDrill, "guarantee missed"},
+		{"protection of reclaimable cells", mutationNoProtection, runRandom, "guarantee:"},
+		{"attempt check", mutationNoAttempt, runRandom, "two holders"},
+		{"reserve step", mutationNoReserve, runRandom, "partial gang"},
+		{"proof of a stop", mutationNoProof, runRandom, "two holders"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			seen := map[string]int{}
+			for seed := range seeds {
+				failed := firstFailure(c.run, c.mutation, seed)
+				if strings.HasPrefix(failed, c.property) {
+					t.Logf("seed %d: %s", seed, failed)
+					return
+				}
+				kind, _, _ := strings.Cut(failed, ":")
+				seen[kind]++
+			}
+			t.Fatalf("%q did not fail in %d runs; others that did: %v", c.property, seeds, seen)
+		})
+	}
+}
--- a/internal/core/property_test.go
+++ b/internal/core/property_test.go
@@ -65,7 +65,7 @@
 // drive applies one random action to the fake.
 func (f *fake) drive(t *rapid.T) {
 	w := f.workers[rapid.SampledFrom(f.order).Draw(t, "worker")]
-	switch rapid.IntRange(0, 15).Draw(t, "action") {
+	switch rapid.IntRange(0, 17).Draw(t, "action") {
 	case 0, 1, 2:
 		j := drawJob.Draw(t, "job")
 		j.ID = JobID(fmt.Sprintf("j%d", len(f.ids)))
@@ -88,6 +88,10 @@
 		}
 	case 12:
 		f.stall(w)
+	case 16:
+		f.drop(w)
+	case 17:
+		f.repeatLate(rapid.IntRange(0, len(f.history)-1).Draw(t, "late"))
 	case 13:
 		f.changeHealth(t, w)
 	case 14:
@@ -113,11 +117,11 @@
 // TestRandomEventsKeepEveryInvariant drives the core with random arrivals, failures,
 // lapses, late and doubled answers, and cancellations.
 func TestRandomEventsKeepEveryInvariant(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) { runRandom(rt, mutationNone) })
+	rapid.Check(t, func(rt *rapid.T) { runRandom(rt, rt, mutationNone) })
 }
 
-func runRandom(rt *rapid.T, m mutation) {
-	f := newFake(rt, smallOptions(), smallConfig(), m)
+func runRandom(rt *rapid.T, report reporter, m mutation) {
+	f := newFake(report, smallOptions(), smallConfig(), m)
 	for range rapid.IntRange(10, 150).Draw(rt, "steps") {
 		f.drive(rt)
 	}
--- a/internal/core/quarantine.go
+++ b/internal/core/quarantine.go
@@ -5,9 +5,8 @@
 	// failures counts jobs that failed in a row here.
 	failures    int
 	quarantined bool
-	// probing is true while one job tries a quarantined worker.
-	probing bool
-	tries   int
+	// tries counts the quarantines since the last success.
+	tries int
 }
 
 // workerResult counts a task's end for its worker. A worker on which several jobs in
