core: mark placements that resume from a checkpoint

Cause: a new holder that reads attempt 2 of a job from the log could not tell a first start that was refused from a resumption; if attempt 2 was proved not started, a non-idempotent job would have been started afresh, a second time. Additive: Resume stands in the Placement, so in the log's record and in Reserve. Expected of the scheduler: JobRestored.Placed carries it back unchanged.

--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -97,6 +97,8 @@
 	Task   TaskRef
 	Worker WorkerID
 	Cell   Cell
+	// Resume is true when the task is to continue from a checkpoint.
+	Resume bool `json:",omitempty"`
 }
 
 // JobState is a job's place in its life cycle.
