core: retry only shapes that freed capacity may help; restored jobs stay truthful

Capacity that is freed is logged by worker; a shape that failed is tried again only when one of those workers can hold a task of it.

--- a/internal/core/backfill.go
+++ b/internal/core/backfill.go
@@ -14,7 +14,9 @@
 	parts []*claimPart
 	since Instant
 	// at is when all of the cells are expected to be free.
-	at      Instant
+	at Instant
+	// chosen is when the cells were chosen.
+	chosen  Instant
 	version uint64
 }
 
@@ -44,11 +46,15 @@
 			c.setHead(now, e.job)
 		}
 	}
-	if c.head == nil || c.head.version == c.version {
+	if c.head == nil || c.head.version == c.changes.version {
 		return
 	}
 	j := c.head.job
-	c.head.version = c.version
+	unchanged := c.stillFails(c.head.version, j)
+	c.head.version = c.changes.version
+	if unchanged {
+		return
+	}
 	if j.claim != nil || c.overQuota(j) != "" {
 		return
 	}
@@ -56,7 +62,9 @@
 		c.take(now, j, spots)
 		return
 	}
-	c.keepFor(now, j, c.head.since)
+	if now.Sub(c.head.chosen) >= headInterval {
+		c.keepFor(now, j, c.head.since)
+	}
 }
 
 // setHead keeps cells for j if nothing is kept yet.
@@ -78,7 +86,7 @@
 	if chosen == nil {
 		return
 	}
-	h := &reservation{job: j, since: since, at: now, version: c.version}
+	h := &reservation{job: j, since: since, at: now, version: c.changes.version, chosen: now}
 	for _, o := range chosen {
 		h.parts = append(h.parts, &claimPart{worker: o.worker, cell: o.cell, shape: j.Shape})
 		h.at = max(h.at, o.at)
@@ -93,6 +101,7 @@
 	}
 	for _, p := range c.head.parts {
 		p.worker.reserved = 0
+		c.freedOn(p.worker)
 	}
 	c.head = nil
 }
@@ -100,7 +109,6 @@
 func (c *Core) dropHead(j *job) {
 	if c.head != nil && c.head.job == j {
 		c.clearHead()
-		c.freed()
 	}
 }
 
@@ -111,7 +119,7 @@
 	if per > 1 {
 		return c.earliestRacks(now, j, need, per)
 	}
-	return pick(c.openings(now, j, c.ordered), need)
+	return pick(c.openings(now, j, c.accelerated), need)
 }
 
 // pick takes the first n openings that do not overlap, with a slot for each.
--- a/internal/core/binding.go
+++ b/internal/core/binding.go
@@ -148,8 +148,10 @@
 	for _, w := range c.workers {
 		w.bound, w.homes = 0, 0
 	}
+	c.listLive()
 	for _, o := range c.orgOrder {
 		o.bound = map[WorkerID]uint64{}
+		o.boundWorkers = nil
 		o.guaranteed = 0
 	}
 	c.displaced = 0
@@ -186,7 +188,11 @@
 func (c *Core) giveTo(id OrgID, parts []boundPart) {
 	o := c.org(id)
 	for _, p := range parts {
-		c.worker(p.worker).bound |= p.cell
+		w := c.worker(p.worker)
+		w.bound |= p.cell
+		if o.bound[p.worker] == 0 {
+			o.boundWorkers = append(o.boundWorkers, w)
+		}
 		o.bound[p.worker] |= p.cell
 		o.guaranteed += cell.Count(p.cell)
 	}
@@ -225,3 +231,20 @@
 	}
 	return m
 }
+
+// listLive lists the workers that take new tasks.
+func (c *Core) listLive() {
+	c.live, c.accelerated = nil, nil
+	for _, w := range c.workers {
+		w.ready = w.usable()
+	}
+	for _, w := range c.ordered {
+		if !w.ready {
+			continue
+		}
+		c.live = append(c.live, w)
+		if w.def.Accelerators > 0 {
+			c.accelerated = append(c.accelerated, w)
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -29,11 +29,14 @@
 	timers    timerHeap
 	timerSeq  uint64
 	jobSeq    uint64
-	// version grows whenever capacity is freed; a shape that failed at this version is not tried again.
-	version   uint64
-	estimates map[estimateKey]*estimate
-	out       []Action
-	mutation  mutation
+	changes   changes
+	growing   float64
+	// live is the workers that take new tasks, and accelerated those of them with accelerators.
+	live        []*worker
+	accelerated []*worker
+	estimates   map[estimateKey]*estimate
+	out         []Action
+	mutation    mutation
 }
 
 // New returns a core without workers or jobs.
@@ -46,7 +49,7 @@
 		tasks:     map[taskKey]*task{},
 		estimates: map[estimateKey]*estimate{},
 		classes:   map[ClassName]Class{},
-		version:   1,
+		changes:   changes{version: 1},
 	}
 }
 
@@ -54,6 +57,7 @@
 func (c *Core) Step(now Instant, ev Event) []Action {
 	c.out = nil
 	c.rebase(now)
+	c.growing = c.growth(now)
 	c.apply(now, ev)
 	c.runTimers(now)
 	c.schedule(now)
@@ -93,9 +97,6 @@
 
 func (c *Core) emit(a Action) { c.out = append(c.out, a) }
 
-// freed notes that capacity may have grown, so that shapes that failed are tried again.
-func (c *Core) freed() { c.version++ }
-
 // mutation switches one mechanism off; only tests set it.
 type mutation int
 
--- a/internal/core/explain.go
+++ b/internal/core/explain.go
@@ -40,7 +40,7 @@
 		ex.Reason = why
 		return
 	}
-	if g.failedAt != c.version && ex.Position > 0 {
+	if !c.passedOver(g) && ex.Position > 0 {
 		ex.Reason = fmt.Sprintf("%d jobs are before it in order", ex.Position)
 		return
 	}
--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -46,7 +46,7 @@
 		s := spots[next]
 		next++
 		ref := TaskRef{Job: j.ID, Attempt: j.attempt, Index: i}
-		t := &task{Placement: Placement{Task: ref, Worker: s.worker.def.ID, Cell: Cell(s.cell)}, job: j, shape: j.Shape}
+		t := &task{Placement: Placement{Task: ref, Worker: s.worker.def.ID, Cell: Cell(s.cell), Resume: j.resume}, job: j, shape: j.Shape}
 		tasks[i] = t
 		c.hold(t)
 	}
@@ -224,6 +224,10 @@
 	j.startedWhole = true
 	j.resume = false
 	j.retries = 0
+	for _, t := range j.tasks {
+		// The job can be stopped from now on, which its cells' owners may wait for.
+		c.freedOn(c.worker(t.Worker))
+	}
 	c.emit(JobStarted{Job: j.ID, Workers: j.workerIDs()})
 	if j.all(taskDone) {
 		c.settle(now, j)
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -37,8 +37,10 @@
 	// restoring is true until the tasks of a job of an earlier holder are known.
 	restoring bool
 	placed    bool
-	settling  bool
-	due       bool
+	// partial is true when some parts of a restored job were never found.
+	partial  bool
+	settling bool
+	due      bool
 	// orphan is true for tasks found on workers whose job nobody has named yet.
 	orphan bool
 	ended  bool
@@ -143,6 +145,9 @@
 }
 
 func (j *job) all(s taskState) bool {
+	if j.partial {
+		return false
+	}
 	for _, t := range j.tasks {
 		if t.state != s {
 			return false
--- a/internal/core/order.go
+++ b/internal/core/order.go
@@ -11,7 +11,7 @@
 	c.completeClaims(now)
 	c.serveHead(now)
 	for range attemptsPerStep {
-		j := c.next(now)
+		j := c.next()
 		if j == nil {
 			return
 		}
@@ -23,7 +23,7 @@
 func (c *Core) scheduleFIFO(now Instant) {
 	for {
 		e := c.queue.arrivals.first()
-		if e == nil || e.job.queued.queue.group.failedAt == c.version {
+		if e == nil || c.passedOver(e.queue.group) {
 			return
 		}
 		if !c.tryPlace(now, e.job) {
@@ -34,7 +34,7 @@
 
 // next returns the waiting job that comes first in order and may fit: urgent ones
 // first, then by the organisations' shares, the callers' and arrival.
-func (c *Core) next(now Instant) *job {
+func (c *Core) next() *job {
 	for l := laneUrgent; l < laneCount; l++ {
 		var best *group
 		var bestShare float64
@@ -46,7 +46,7 @@
 			if g == nil {
 				continue
 			}
-			if s := c.share(now, o); best == nil || s < bestShare {
+			if s := c.share(o); best == nil || s < bestShare {
 				best, bestShare = g, s
 			}
 		}
@@ -61,7 +61,7 @@
 func (c *Core) firstGroup(l *lane) *group {
 	var best *group
 	for _, g := range l.list {
-		if g.failedAt == c.version {
+		if c.passedOver(g) {
 			continue
 		}
 		if best == nil || (callerHeap{g.callers[0], best.callers[0]}).Less(0, 1) {
@@ -74,7 +74,9 @@
 // tryPlace places one job, or notes why it does not fit.
 func (c *Core) tryPlace(now Instant, j *job) bool {
 	if why := c.overQuota(j); why != "" {
-		c.didNotFit(j, why, nil)
+		j.reason = why
+		g := j.queued.queue.group
+		g.failedAt, g.overQuota, g.quotaAt = c.changes.version, true, j.org.released
 		return false
 	}
 	spots, ok := c.place(now, j)
@@ -82,7 +84,8 @@
 		c.take(now, j, spots)
 		return true
 	}
-	j.queued.queue.group.failedAt = c.version
+	g := j.queued.queue.group
+	g.failedAt, g.overQuota = c.changes.version, false
 	if c.opts.Policy == PolicyGuaranteed && !c.reclaim(now, j) {
 		c.setHead(now, j)
 	}
@@ -95,11 +98,3 @@
 	c.dropHead(j)
 	c.begin(now, j, spots)
 }
-
-// didNotFit keeps the reason for explain and passes the shape over until capacity is freed.
-func (c *Core) didNotFit(j *job, reason string, short []Shortage) {
-	j.reason, j.short = reason, short
-	g := j.queued.queue.group
-	g.reason, g.short = reason, short
-	g.failedAt = c.version
-}
--- a/internal/core/parameters.go
+++ b/internal/core/parameters.go
@@ -21,6 +21,8 @@
 	reclaimPatience = time.Second
 	// headPatience bounds how long backfill may use the cells reserved for the job at the head.
 	headPatience = 2 * time.Minute
+	// headInterval is the least time between two choices of the cells for the head.
+	headInterval = 250 * time.Millisecond
 	// ageLimit is the wait after which a job goes to the head whatever its organisation's share.
 	ageLimit = 10 * time.Minute
 	// usageHalfLife is the time in which past use loses half its weight.
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -120,7 +120,7 @@
 
 // best returns the best cell on w in tier t, and the level of the block it is taken from.
 func (p *placing) best(w *worker, t tier) (uint64, int, bool) {
-	if !w.room(p.job.Shape) || !p.anywhere && p.job.hasFailedOn(w.def.ID) {
+	if !w.ready || !w.room(p.job.Shape) || !p.anywhere && p.job.hasFailedOn(w.def.ID) {
 		return 0, 0, false
 	}
 	if p.size == 0 {
@@ -151,10 +151,7 @@
 	for i := range p.buckets {
 		p.buckets[i] = p.buckets[i][:0]
 	}
-	for _, w := range p.core.ordered {
-		if !w.usable() {
-			continue
-		}
+	for _, w := range p.workers(t) {
 		if _, level, ok := p.best(w, t); ok {
 			p.buckets[level] = append(p.buckets[level], w)
 			if p.need == 1 && level <= bits.Len(uint(p.size)) {
@@ -172,6 +169,18 @@
 	return p.need == 0
 }
 
+// workers returns the workers to look at for tier t.
+func (p *placing) workers(t tier) []*worker {
+	switch {
+	case t == tierOwn:
+		return p.job.org.boundWorkers
+	case p.size > 0:
+		return p.core.accelerated
+	default:
+		return p.core.live
+	}
+}
+
 // takeFrom takes as many cells as w has, and reports whether that completes the job.
 func (p *placing) takeFrom(w *worker, t tier) bool {
 	for p.need > 0 {
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -53,10 +53,11 @@
 	key     groupKey
 	callers callerHeap
 	queues  map[*caller]*callerQueue
-	// failedAt is the version of the core's capacity at which the shape did not fit.
-	failedAt uint64
-	reason   string
-	short    []Shortage
+	// failedAt is the version of the core's capacity at which the shape did not fit, or
+	// zero; with overQuota it was the organisation's quota, as of quotaAt.
+	failedAt  uint64
+	overQuota bool
+	quotaAt   uint64
 }
 
 // callerQueue is one caller's waiting jobs in a group, in order of arrival.
--- a/internal/core/reclaim.go
+++ b/internal/core/reclaim.go
@@ -77,7 +77,7 @@
 	}
 	var chosen []candidate
 	for len(chosen) < need {
-		best := cl.cheapest(c.ordered)
+		best := cl.cheapest(j.org.boundWorkers)
 		if best == nil {
 			return nil
 		}
@@ -369,6 +369,7 @@
 		}
 		p.worker.refresh()
 	}
+	parts := j.claim.parts
 	j.claim = nil
 	for i, have := range c.claims {
 		if have == j {
@@ -376,7 +377,9 @@
 			break
 		}
 	}
-	c.freed()
+	for _, p := range parts {
+		c.freedOn(p.worker)
+	}
 }
 
 // claimDue looks for other cells when claimed ones stay occupied: the tasks there do
--- a/internal/core/restore.go
+++ b/internal/core/restore.go
@@ -23,6 +23,10 @@
 	for _, p := range e.Placed {
 		c.expect(j, p)
 	}
+	if j.Idempotent {
+		// Attempts of such a job are not recorded: an earlier one may have run.
+		j.ever = max(j.ever, beganMaybe)
+	}
 	c.awaitReports(now, j)
 	c.resolve(now, j)
 }
@@ -45,6 +49,10 @@
 // expect books a recorded placement until its worker tells what became of it.
 func (c *Core) expect(j *job, p Placement) {
 	j.placed = true
+	if p.Resume {
+		j.resume = true
+		j.ever = beganYes
+	}
 	j.recorded = true
 	j.attempt = max(j.attempt, p.Task.Attempt)
 	if c.tasks[taskKey{p.Task, p.Worker}] != nil {
@@ -196,9 +204,9 @@
 func (c *Core) resolve(now Instant, j *job) {
 	switch {
 	case !j.restoring || j.ended:
-	case j.outcome != nil:
+	case j.outcome != nil && (j.placed || j.due):
 		c.breakUp(now, j)
-	case c.foundWhole(j):
+	case j.outcome == nil && c.foundWhole(j):
 		c.adopt(now, j)
 	case j.due:
 		c.breakUp(now, j)
@@ -244,6 +252,11 @@
 		return
 	}
 	j.state = Stopping
+	if !j.Idempotent && !j.placed {
+		// Without the record, what was found may not be all that ran.
+		j.tasks[0].began = max(j.tasks[0].began, beganMaybe)
+	}
+	j.partial = len(j.tasks) < c.parts(j.Shape)
 	for _, t := range append([]*task(nil), j.tasks...) {
 		if t.state == taskUnheard && t.heard {
 			t.state = taskStopping
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -38,7 +38,8 @@
 func (j *job) attemptBegan() began {
 	b := beganNo
 	for _, t := range j.tasks {
-		if t.Task.Attempt == j.attempt {
+		// Parts that ended before the attempt do not count.
+		if t.Task.Attempt == j.attempt || t.state != taskDone {
 			b = max(b, t.began)
 		}
 	}
@@ -47,6 +48,9 @@
 
 // checkpointedWhole reports whether every part ended or kept its progress.
 func (j *job) checkpointedWhole() bool {
+	if j.partial {
+		return false
+	}
 	for _, t := range j.tasks {
 		if !t.checkpointed && t.state != taskDone {
 			return false
@@ -81,6 +85,7 @@
 	if started != beganNo || !j.resume {
 		j.tasks = nil
 		j.resume = false
+		j.partial = false
 	}
 	j.state = Queued
 	if j.expired(now) {
@@ -125,7 +130,9 @@
 	c.dropHead(j)
 	delete(c.jobs, j.ID)
 	j.caller.jobs--
-	c.emit(JobEnded{Job: j.ID, Outcome: out})
+	if !j.orphan {
+		c.emit(JobEnded{Job: j.ID, Outcome: out})
+	}
 }
 
 func (c *Core) ran(j *job, out Outcome) errkind.Ran {
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -87,8 +87,11 @@
 	lanes   [laneCount]lane
 	classes map[ClassName]*classCount
 	// guaranteed is the accelerators of its bound cells.
-	guaranteed int
-	bound      map[WorkerID]uint64
+	guaranteed   int
+	bound        map[WorkerID]uint64
+	boundWorkers []*worker
+	// released grows whenever a job gives back what counts against the quotas.
+	released uint64
 }
 
 // caller is one caller of an organisation.
@@ -155,8 +158,8 @@
 
 // share is the organisation's place in the order: its weighted dominant share of what
 // runs now and of the decayed past.
-func (c *Core) share(now Instant, o *org) float64 {
-	past := o.usage.sum / c.growth(now) / usageHalfLife.Seconds()
+func (c *Core) share(o *org) float64 {
+	past := o.usage.sum / c.growing / usageHalfLife.Seconds()
 	return (o.running.dominant(c.total) + past) / float64(o.def.Weight)
 }
 
@@ -172,7 +175,7 @@
 	j.holding = n
 	j.charged = n.dominant(c.total) * c.expected(j).Seconds() / float64(j.class.Weight)
 	j.isCharged = true
-	c.addCaller(now, j.caller, j.charged)
+	c.addCaller(j.caller, j.charged)
 }
 
 // uncharge ends the count; what was foreseen for the caller is replaced by what was used.
@@ -186,13 +189,13 @@
 		j.org.urgent -= j.holding.accelerators
 	}
 	used := j.holding.dominant(c.total) * now.Sub(j.placedAt).Seconds()
-	j.org.usage.sum += used * c.growth(now)
-	c.addCaller(now, j.caller, used/float64(j.class.Weight)-j.charged)
-	c.freed()
+	j.org.usage.sum += used * c.growing
+	c.addCaller(j.caller, used/float64(j.class.Weight)-j.charged)
+	j.org.released++
 }
 
-func (c *Core) addCaller(now Instant, cl *caller, amount float64) {
-	cl.usage.sum += amount * c.growth(now)
+func (c *Core) addCaller(cl *caller, amount float64) {
+	cl.usage.sum += amount * c.growing
 	for _, q := range cl.queues {
 		heap.Fix(&q.group.callers, q.index)
 	}
--- a/internal/core/stop.go
+++ b/internal/core/stop.go
@@ -123,7 +123,7 @@
 	w := c.worker(t.Worker)
 	slow := w.slow
 	w.remove(t)
-	c.freed()
+	c.freedOn(w)
 	if c.displaced > 0 && (slow != w.slow || !t.job.stoppable()) {
 		c.rebind()
 	}
--- a/internal/core/worker.go
+++ b/internal/core/worker.go
@@ -11,8 +11,10 @@
 	def     Worker
 	health  WorkerHealth
 	removed bool
-	heard   bool
-	held    []*task
+	// ready is usable as of the last change.
+	ready bool
+	heard bool
+	held  []*task
 
 	// The sums over held.
 	used   uint64
