errkind, event: hold docs/errors.md and docs/events.md equal to the code

Cause: nothing compared the tables in the docs with the code. Change: generated sections, compared by tests and rewritten by -update; new kinds for unknown organisations and classes, limits, rates, overload and missing configuration; events 2002 and 2003.

--- /dev/null
+++ b/internal/docsync/docsync.go
@@ -0,0 +1,34 @@
+// Package docsync holds the generated sections of the documentation equal to the code,
+// from the tests of the packages that own them.
+package docsync
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+const (
+	begin = "<!-- generated: begin -->\n"
+	end   = "<!-- generated: end -->\n"
+)
+
+// Check fails t when the generated section of the file at path differs from want. With
+// the test flag -update it rewrites the section instead.
+func Check(t *testing.T, path, want string) {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	before, rest, okBegin := strings.Cut(string(data), begin)
+	got, after, okEnd := strings.Cut(rest, end)
+	assert.Assert(t, okBegin && okEnd, "%s has no generated section", path)
+	if golden.FlagUpdate() {
+		text := before + begin + want + end + after
+		assert.NilError(t, os.WriteFile(path, []byte(text), 0o644))
+		return
+	}
+	assert.Equal(t, got, want, "run the test of this package with -update")
+}
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -6,7 +6,10 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
+	"strings"
 
 	"github.com/gravitational/trace"
 )
@@ -18,6 +21,12 @@
 const (
 	None             Kind = ""
 	InvalidRequest   Kind = "invalid_request"
+	UnknownOrg       Kind = "unknown_organisation"
+	UnknownClass     Kind = "unknown_class"
+	LimitExceeded    Kind = "limit_exceeded"
+	RateLimited      Kind = "rate_limited"
+	Overloaded       Kind = "overloaded"
+	NoConfiguration  Kind = "no_configuration"
 	Unauthenticated  Kind = "unauthenticated"
 	Forbidden        Kind = "forbidden"
 	NotFound         Kind = "not_found"
@@ -62,6 +71,12 @@
 
 var table = map[Kind]Answer{
 	InvalidRequest:   {http.StatusBadRequest, false, RanNo, "The request is malformed or a field is out of range."},
+	UnknownOrg:       {http.StatusNotFound, false, RanNo, "The organisation is not in the configuration in force."},
+	UnknownClass:     {http.StatusUnprocessableEntity, false, RanNo, "The class is not in the configuration in force."},
+	LimitExceeded:    {http.StatusUnprocessableEntity, false, RanNo, "The request is over a limit of its class or organisation; the message names the limit."},
+	RateLimited:      {http.StatusTooManyRequests, true, RanNo, "The organisation sends more requests a second than it may; Retry-After says when to come back."},
+	Overloaded:       {http.StatusServiceUnavailable, true, RanNo, "This host has as many open requests as it takes; Retry-After says when to come back."},
+	NoConfiguration:  {http.StatusServiceUnavailable, true, RanNo, "No configuration is in force on this host yet."},
 	Unauthenticated:  {http.StatusUnauthorized, false, RanNo, "The API key is missing or wrong."},
 	Forbidden:        {http.StatusForbidden, false, RanNo, "The API key does not allow this action."},
 	NotFound:         {http.StatusNotFound, false, RanUnknown, "No such job is known here; it may have ended long ago."},
@@ -82,13 +97,20 @@
 	Internal:         {http.StatusInternalServerError, false, RanUnknown, "An unexpected fault in the system; the event log holds the cause."},
 }
 
-// Kinds returns every kind, in no particular order.
+// Kinds returns every kind, by name.
 func Kinds() []Kind {
-	kinds := make([]Kind, 0, len(table))
-	for k := range table {
-		kinds = append(kinds, k)
+	return slices.Sorted(maps.Keys(table))
+}
+
+// Table returns the table as rows of Markdown.
+func Table() string {
+	var b strings.Builder
+	b.WriteString("| kind | HTTP status | retryable | did it run | meaning |\n|---|---|---|---|---|\n")
+	for _, k := range Kinds() {
+		a := table[k]
+		fmt.Fprintf(&b, "| `%s` | %d | %t | %s | %s |\n", k, a.Status, a.Retryable, a.Ran, a.Meaning)
 	}
-	return kinds
+	return b.String()
 }
 
 // AnswerFor returns the table's row for k; an unlisted kind answers as Internal.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -26,14 +26,17 @@
 	ProcessStopped  = Event{1003, "process stopped", "A planned stop is complete."}
 	ProcessFailed   = Event{1004, "process failed", "A process could not go on; the error is shown."}
 
-	ConfigInForce = Event{2001, "configuration in force", "A new generation of the configuration is in force on this host."}
+	ConfigInForce    = Event{2001, "configuration in force", "A new generation of the configuration is in force on this host."}
+	ConfigUnreadable = Event{2002, "configuration unreadable", "A generation was accepted that this build cannot use. The host keeps the one before it and is not ready: bring it to the newest build, or apply a set that it can read."}
+	TLSReloadFailed  = Event{2003, "certificate not reloaded", "A changed certificate, key or authority file could not be read; the ones read before stay in use."}
 
 	SchedulerActive  = Event{3001, "scheduler active", "This host now holds the zone's active role."}
 	SchedulerStandby = Event{3002, "scheduler standby", "This host gave up the zone's active role."}
 
-	WorkerHealth  = Event{4001, "worker health changed", "A worker became live, leaving, unreachable or gone."}
-	CoreNote      = Event{4002, "scheduling decision", "The core reports a decision; the code says which."}
-	LeaseRefused  = Event{4003, "lease refused", "A worker knows a higher term or another holder."}
+	WorkerHealth = Event{4001, "worker health changed", "A worker became live, leaving, unreachable or gone."}
+	CoreNote     = Event{4002, "scheduling decision", "The core reports a decision; the code says which."}
+	LeaseRefused = Event{4003, "lease refused", "A worker knows a higher term or another holder."}
+
 	LogWriteError = Event{5001, "log write failed", "The platform's log refused or lost an append."}
 )
 
@@ -41,7 +44,7 @@
 func Catalogue() []Event {
 	return []Event{
 		ProcessStarted, ProcessStopping, ProcessStopped, ProcessFailed,
-		ConfigInForce,
+		ConfigInForce, ConfigUnreadable, TLSReloadFailed,
 		SchedulerActive, SchedulerStandby,
 		WorkerHealth, CoreNote, LeaseRefused,
 		LogWriteError,
