--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,95 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/gravitational/trace"
+)
+
+// reasons are the texts for failed checks; %s is the check's parameter.
+var reasons = map[string]string{
+	"required":      "is missing",
+	"required_with": "is missing; it is needed with %s",
+	"ip_port":       "is not an IP and port such as 127.0.0.1:7400",
+	"hostname_port": "is not an address and port",
+	"http_url":      "is not an http or https URL",
+	"oneof":         "is none of: %s",
+	"min":           "is below %s",
+	"max":           "is above %s",
+	"sha256":        "is not a SHA-256 in hexadecimal",
+}
+
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, options, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+		if strings.Contains(options, "inline") {
+			return inlined
+		}
+		return name
+	})
+	// Registration fails only for an empty tag or a nil function.
+	_ = v.RegisterValidation("ip_port", func(f validator.FieldLevel) bool {
+		_, err := netip.ParseAddrPort(f.Field().String())
+		return err == nil
+	})
+	return v
+}
+
+// inlined stands in a path for a struct whose fields belong to its holder.
+const inlined = "<inline>"
+
+// check returns every setting that fails its checks, by its name in the file.
+func check(out any) []error {
+	err := newValidator().Struct(out)
+	var failed validator.ValidationErrors
+	if !errors.As(err, &failed) {
+		if err != nil {
+			return []error{trace.Wrap(err)}
+		}
+		return nil
+	}
+	var faults []error
+	for _, f := range failed {
+		faults = append(faults, fmt.Errorf("setting %s: %s", settingName(f.Namespace()), reason(f)))
+	}
+	return faults
+}
+
+// settingName drops the struct's own name and inlined structs from a path.
+func settingName(namespace string) string {
+	_, path, _ := strings.Cut(namespace, ".")
+	return strings.ReplaceAll(path, inlined+".", "")
+}
+
+func reason(f validator.FieldError) string {
+	text, ok := reasons[f.Tag()]
+	switch {
+	case !ok:
+		text = "fails the check " + f.Tag() + " " + f.Param()
+	case strings.Contains(text, "%s"):
+		text = fmt.Sprintf(text, f.Param())
+	}
+	if f.Value() == nil || reflect.ValueOf(f.Value()).IsZero() {
+		return text
+	}
+	return fmt.Sprintf("%v %s", f.Value(), text)
+}
+
+// List returns an aggregate's faults, a line each.
+func List(err error) string {
+	var all trace.Aggregate
+	if !errors.As(err, &all) {
+		return trace.UserMessage(err)
+	}
+	var lines []string
+	for _, e := range all.Errors() {
+		lines = append(lines, trace.UserMessage(e))
+	}
+	return strings.Join(lines, "\n")
+}
