--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -151,6 +151,9 @@
 	var end time.Duration
 	for _, e := range ledger {
 		end = max(end, e.At)
+		if !e.Kind.Starts() && !e.Kind.Stops() {
+			continue
+		}
 		key := runKey{e.Task.Job, e.Task.Attempt}
 		r, ok := byKey[key]
 		if !ok {
@@ -171,13 +174,12 @@
 	if e.Cells > 0 {
 		r.Cells = e.Cells
 	}
-	switch e.Kind {
-	case standin.EntryEnded, standin.EntryStopped:
+	if e.Kind.Stops() {
 		r.close(e)
-	default:
-		r.Fresh = r.Fresh || e.Kind == standin.EntryStarted
-		r.Tasks = append(r.Tasks, TaskRun{Index: e.Task.Index, Worker: e.Worker, Cell: e.Cell, Start: e.At, StartUnix: e.Unix})
+		return
 	}
+	r.Fresh = r.Fresh || e.Kind == standin.EntryStarted
+	r.Tasks = append(r.Tasks, TaskRun{Index: e.Task.Index, Worker: e.Worker, Cell: e.Cell, Start: e.At, StartUnix: e.Unix})
 }
 
 func (r *Run) close(e standin.Entry) {
