gate: the whole callers' and operators' API

Cause: the thin path let anybody apply before the first configuration, checked no limits, and its errors did not say which request they belong to. Change: one table of routes; every answer, errors included, names its request; submissions are held against the limits of their class and organisation; operators cancel, explain, list and drain; open requests (operators apart), connections, bodies and headers are bounded; each organisation has a token bucket with jittered Retry-After; before the first configuration only operator_keys of the settings apply. A planned stop leaves the balancer's view, waits, refuses new jobs and finishes what is open. Expected of others: gate settings need operator_keys; wire.KindDrain is sent to every scheduler, so each must keep the mark.

--- a/cmd/agatewinch-gate/main.go
+++ b/cmd/agatewinch-gate/main.go
@@ -14,63 +14,95 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
 
-	"agatewinch/internal/core"
+	"agatewinch/internal/api"
 	"agatewinch/internal/event"
 	"agatewinch/internal/gate"
+	"agatewinch/internal/metrics"
 	"agatewinch/internal/platform/httpadapter"
 	"agatewinch/internal/settings"
+	"agatewinch/internal/tlsconfig"
 )
 
 const (
 	readHeaderTimeout = 5 * time.Second
-	stopTimeout       = 35 * time.Second
+	readTimeout       = 30 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 16 << 10
+	// stopTimeout is longer than the longest poll.
+	stopTimeout = (api.MaxWaitSeconds + 5) * time.Second
 )
 
-type gateSettings struct {
-	settings.Host `yaml:",inline"`
-	// Schedulers are the schedulers of all zones.
-	Schedulers []schedulerAddr `yaml:"schedulers" validate:"required,dive"`
-	// PlatformConns bounds connections to the platform.
-	PlatformConns int `yaml:"platform_conns" validate:"min=3"`
-}
-
-type schedulerAddr struct {
-	Zone string `yaml:"zone" validate:"required"`
-	Addr string `yaml:"addr" validate:"required,hostname_port"`
-}
-
 func main() {
-	s := gateSettings{Host: settings.Host{LogFormat: string(event.FormatJSON)}, PlatformConns: 16}
+	s := defaultSettings()
 	settings.Main("agatewinch-gate", "The callers' and operators' entry", &s, func(*cobra.Command) error { return run(s) })
 }
 
 func run(s gateSettings) error {
 	logger := event.NewLogger(os.Stderr, event.Format(s.LogFormat)).WithValues("host", s.Host.Host, "zone", s.Zone)
-	opts := gate.Options{Host: s.Host.Host, Zone: core.ZoneID(s.Zone)}
-	for _, a := range s.Schedulers {
-		opts.Schedulers = append(opts.Schedulers, gate.Scheduler{Zone: core.ZoneID(a.Zone), Addr: a.Addr})
+	certs, err := tlsconfig.New(s.TLS, logger)
+	if err != nil {
+		return trace.Wrap(err)
 	}
+	registry := metrics.New()
+	registry.Publish(api.VarsName)
 	log := &httpadapter.Log{Base: s.Platform, Client: httpadapter.NewClient(s.PlatformConns)}
-	g := gate.New(opts, logger, log)
+	g := gate.New(s.options(registry), logger, log)
 
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	stopping, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	group, ctx := errgroup.WithContext(ctx)
-	server := &http.Server{Addr: s.Listen, Handler: g.Handler(), ReadHeaderTimeout: readHeaderTimeout}
-	group.Go(func() error { return g.Run(ctx) })
+	listener, err := certs.Listen(s.Listen)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	server := newServer(g.Handler(), s.MaxConnections)
+	running, finish := context.WithCancel(context.Background())
+	defer finish()
+	group, running := errgroup.WithContext(running)
+	group.Go(func() error { return g.Run(running) })
 	group.Go(func() error {
-		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return trace.Wrap(err)
 		}
 		return nil
 	})
 	group.Go(func() error {
-		<-ctx.Done()
+		defer finish()
+		select {
+		case <-stopping.Done():
+		case <-running.Done():
+		}
 		event.Info(logger, event.ProcessStopping)
-		stopCtx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-		defer cancel()
-		return trace.Wrap(server.Shutdown(stopCtx))
+		return drain(running, g, server, s.DrainGrace)
 	})
-	event.Info(logger, event.ProcessStarted, "listen", s.Listen)
-	return trace.Wrap(group.Wait())
+	event.Info(logger, event.ProcessStarted, "listen", listener.Addr().String())
+	err = group.Wait()
+	if err != nil {
+		event.Error(logger, err, event.ProcessFailed)
+		return trace.Wrap(err)
+	}
+	event.Info(logger, event.ProcessStopped)
+	return nil
+}
+
+func newServer(h http.Handler, maxConnections int) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ConnState: gate.NewConnLimit(maxConnections).ConnState,
+	}
+}
+
+// drain is a planned stop: leave the balancer's view, give it time to notice, take no
+// new job, and finish what is in progress.
+func drain(running context.Context, g *gate.Gate, server *http.Server, grace time.Duration) error {
+	g.Leave()
+	timer := time.NewTimer(grace)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-running.Done():
+	}
+	g.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	return trace.Wrap(server.Shutdown(ctx))
 }
--- /dev/null
+++ b/cmd/agatewinch-gate/settings.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"time"
+
+	"agatewinch/internal/core"
+	"agatewinch/internal/event"
+	"agatewinch/internal/gate"
+	"agatewinch/internal/metrics"
+	"agatewinch/internal/settings"
+	"agatewinch/internal/tlsconfig"
+)
+
+const (
+	defaultPlatformConns = 16
+	defaultDrainGrace    = 2 * time.Second
+)
+
+type gateSettings struct {
+	settings.Host `yaml:",inline"`
+	// Schedulers are the schedulers of all zones.
+	Schedulers []schedulerAddr `yaml:"schedulers" validate:"required,dive"`
+	// PlatformConns bounds connections to the platform.
+	PlatformConns int `yaml:"platform_conns" validate:"min=3"`
+	// OperatorKeys are hashes of the keys that may apply the first configuration.
+	OperatorKeys []string `yaml:"operator_keys" validate:"dive,sha256"`
+	// TLS is for the callers' and operators' listener.
+	TLS tlsconfig.Files `yaml:"tls"`
+	// DrainGrace is how long a planned stop waits for the balancer to notice.
+	DrainGrace time.Duration `yaml:"drain_grace" validate:"min=0s,max=1m"`
+	// MaxRequests, MaxOperatorRequests and MaxConnections bound what is open at once.
+	MaxRequests         int `yaml:"max_requests" validate:"min=1"`
+	MaxOperatorRequests int `yaml:"max_operator_requests" validate:"min=1"`
+	MaxConnections      int `yaml:"max_connections" validate:"min=1"`
+	// RequestRate and RequestBurst bound an organisation's submissions a second, where
+	// the configuration does not say otherwise.
+	RequestRate  int `yaml:"request_rate" validate:"min=1"`
+	RequestBurst int `yaml:"request_burst" validate:"min=1"`
+}
+
+type schedulerAddr struct {
+	Zone string `yaml:"zone" validate:"required"`
+	Addr string `yaml:"addr" validate:"required,ip_port"`
+}
+
+func defaultSettings() gateSettings {
+	limits := gate.DefaultLimits
+	return gateSettings{
+		Host: settings.Host{LogFormat: string(event.FormatJSON)}, PlatformConns: defaultPlatformConns, DrainGrace: defaultDrainGrace,
+		MaxRequests: limits.Requests, MaxOperatorRequests: limits.OperatorRequests, MaxConnections: limits.Connections,
+		RequestRate: limits.RequestRate, RequestBurst: limits.RequestBurst,
+	}
+}
+
+func (s gateSettings) options(registry *metrics.Registry) gate.Options {
+	opts := gate.Options{
+		Host: s.Host.Host, Zone: core.ZoneID(s.Zone), OperatorKeys: gate.OperatorKeys(s.OperatorKeys),
+		ConfigSnapshotInterval: s.ConfigSnapshotInterval, Metrics: registry,
+		Limits: gate.Limits{
+			Requests: s.MaxRequests, OperatorRequests: s.MaxOperatorRequests, Connections: s.MaxConnections,
+			RequestRate: s.RequestRate, RequestBurst: s.RequestBurst,
+		},
+	}
+	for _, a := range s.Schedulers {
+		opts.Schedulers = append(opts.Schedulers, gate.Scheduler{Zone: core.ZoneID(a.Zone), Addr: a.Addr})
+	}
+	return opts
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -5,15 +5,19 @@
 import (
 	"context"
 	"errors"
-	"net/http"
+	"sync/atomic"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
-	"agatewinch/internal/api"
 	"agatewinch/internal/config"
 	"agatewinch/internal/core"
 	"agatewinch/internal/errkind"
+	"agatewinch/internal/event"
+	"agatewinch/internal/metrics"
 	"agatewinch/internal/peer"
 	"agatewinch/internal/platform"
 	"agatewinch/internal/wire"
@@ -30,6 +34,13 @@
 	Host       string
 	Zone       core.ZoneID
 	Schedulers []Scheduler
+	// OperatorKeys may apply the first configuration.
+	OperatorKeys []config.Key
+	Limits       Limits
+	// ConfigSnapshotInterval is config.Follower's SnapshotInterval.
+	ConfigSnapshotInterval time.Duration
+	// Metrics may be nil; nothing is published then.
+	Metrics *metrics.Registry
 }
 
 // Gate is the process's state.
@@ -38,6 +49,12 @@
 	logger logr.Logger
 	follow *config.Follower
 	peers  []schedulerPeer
+
+	metrics  *metrics.Registry
+	open     openRequests
+	rates    rates
+	leaving  atomic.Bool
+	draining atomic.Bool
 }
 
 type schedulerPeer struct {
@@ -47,7 +64,15 @@
 
 // New returns a gate that does not run yet.
 func New(opts Options, logger logr.Logger, log platform.Log) *Gate {
-	g := &Gate{opts: opts, logger: logger, follow: config.NewFollower(log)}
+	g := &Gate{
+		opts: opts, logger: logger, follow: config.NewFollower(log), metrics: opts.Metrics,
+		open:  openRequests{maxCallers: int64(opts.Limits.Requests), maxOperators: int64(opts.Limits.OperatorRequests)},
+		rates: rates{defaults: opts.Limits, buckets: map[string]*rate.Limiter{}},
+	}
+	if g.metrics == nil {
+		g.metrics = metrics.New()
+	}
+	g.follow.SnapshotInterval = opts.ConfigSnapshotInterval
 	for _, own := range []bool{true, false} {
 		for _, s := range opts.Schedulers {
 			if (s.Zone == opts.Zone) == own {
@@ -60,30 +85,34 @@
 
 // Run follows the configuration until ctx ends.
 func (g *Gate) Run(ctx context.Context) error {
-	err := g.follow.Run(ctx)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return g.follow.Run(ctx) })
+	group.Go(func() error { return g.logConfig(ctx) })
+	err := group.Wait()
 	if ctx.Err() != nil {
 		return nil
 	}
 	return trace.Wrap(err)
 }
 
-// Handler returns the callers' and operators' HTTP interface.
-func (g *Gate) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+api.PathReady, g.serveReady)
-	mux.HandleFunc("POST "+api.PathJobs, g.caller(g.serveSubmit))
-	mux.HandleFunc("GET "+api.PathJobs, g.caller(g.serveList))
-	mux.HandleFunc("GET "+api.PathJobs+"/{request}", g.caller(g.serveGet))
-	mux.HandleFunc("DELETE "+api.PathJobs+"/{request}", g.caller(g.serveCancel))
-	mux.HandleFunc("GET "+api.PathConfig, g.operator(g.serveGetConfig))
-	mux.HandleFunc("PUT "+api.PathConfig, g.operator(g.serveApply))
-	mux.HandleFunc("GET "+api.PathStatus, g.operator(g.serveStatus))
-	return mux
-}
-
-func (g *Gate) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !g.follow.Ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
+// logConfig logs each change of the configuration in force.
+func (g *Gate) logConfig(ctx context.Context) error {
+	var logged, unreadable core.Generation
+	for {
+		changed := g.follow.Changed()
+		if gen := g.follow.Current().Generation; gen > logged {
+			logged = gen
+			event.Info(g.logger, event.ConfigInForce, "generation", gen)
+		}
+		if gen, err := g.follow.Unreadable(); gen > unreadable {
+			unreadable = gen
+			event.Error(g.logger, err, event.ConfigUnreadable, "generation", gen)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return trace.Wrap(ctx.Err())
+		}
 	}
 }
 
--- a/internal/gate/operators.go
+++ b/internal/gate/operators.go
@@ -7,36 +7,141 @@
 
 	"agatewinch/internal/api"
 	"agatewinch/internal/config"
+	"agatewinch/internal/core"
 	"agatewinch/internal/errkind"
+	"agatewinch/internal/wire"
 )
 
 // applyTimeout bounds the wait for the log to show what became of a proposal.
 const applyTimeout = 20 * time.Second
 
-func (g *Gate) serveGetConfig(w http.ResponseWriter, _ *http.Request, _ config.Key) error {
+func (g *Gate) getConfig(_ context.Context, x *exchange) error {
 	cur := g.follow.Current()
-	writeJSON(w, http.StatusOK, api.ConfigAnswer{Generation: cur.Generation, Set: cur.Set})
+	unreadable, _ := g.follow.Unreadable()
+	x.answer(http.StatusOK, api.ConfigAnswer{Generation: cur.Generation, Set: cur.Set, Unreadable: unreadable})
 	return nil
 }
 
-func (g *Gate) serveApply(w http.ResponseWriter, r *http.Request, _ config.Key) error {
+// apply puts a whole set in force or none of it.
+func (g *Gate) apply(ctx context.Context, x *exchange) error {
 	var req api.ApplyRequest
-	if err := readBody(r, &req); err != nil {
+	if err := x.decode(&req); err != nil {
 		return err
 	}
 	if faults := req.Set.Check(); len(faults) > 0 {
 		return errkind.New(errkind.InvalidConfig, "%v", config.JoinFaults(faults))
 	}
 	if req.DryRun {
-		writeJSON(w, http.StatusOK, api.ApplyAnswer{})
+		x.answer(http.StatusOK, api.ApplyAnswer{})
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), applyTimeout)
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
 	defer cancel()
 	gen, err := g.follow.Apply(ctx, config.Proposal{ID: req.ID, Base: req.Base, Force: req.Force, Set: &req.Set})
 	if err != nil {
 		return err
 	}
-	writeJSON(w, http.StatusOK, api.ApplyAnswer{Generation: gen})
+	x.answer(http.StatusOK, api.ApplyAnswer{Generation: gen})
 	return nil
 }
+
+// status describes all schedulers.
+func (g *Gate) status(ctx context.Context, x *exchange) error {
+	replies, unreachable := fanOut[wire.StatusReply](ctx, g, wire.KindStatus, wire.Empty{})
+	x.answer(http.StatusOK, api.StatusAnswer{
+		Gate: g.opts.Host, Generation: g.follow.Current().Generation, Ready: g.Ready(), Schedulers: replies, Unreachable: unreachable,
+	})
+	return nil
+}
+
+// listAll lists the live jobs of all organisations, or of the one asked for.
+func (g *Gate) listAll(ctx context.Context, x *exchange) error {
+	org := x.r.URL.Query().Get("organisation")
+	if err := g.checkOrganisation(org); org != "" && err != nil {
+		return err
+	}
+	return g.answerList(ctx, x, core.OrgID(org))
+}
+
+// anyJob returns the job that the path names by organisation and request ID.
+func (g *Gate) anyJob(x *exchange) (core.JobID, error) {
+	org := x.r.PathValue("organisation")
+	if err := g.checkOrganisation(org); err != nil {
+		return "", err
+	}
+	return x.pathJob(org)
+}
+
+func (g *Gate) checkOrganisation(name string) error {
+	set := g.follow.Current().Set
+	if set == nil {
+		return errkind.New(errkind.NoConfiguration, "no configuration is in force on this host yet")
+	}
+	if _, ok := set.Organisation(name); !ok {
+		return errkind.New(errkind.UnknownOrg, "organisation %q is not configured", name)
+	}
+	return nil
+}
+
+func (g *Gate) getAny(ctx context.Context, x *exchange) error {
+	job, err := g.anyJob(x)
+	if err != nil {
+		return err
+	}
+	return g.answerWait(ctx, x, job)
+}
+
+func (g *Gate) cancelAny(ctx context.Context, x *exchange) error {
+	job, err := g.anyJob(x)
+	if err != nil {
+		return err
+	}
+	return g.answerCancel(ctx, x, job)
+}
+
+// explain tells why a job is where it is.
+func (g *Gate) explain(ctx context.Context, x *exchange) error {
+	job, err := g.anyJob(x)
+	if err != nil {
+		return err
+	}
+	var reply core.Explanation
+	if err := g.forward(ctx, wire.KindExplain, wire.Explain{Job: job}, &reply); err != nil {
+		return err
+	}
+	x.answer(http.StatusOK, reply)
+	return nil
+}
+
+func (g *Gate) drainHost(ctx context.Context, x *exchange) error   { return g.setDrain(ctx, x, false) }
+func (g *Gate) undrainHost(ctx context.Context, x *exchange) error { return g.setDrain(ctx, x, true) }
+
+// setDrain marks a worker's host as leaving with every scheduler, so that the mark
+// outlives a change of the active one, or takes the mark back.
+func (g *Gate) setDrain(ctx context.Context, x *exchange, undo bool) error {
+	host := x.r.PathValue("host")
+	if err := g.checkWorker(host); err != nil {
+		return err
+	}
+	replies, unreachable := fanOut[wire.Empty](ctx, g, wire.KindDrain, wire.Drain{Worker: core.WorkerID(host), Undo: undo})
+	if len(replies) == 0 {
+		return errkind.New(errkind.NoScheduler, "no scheduler took the mark")
+	}
+	x.answer(http.StatusOK, api.DrainAnswer{Host: host, Draining: !undo, Schedulers: len(replies), Unreachable: unreachable})
+	return nil
+}
+
+func (g *Gate) checkWorker(host string) error {
+	set := g.follow.Current().Set
+	if set == nil {
+		return errkind.New(errkind.NoConfiguration, "no configuration is in force on this host yet")
+	}
+	for _, r := range set.Racks {
+		for _, w := range r.Workers {
+			if w.Name == host {
+				return nil
+			}
+		}
+	}
+	return errkind.New(errkind.NotFound, "no worker %q is configured", host)
+}
--- /dev/null
+++ b/internal/gate/routes.go
@@ -0,0 +1,106 @@
+package gate
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+
+	"agatewinch/internal/api"
+	"agatewinch/internal/config"
+	"agatewinch/internal/errkind"
+)
+
+// handler answers one authenticated request; a returned error becomes the answer.
+type handler func(ctx context.Context, x *exchange) error
+
+// route is one operation of the HTTP interface. An empty role needs no key.
+type route struct {
+	method string
+	path   string
+	role   config.Role
+	handle handler
+}
+
+// routes lists every operation; api/openapi.yaml describes the same.
+func (g *Gate) routes() []route {
+	return []route{
+		{http.MethodPost, api.PathJobs, config.RoleCaller, g.submit},
+		{http.MethodGet, api.PathJobs, config.RoleCaller, g.listOwn},
+		{http.MethodGet, api.PathJobs + "/{request}", config.RoleCaller, g.get},
+		{http.MethodDelete, api.PathJobs + "/{request}", config.RoleCaller, g.cancel},
+
+		{http.MethodGet, api.PathConfig, config.RoleOperator, g.getConfig},
+		{http.MethodPut, api.PathConfig, config.RoleOperator, g.apply},
+		{http.MethodGet, api.PathStatus, config.RoleOperator, g.status},
+		{http.MethodGet, api.PathAllJobs, config.RoleOperator, g.listAll},
+		{http.MethodGet, api.PathAllJobs + "/{organisation}/{request}", config.RoleOperator, g.getAny},
+		{http.MethodDelete, api.PathAllJobs + "/{organisation}/{request}", config.RoleOperator, g.cancelAny},
+		{http.MethodGet, api.PathAllJobs + "/{organisation}/{request}/explanation", config.RoleOperator, g.explain},
+		{http.MethodPut, api.PathDrains + "/{host}", config.RoleOperator, g.drainHost},
+		{http.MethodDelete, api.PathDrains + "/{host}", config.RoleOperator, g.undrainHost},
+		{http.MethodGet, api.PathVars, config.RoleOperator, g.vars},
+	}
+}
+
+// Handler returns the callers' and operators' HTTP interface.
+func (g *Gate) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+api.PathReady, g.serveReady)
+	for _, r := range g.routes() {
+		mux.Handle(r.method+" "+r.path, g.serve(r))
+	}
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		x := &exchange{w: w, r: r, gate: g}
+		x.fail(errkind.New(errkind.InvalidRequest, "there is no operation %s %s", r.Method, r.URL.Path))
+	})
+	return mux
+}
+
+// serve wraps a route's handler with limits, authentication and the error answer.
+func (g *Gate) serve(rt route) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		x := &exchange{w: w, r: r, gate: g, request: r.PathValue("request")}
+		if x.request == "" {
+			x.request = headerRequestID(r)
+		}
+		release, err := g.open.enter(rt.role)
+		if err != nil {
+			x.fail(err)
+			return
+		}
+		defer release()
+		r.Body = http.MaxBytesReader(w, r.Body, maxBody(rt.role))
+		x.key, err = g.authenticate(r, rt.role)
+		if err == nil {
+			err = rt.handle(r.Context(), x)
+		}
+		if err != nil {
+			x.fail(err)
+		}
+	})
+}
+
+// serveReady tells the platform's balancer whether to send callers here.
+func (g *Gate) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !g.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// Ready reports whether the gate may serve callers.
+func (g *Gate) Ready() bool { return !g.leaving.Load() && g.follow.Ready() }
+
+// Leave takes the gate out of the balancer's view; requests are still answered.
+func (g *Gate) Leave() { g.leaving.Store(true) }
+
+// Drain refuses new jobs from now on. Requests in progress and polls go on.
+func (g *Gate) Drain() {
+	g.Leave()
+	g.draining.Store(true)
+}
+
+// vars answers with the process's metrics.
+func (g *Gate) vars(_ context.Context, x *exchange) error {
+	expvar.Handler().ServeHTTP(x.w, x.r)
+	return nil
+}
