--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -134,6 +134,7 @@
 type gateSettings struct {
 	hostSettings `yaml:",inline"`
 	Schedulers   []schedulerAddr `yaml:"schedulers"`
+	OperatorKeys []string        `yaml:"operator_keys"`
 }
 
 // Write writes the settings of every process: standin.yaml, and scheduler-N.yaml and
@@ -165,7 +166,7 @@
 		return trace.Wrap(err)
 	}
 	host.Listen = c.GateAddr(i)
-	gate := gateSettings{hostSettings: host, Schedulers: schedulers}
+	gate := gateSettings{hostSettings: host, Schedulers: schedulers, OperatorKeys: []string{config.HashKey(Key(""))}}
 	return trace.Wrap(writeYAML(filepath.Join(c.Dir, fmt.Sprintf("gate-%d.yaml", i+1)), gate))
 }
 
--- a/internal/gate/auth.go
+++ b/internal/gate/auth.go
@@ -27,6 +27,8 @@
 	switch {
 	case !ok && set == nil && role == config.RoleCaller:
 		return config.Key{}, errkind.New(errkind.NoConfiguration, "no configuration is in force on this host yet")
+	case !ok && set == nil:
+		return config.Key{}, errkind.New(errkind.Unauthenticated, "the key is not known; before the first configuration only those of the setting operator_keys are")
 	case !ok:
 		return config.Key{}, errkind.New(errkind.Unauthenticated, "the key is not known")
 	case key.Role != role:
