--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -50,6 +50,7 @@
 		SchedulerActive, SchedulerStandby,
 		WorkerHealth, CoreNote, LeaseRefused,
 		LogWriteError, JournalLoaded, JournalGap,
+		PeerLive, PeerSilent, PeerReplaced, PeerForgotten, PeerConfigFailed,
 	}
 }
 
