--- a/internal/core/drill_test.go
+++ b/internal/core/drill_test.go
@@ -46,10 +46,7 @@
 
 // settleDown makes every worker live and lets all calls be answered.
 func (f *fake) settleDown() {
-	for _, id := range f.order {
-		f.workers[id].health = WorkerLive
-		f.step(WorkerChanged{Worker: id, Health: WorkerLive})
-	}
+	f.reviveAll()
 	for range 40 {
 		f.drain(false)
 		f.now = f.now.Add(quarantinePause)
--- a/internal/core/property_test.go
+++ b/internal/core/property_test.go
@@ -120,6 +120,63 @@
 	rapid.Check(t, func(rt *rapid.T) { runRandom(rt, rt, mutationNone) })
 }
 
+// variants are configurations that differ in guarantees, quotas and workers.
+func variants() []*Config {
+	shifted, smaller := smallConfig(), smallConfig()
+	shifted.Organisations[0].Guarantees[0].Cells = 1
+	shifted.Organisations[2].Guarantees = []Guarantee{{Zone: "a", Cells: 1, CellSize: 16}}
+	smaller.Workers = smaller.Workers[:4]
+	smaller.Organisations[1].Quota = 12
+	return []*Config{smallConfig(), shifted, smaller}
+}
+
+// changeConfig puts another configuration in force.
+func (f *fake) changeConfig(t *rapid.T) {
+	next := *rapid.SampledFrom(variants()).Draw(t, "configuration")
+	next.Generation = f.cfg.Generation + 1
+	f.cfg = &next
+	f.now = f.now.Add(time.Millisecond)
+	f.configured = f.now
+	f.step(ConfigChanged{Config: f.cfg})
+}
+
+// TestConfigurationChangesKeepEveryInvariant puts other configurations in force
+// between random events.
+func TestConfigurationChangesKeepEveryInvariant(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFake(rt, smallOptions(), smallConfig(), mutationNone)
+		for range rapid.IntRange(1, 4).Draw(rt, "changes") {
+			for range rapid.IntRange(5, 40).Draw(rt, "steps") {
+				f.drive(rt)
+			}
+			f.changeConfig(rt)
+		}
+		f.heal()
+		f.checkAllEnded()
+		f.checkReplay()
+	})
+}
+
+// TestFirstComeFirstServedKeepsItsPromises drives the baseline policy, which has no
+// guarantees to keep, with the same random events.
+func TestFirstComeFirstServedKeepsItsPromises(t *testing.T) {
+	opts := smallOptions()
+	opts.Policy = PolicyFIFO
+	cfg := smallConfig()
+	for i := range cfg.Organisations {
+		cfg.Organisations[i].Guarantees = nil
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFake(rt, opts, cfg, mutationNone)
+		for range rapid.IntRange(5, 100).Draw(rt, "steps") {
+			f.drive(rt)
+		}
+		f.heal()
+		f.checkAllEnded()
+		f.checkReplay()
+	})
+}
+
 func runRandom(rt *rapid.T, report reporter, m mutation) {
 	f := newFake(report, smallOptions(), smallConfig(), m)
 	for range rapid.IntRange(10, 150).Draw(rt, "steps") {
--- a/internal/core/reclaim.go
+++ b/internal/core/reclaim.go
@@ -330,6 +330,11 @@
 // completeClaims places the jobs whose claimed cells are clear.
 func (c *Core) completeClaims(now Instant) {
 	for _, j := range append([]*job(nil), c.claims...) {
+		if !c.claimHolds(j) {
+			c.dropClaim(j)
+			c.enqueue(now, j)
+			continue
+		}
 		if !j.claim.clear() || c.overQuota(j) != "" {
 			continue
 		}
@@ -341,6 +346,21 @@
 	}
 }
 
+// claimHolds reports whether the job may still take the claimed cells: the bindings may
+// have changed since.
+func (c *Core) claimHolds(j *job) bool {
+	for _, p := range j.claim.parts {
+		w := p.worker
+		if !w.usable() {
+			return false
+		}
+		if !j.stoppable() && p.cell&w.reclaimable(j.org) != 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // clear reports whether all claimed cells are free, with the room beside them.
 func (cl *claim) clear() bool {
 	for _, p := range cl.parts {
