core: the head follows the order; behaviour tests

The reservation stayed with the first job that had failed, so one large caller's flood kept it before small callers. It now belongs to the job that comes first in order, and sticks only to a job that has waited longer than the age limit. A running task that its worker no longer lists is stopped and tried again.

--- a/internal/core/backfill.go
+++ b/internal/core/backfill.go
@@ -18,6 +18,8 @@
 	// chosen is when the cells were chosen.
 	chosen  Instant
 	version uint64
+	// aged is true when the job is the head because it has waited long.
+	aged bool
 }
 
 // opening is a cell with the time at which it is expected to be free.
@@ -30,7 +32,7 @@
 // mayBackfill reports whether j may use cells that are kept for the head.
 func (c *Core) mayBackfill(now Instant, j *job) bool {
 	h := c.head
-	if h == nil || h.job == j {
+	if h == nil || h.job == j || !h.aged && c.precedes(j, h.job) {
 		return true
 	}
 	if now.Sub(h.since) > headPatience || !j.stoppable() && now.Sub(h.since) > headPatience/2 {
@@ -41,15 +43,14 @@
 
 // serveHead tries the head's job first, and makes a job the head that has waited long.
 func (c *Core) serveHead(now Instant) {
-	if c.head == nil {
-		if e := c.queue.arrivals.first(); e != nil && now.Sub(e.job.arrived) > ageLimit {
-			c.setHead(now, e.job)
-		}
-	}
+	c.serveOldest(now)
 	if c.head == nil || c.head.version == c.changes.version {
 		return
 	}
 	j := c.head.job
+	if !c.head.aged && !c.isFirst(j) {
+		return
+	}
 	unchanged := c.stillFails(c.head.version, j)
 	c.head.version = c.changes.version
 	if unchanged {
@@ -62,14 +63,61 @@
 		c.take(now, j, spots)
 		return
 	}
-	if now.Sub(c.head.chosen) >= headInterval {
-		c.keepFor(now, j, c.head.since)
+	if now.Sub(c.head.chosen) < headInterval {
+		return
 	}
+	aged := c.head.aged
+	c.keepFor(now, j, c.head.since)
+	if c.head != nil {
+		c.head.aged = aged
+	}
+}
+
+// isFirst reports whether no job that may fit comes before j.
+func (c *Core) isFirst(j *job) bool {
+	first := c.next()
+	return first == nil || first == j || !c.precedes(first, j)
 }
 
-// setHead keeps cells for j if nothing is kept yet.
+// serveOldest makes the job that arrived first the head once it has waited long; it
+// then stays the head whatever the order.
+func (c *Core) serveOldest(now Instant) {
+	if c.head != nil && c.head.aged {
+		return
+	}
+	e := c.queue.arrivals.first()
+	if e == nil || now.Sub(e.job.arrived) <= ageLimit {
+		return
+	}
+	if c.head != nil && c.head.job != e.job {
+		c.clearHead()
+	}
+	c.setHead(now, e.job)
+	if c.head != nil {
+		c.head.aged = true
+	}
+}
+
+// precedes reports whether a comes before b in order.
+func (c *Core) precedes(a, b *job) bool {
+	switch {
+	case laneOf(a) != laneOf(b):
+		return laneOf(a) < laneOf(b)
+	case a.org != b.org:
+		return c.share(a.org) < c.share(b.org)
+	case a.caller != b.caller:
+		return a.caller.usage.sum < b.caller.usage.sum
+	default:
+		return a.seq < b.seq
+	}
+}
+
+// setHead keeps cells for j, unless they are kept for a job that comes before it.
 func (c *Core) setHead(now Instant, j *job) {
-	if c.head != nil || j.Shape.Accelerators() == 0 || j.claim != nil || c.overQuota(j) != "" {
+	if c.head != nil && (c.head.job == j || c.head.aged || !c.precedes(j, c.head.job)) {
+		return
+	}
+	if j.Shape.Accelerators() == 0 || j.claim != nil || c.overQuota(j) != "" {
 		return
 	}
 	c.keepFor(now, j, now)
--- /dev/null
+++ b/internal/core/cell/cell_test.go
@@ -0,0 +1,52 @@
+package cell
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestBestFitIsAlignedFreeAndTightest compares the result with all aligned cells.
+func TestBestFitIsAlignedFreeAndTightest(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		width := rapid.SampledFrom([]int{4, 8, 16}).Draw(rt, "width")
+		free := rapid.Uint64().Draw(rt, "free") & Mask(0, width)
+		size := rapid.IntRange(1, width).Draw(rt, "size")
+		m, block, ok := BestFit(free, width, size)
+		_, first := FirstFit(free, width, size)
+		if ok != first {
+			rt.Fatalf("best fit %v, first fit %v", ok, first)
+		}
+		if !ok {
+			return
+		}
+		if free&m != m || Count(m) != size {
+			rt.Fatalf("%b is not %d of %b", m, size, free)
+		}
+		if block < size || block > max(Block(size), Largest(free, width)) {
+			rt.Fatalf("block %d for size %d of %b", block, size, free)
+		}
+	})
+}
+
+// TestFreedNeighboursJoinAgain takes every cell and gives them back.
+func TestFreedNeighboursJoinAgain(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const width = 8
+		free := Mask(0, width)
+		var taken []uint64
+		for range rapid.IntRange(1, 10).Draw(rt, "n") {
+			size := rapid.SampledFrom([]int{1, 2, 4, 8}).Draw(rt, "size")
+			if m, _, ok := BestFit(free, width, size); ok {
+				free &^= m
+				taken = append(taken, m)
+			}
+		}
+		for _, m := range taken {
+			free |= m
+		}
+		if Largest(free, width) != width {
+			rt.Fatalf("free %b does not join", free)
+		}
+	})
+}
--- a/internal/core/restore.go
+++ b/internal/core/restore.go
@@ -74,6 +74,9 @@
 		if t.state == taskUnheard {
 			t.heard = true
 		}
+		if t.state == taskRunning && !e.lists(t.Task) {
+			c.after(timer{at: now.Add(restoreSettle), kind: timerMissing, task: t})
+		}
 	}
 	for _, j := range append([]*job(nil), c.restoring...) {
 		c.awaitReports(now, j)
@@ -81,6 +84,25 @@
 	}
 }
 
+func (e TasksFound) lists(ref TaskRef) bool {
+	for _, f := range e.Tasks {
+		if f.Task == ref {
+			return true
+		}
+	}
+	return false
+}
+
+// missing stops the job of a running task that its worker did not list and has not
+// reported on since. The list may be older than the start, so the stop is the proof.
+func (c *Core) missing(now Instant, t *task) {
+	if t.state != taskRunning || t.detached || t.job.restoring {
+		return
+	}
+	t.job.reason = "worker " + string(t.Worker) + " no longer lists its task"
+	c.abort(now, t.job, stopNow)
+}
+
 func (c *Core) found(now Instant, w *worker, f FoundTask) {
 	if t := c.tasks[taskKey{f.Task, w.def.ID}]; t != nil {
 		if t.state == taskUnheard {
--- a/internal/core/timer.go
+++ b/internal/core/timer.go
@@ -13,6 +13,7 @@
 	timerRestore
 	timerClaim
 	timerProbe
+	timerMissing
 )
 
 // timer is something to be done at a later step. It is void when its stamp differs
@@ -66,6 +67,8 @@
 			c.restoreDue(now, t.job)
 		case timerClaim:
 			c.claimDue(now, t.job)
+		case timerMissing:
+			c.missing(now, t.task)
 		case timerProbe:
 			c.probe(t.worker)
 		}
