--- a/internal/core/fake_test.go
+++ b/internal/core/fake_test.go
@@ -5,7 +5,6 @@
 	"reflect"
 	"time"
 
-	"agatewinch/internal/core/cell"
 	"agatewinch/internal/errkind"
 )
 
@@ -69,10 +68,14 @@
 	cfg     *Config
 	// newHolder is true when earlier holders may have left tasks behind.
 	newHolder bool
+	// since is the first step of the present holder.
+	since int
+	// placed is the last placement of each job that the log holds.
+	placed map[JobID][]Placement
 }
 
 func newFake(t reporter, opts Options, cfg *Config, m mutation) *fake {
-	f := &fake{t: t, core: New(opts), workers: map[WorkerID]*fakeWorker{}, jobs: map[JobID]*truth{}, cfg: cfg}
+	f := &fake{t: t, core: New(opts), workers: map[WorkerID]*fakeWorker{}, jobs: map[JobID]*truth{}, cfg: cfg, placed: map[JobID][]Placement{}}
 	f.core.mutation = m
 	f.step(ConfigChanged{Config: cfg})
 	for _, w := range cfg.Workers {
@@ -97,6 +100,7 @@
 func (f *fake) take(action Action) {
 	switch a := action.(type) {
 	case RecordPlacement:
+		f.placed[a.Job] = a.Placements
 		f.answers = append(f.answers, PlacementRecorded{Job: a.Job, Attempt: a.Attempt, OK: true})
 	case Reserve:
 		f.call(a.Placement.Worker, a)
@@ -158,6 +162,26 @@
 	}
 }
 
+// drop loses the worker's next call: it never takes effect, and the result is unknown.
+func (f *fake) drop(w *fakeWorker) {
+	if len(w.calls) == 0 {
+		return
+	}
+	c := w.calls[0]
+	w.calls = w.calls[1:]
+	if !c.answered {
+		f.answers = append(f.answers, unknown(answerTo(c.action, CallUnknown)))
+	}
+}
+
+// repeatLate feeds a worker's answer of an earlier step once more.
+func (f *fake) repeatLate(i int) {
+	switch ev := f.history[i].event.(type) {
+	case ReserveDone, StartDone, StopDone, TaskEnded, TaskLapsed, PlacementRecorded:
+		f.step(ev)
+	}
+}
+
 func answerTo(action Action, r CallResult) Event {
 	switch a := action.(type) {
 	case Reserve:
@@ -450,7 +474,7 @@
 func (f *fake) checkReplay() {
 	again := New(f.core.opts)
 	again.mutation = f.core.mutation
-	for i, s := range f.history {
+	for i, s := range f.history[f.since:] {
 		if out := again.Step(s.at, s.event); !reflect.DeepEqual(out, s.actions) {
 			f.t.Fatalf("replay differs at step %d (%T):\n%v\n%v", i, s.event, s.actions, out)
 		}
@@ -464,12 +488,3 @@
 		}
 	}
 }
-
-// freeOn counts free accelerators of the fake workers.
-func (w *fakeWorker) freeOn(width int) int {
-	m := cell.Mask(0, width)
-	for _, t := range w.tasks {
-		m &^= uint64(t.cell)
-	}
-	return cell.Count(m)
-}
