--- /dev/null
+++ b/test/faults/operators.go
@@ -0,0 +1,177 @@
+package faults
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"agatewinch/internal/core"
+	"agatewinch/internal/peer"
+	"agatewinch/internal/wire"
+	"agatewinch/test/harness"
+)
+
+const (
+	applyEvery   = 1500 * time.Millisecond
+	applyTimeout = 10 * time.Second
+	sampleEvery  = 100 * time.Millisecond
+	sampleTime   = time.Second
+)
+
+// Apply is an accepted change of the configuration.
+type Apply struct {
+	Base, Generation core.Generation
+	At               time.Time
+}
+
+// Sample is the generation that one process said to have in force.
+type Sample struct {
+	Process, Host string
+	Generation    core.Generation
+	At            time.Time
+}
+
+// Operators apply configurations and watch which are in force where.
+type Operators struct {
+	cluster *harness.Cluster
+
+	mu      sync.Mutex
+	applies []Apply
+	samples []Sample
+	weight  int
+}
+
+// NewOperators returns operators of a cluster.
+func NewOperators(c *harness.Cluster) *Operators { return &Operators{cluster: c} }
+
+// Run applies and watches until the contexts end.
+func (o *Operators) Run(applying, watching context.Context) {
+	var wait sync.WaitGroup
+	for _, h := range o.cluster.Hosts {
+		wait.Add(2)
+		go func() {
+			defer wait.Done()
+			o.watchGate(watching, h)
+		}()
+		go func() {
+			defer wait.Done()
+			o.watchScheduler(watching, h)
+		}()
+	}
+	for n := 0; applying.Err() == nil; n++ {
+		o.apply(applying, o.cluster.Hosts[n%len(o.cluster.Hosts)])
+		pause(applying, applyEvery)
+	}
+	wait.Wait()
+}
+
+// apply builds on what a gate has in force, with one weight changed.
+func (o *Operators) apply(ctx context.Context, h *harness.EntryHost) {
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	defer cancel()
+	current, err := o.cluster.Config(ctx, h)
+	if err != nil || current.Set == nil {
+		return
+	}
+	set := *current.Set
+	set.Organisations = append(set.Organisations[:0:0], set.Organisations...)
+	set.Organisations[0].Weight = o.nextWeight()
+	generation, err := o.cluster.Apply(ctx, h, current.Generation, set)
+	if err != nil {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.applies = append(o.applies, Apply{Base: current.Generation, Generation: generation, At: time.Now()})
+}
+
+func (o *Operators) nextWeight() int {
+	const weights = 5
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.weight++
+	return 1 + o.weight%weights
+}
+
+func (o *Operators) watchGate(ctx context.Context, h *harness.EntryHost) {
+	for ctx.Err() == nil {
+		one, cancel := context.WithTimeout(ctx, sampleTime)
+		answer, err := o.cluster.Config(one, h)
+		cancel()
+		if err == nil && answer.Set != nil {
+			o.sample(h.Gate.Name, h.Name, answer.Generation)
+		}
+		pause(ctx, sampleEvery)
+	}
+}
+
+func (o *Operators) watchScheduler(ctx context.Context, h *harness.EntryHost) {
+	client := peer.NewClient(h.SchedulerAddr)
+	for ctx.Err() == nil {
+		one, cancel := context.WithTimeout(ctx, sampleTime)
+		var status wire.StatusReply
+		err := client.Call(one, wire.KindStatus, wire.Empty{}, &status)
+		cancel()
+		if err == nil && status.Generation > 0 {
+			o.sample(h.Scheduler.Name, h.Name, status.Generation)
+		}
+		pause(ctx, sampleEvery)
+	}
+}
+
+func (o *Operators) sample(process, host string, generation core.Generation) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.samples = append(o.samples, Sample{Process: process, Host: host, Generation: generation, At: time.Now()})
+}
+
+// Record returns what was accepted and seen.
+func (o *Operators) Record() ([]Apply, []Sample) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.applies, o.samples
+}
+
+// raceApplies has operators at every gate apply at once.
+func (i *Injector) raceApplies(ctx context.Context) {
+	for _, h := range i.cluster.Hosts {
+		go i.operators.apply(ctx, h)
+	}
+}
+
+// cancelWave submits long jobs and cancels them all.
+func (i *Injector) cancelWave(f Fault) {
+	w := harness.Work{
+		Name: "wave-" + f.At.String(), Org: harness.OrgSurvey, Class: harness.ClassGang, Idempotent: true,
+		Shape: core.Shape{Cells: 1, CellSize: 1, CPU: 1, MemoryBytes: 1 << 30}, Run: f.For, CancelAfter: f.For / 4,
+	}
+	for n := range cancelledJobs {
+		i.load.Submit(i.driving, w, n)
+	}
+}
+
+// cutZone cuts the links between a zone's hosts and the platform, the other zones'
+// hosts, or both.
+func (i *Injector) cutZone(f Fault) (heal func(), hosts []string) {
+	inZone := func(name string) bool {
+		return strings.Contains(name, "/"+f.Zone+"-") && !strings.HasPrefix(name, "worker/")
+	}
+	offPlatform := func(l *harness.Link) bool { return l.To == harness.Platform && inZone(l.From) }
+	offPeers := func(l *harness.Link) bool {
+		between := l.From != harness.Callers && l.To != harness.Platform && !strings.HasPrefix(l.To, "worker/")
+		return between && inZone(l.From) != inZone(l.To)
+	}
+	switch f.Kind {
+	case ZoneOffPlatform:
+		return i.cutLinks(offPlatform), nil
+	case ZoneOffPeers:
+		return i.cutLinks(offPeers), nil
+	}
+	for _, h := range i.cluster.Hosts {
+		if h.Zone == f.Zone {
+			hosts = append(hosts, h.Name)
+		}
+	}
+	return i.cutLinks(func(l *harness.Link) bool { return offPlatform(l) || offPeers(l) }), hosts
+}
--- /dev/null
+++ b/test/faults/run.go
@@ -0,0 +1,76 @@
+package faults
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"agatewinch/test/harness"
+)
+
+const (
+	warmUp = time.Second
+	// settleTime is how long accepted jobs may take to end after everything is healed.
+	settleTime = 40 * time.Second
+)
+
+// Run runs a schedule against a cluster under load and returns the evidence.
+func Run(t testing.TB, c *harness.Cluster, schedule []Fault, seed uint64, mix []harness.Work) Evidence {
+	t.Helper()
+	ctx := context.Background()
+	driving, stopDriving := context.WithTimeout(ctx, warmUp+Length()+stopTimeout+settleTime)
+	defer stopDriving()
+	submitting, stopSubmitting := context.WithCancel(driving)
+	defer stopSubmitting()
+	load := harness.NewLoad(harness.NewBalancer(driving, c, seed))
+	operators := NewOperators(c)
+	injector := NewInjector(driving, c, load, operators)
+	watching := make(chan struct{})
+	go func() {
+		defer close(watching)
+		operators.Run(submitting, driving)
+	}()
+	for _, w := range mix {
+		load.Repeat(submitting, driving, w)
+	}
+	pause(driving, warmUp)
+	injector.Run(driving, schedule)
+	pause(driving, warmUp)
+	stopSubmitting()
+	settled := time.AfterFunc(settleTime, stopDriving)
+	load.Wait()
+	settled.Stop()
+	stopDriving()
+	<-watching
+	ledger, err := c.Admin.Ledger(ctx, 0)
+	assert.NilError(t, err)
+	e := Evidence{Requests: load.Requests(), Ledger: ledger, Lease: c.Opts.Lease}
+	e.Applies, e.Samples = operators.Record()
+	e.Outages, e.Stops = injector.Record()
+	return e
+}
+
+// RunSeed draws a seed's schedule, runs it and fails the test for every finding.
+func RunSeed(t *testing.T, seed uint64) {
+	t.Helper()
+	opts := harness.FullSet()
+	schedule := Draw(seed, opts)
+	evidence := Run(t, harness.Start(t, opts), schedule, seed, harness.Mix())
+	t.Logf("seed %d: %s", seed, evidence.summary())
+	report(t, evidence)
+}
+
+// report fails the test for every finding, and prints a bounded number of them.
+func report(t testing.TB, e Evidence) {
+	const shown = 20
+	findings := e.Findings()
+	for n, f := range findings {
+		if n == shown {
+			t.Errorf("and %d more", len(findings)-shown)
+			return
+		}
+		t.Error(f)
+	}
+}
--- /dev/null
+++ b/test/faults/seed_test.go
@@ -0,0 +1,55 @@
+package faults
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"agatewinch/test/harness"
+)
+
+var (
+	seedFlag = flag.Uint64("seed", 0, "seed of TestSeed's schedule; 0 skips the test")
+	soakFlag = flag.Uint64("soak", 0, "number of seeds that TestSoak runs, from 1; 0 skips the test")
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	code := m.Run()
+	harness.RemoveBinaries()
+	os.Exit(code)
+}
+
+func TestSeed(t *testing.T) {
+	if *seedFlag == 0 {
+		t.Skip("no -seed")
+	}
+	RunSeed(t, *seedFlag)
+}
+
+func TestSoak(t *testing.T) {
+	if *soakFlag == 0 {
+		t.Skip("no -soak")
+	}
+	for seed := uint64(1); seed <= *soakFlag; seed++ {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { RunSeed(t, seed) })
+	}
+}
+
+func TestSeedReproducesItsSchedule(t *testing.T) {
+	opts := harness.FullSet()
+	assert.DeepEqual(t, Draw(7, opts), Draw(7, opts))
+	seen := map[Kind]bool{}
+	for seed := range uint64(200) {
+		for _, f := range Draw(seed, opts) {
+			seen[f.Kind] = true
+			assert.Assert(t, f.At+f.For < Length()+longestTime)
+		}
+	}
+	for _, k := range Kinds() {
+		assert.Assert(t, seen[k], "no seed draws %q", k)
+	}
+}
--- /dev/null
+++ b/test/harness/fleet.go
@@ -0,0 +1,106 @@
+package harness
+
+import (
+	"fmt"
+	"time"
+
+	"agatewinch/internal/config"
+	"agatewinch/internal/core"
+	"agatewinch/internal/standin"
+)
+
+// Options are a cluster's parameters.
+type Options struct {
+	Zones          []string
+	HostsPerZone   int
+	WorkersPerZone int
+	// Lease is the life of a lease on a worker, and Reserve that of a reservation.
+	Lease, Reserve time.Duration
+}
+
+// FullSet is three zones with two entry hosts and four workers each.
+func FullSet() Options {
+	return Options{
+		Zones: []string{"vatuwaqa", "nabua", "lami"}, HostsPerZone: 2, WorkersPerZone: 4,
+		Lease: 2 * time.Second, Reserve: time.Second,
+	}
+}
+
+// The platform's limits while it has no fault.
+const (
+	appendsPerSecond = 400
+	workerConns      = 64
+	usageEvery       = 2 * time.Second
+	usageLag         = time.Second
+)
+
+// BaseLog are the log's limits while it has no fault.
+func BaseLog() standin.LogFaults { return standin.LogFaults{AppendsPerSecond: appendsPerSecond} }
+
+// BaseWorker are a worker's limits while it has no fault.
+func BaseWorker() standin.WorkerFaults {
+	return standin.WorkerFaults{MaxConns: workerConns, UsageEvery: usageEvery, UsageLag: usageLag}
+}
+
+// Keys of the fleet's configuration.
+const (
+	operatorKey = "operator-key"
+	// OrgSurvey and OrgTesting are the organisations that submit work.
+	OrgSurvey  = "survey"
+	OrgTesting = "testing"
+)
+
+// Classes of the fleet's configuration.
+const (
+	ClassCheck = "check"
+	ClassGang  = "reconcile"
+	ClassBill  = "bill"
+)
+
+const (
+	workerCPU          = 32
+	workerMemory       = "64GiB"
+	workerAccelerators = 8
+	workerSlots        = 8
+)
+
+func callerKey(org string) string { return org + "-key" }
+
+// fleet returns the configuration of a cluster.
+func fleet(opts Options) config.Set {
+	set := config.Set{
+		Classes: []config.Class{
+			{Name: ClassCheck, Urgent: true, Weight: 2},
+			{Name: ClassGang, Checkpoint: true, Weight: 1},
+			{Name: ClassBill, Weight: 1},
+		},
+		Keys: []config.Key{{Name: "operations", Role: config.RoleOperator, SHA256: config.HashKey(operatorKey)}},
+	}
+	for _, org := range []string{OrgSurvey, OrgTesting} {
+		set.Organisations = append(set.Organisations, config.Organisation{Name: org, Weight: 1, Quota: 10000, UrgentQuota: 10000, MaxQueued: 10000})
+		set.Keys = append(set.Keys, config.Key{Name: org, Role: config.RoleCaller, Organisation: org, SHA256: config.HashKey(callerKey(org))})
+	}
+	for _, zone := range opts.Zones {
+		rack := config.Rack{Name: zone + "-r1", Zone: zone}
+		for i := range opts.WorkersPerZone {
+			rack.Workers = append(rack.Workers, config.Worker{
+				Name: WorkerName(zone, i), CPU: workerCPU, Memory: workerMemory, Accelerators: workerAccelerators, Slots: workerSlots,
+			})
+		}
+		set.Racks = append(set.Racks, rack)
+	}
+	return set
+}
+
+// WorkerName names the i-th worker of a zone, from 0.
+func WorkerName(zone string, i int) string { return fmt.Sprintf("%s-w%d", zone, i+1) }
+
+func workerIDs(set config.Set) []core.WorkerID {
+	var ids []core.WorkerID
+	for _, r := range set.Racks {
+		for _, w := range r.Workers {
+			ids = append(ids, core.WorkerID(w.Name))
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/test/harness/harness_test.go
@@ -0,0 +1,44 @@
+package harness
+
+import (
+	"context"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"agatewinch/internal/audit"
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	RemoveBinaries()
+	os.Exit(code)
+}
+
+func TestClusterRunsEveryKindOfWorkWithoutFaults(t *testing.T) {
+	opts := FullSet()
+	opts.Zones = opts.Zones[:1]
+	opts.HostsPerZone = 1
+	c := Start(t, opts)
+	submitting, stop := context.WithTimeout(t.Context(), 2*time.Second)
+	defer stop()
+	driving, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	load := NewLoad(NewBalancer(driving, c, 1))
+	for _, w := range Mix() {
+		load.Repeat(submitting, driving, w)
+	}
+	load.Wait()
+	var told []audit.Told
+	for _, r := range load.Requests() {
+		one := r.Told()
+		assert.Assert(t, one.Succeeded, "%s: %+v", one.Job, r.Calls())
+		told = append(told, one)
+	}
+	ledger, err := c.Admin.Ledger(t.Context(), 0)
+	assert.NilError(t, err)
+	report := audit.Compare(told, ledger, opts.Lease)
+	assert.DeepEqual(t, report.Findings, []string(nil))
+}
--- /dev/null
+++ b/test/harness/load.go
@@ -0,0 +1,113 @@
+package harness
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"agatewinch/internal/api"
+	"agatewinch/internal/core"
+	"agatewinch/internal/standin"
+)
+
+// Work is a kind of work that callers submit again and again.
+type Work struct {
+	Name string
+	Org  string
+	// Every is the time from one submission to the next.
+	Every       time.Duration
+	Class       string
+	Shape       core.Shape
+	Run         time.Duration
+	Idempotent  bool
+	Wait        time.Duration
+	CancelAfter time.Duration
+}
+
+const taskMemory = 1 << 30
+
+func cells(n, size int) core.Shape {
+	return core.Shape{Cells: n, CellSize: size, CPU: 1, MemoryBytes: taskMemory}
+}
+
+// Mix is the load of the fault suite: small checks, gangs, non-idempotent bills, and
+// jobs that are accepted and asked after later.
+func Mix() []Work {
+	const callWait = 5 * time.Second
+	return []Work{
+		{Name: "check", Org: OrgTesting, Every: 50 * time.Millisecond, Class: ClassCheck, Shape: cells(1, 1), Run: 60 * time.Millisecond, Idempotent: true, Wait: callWait},
+		{Name: "gang", Org: OrgSurvey, Every: 600 * time.Millisecond, Class: ClassGang, Shape: cells(2, 8), Run: 400 * time.Millisecond, Idempotent: true, Wait: callWait},
+		{Name: "bill", Org: OrgTesting, Every: 250 * time.Millisecond, Class: ClassBill, Shape: cells(1, 1), Run: 200 * time.Millisecond, Wait: callWait},
+		{Name: "pair", Org: OrgSurvey, Every: 900 * time.Millisecond, Class: ClassBill, Shape: cells(2, 2), Run: 300 * time.Millisecond, Wait: callWait},
+		{Name: "later", Org: OrgSurvey, Every: 400 * time.Millisecond, Class: ClassGang, Shape: cells(1, 2), Run: 500 * time.Millisecond, Idempotent: true},
+	}
+}
+
+// Load runs callers and keeps all they were told.
+type Load struct {
+	balancer *Balancer
+	wait     sync.WaitGroup
+
+	mu       sync.Mutex
+	requests []*Request
+}
+
+// NewLoad returns a load without callers.
+func NewLoad(b *Balancer) *Load { return &Load{balancer: b} }
+
+// Repeat submits work until submitting ends; each request is driven until driving ends.
+func (l *Load) Repeat(submitting, driving context.Context, w Work) {
+	l.wait.Add(1)
+	go func() {
+		defer l.wait.Done()
+		tick := time.NewTicker(w.Every)
+		defer tick.Stop()
+		for n := 0; ; n++ {
+			select {
+			case <-tick.C:
+				l.Submit(driving, w, n)
+			case <-submitting.Done():
+				return
+			}
+		}
+	}()
+}
+
+// Submit drives one request in the background.
+func (l *Load) Submit(ctx context.Context, w Work, n int) *Request {
+	r := newRequest(w, n)
+	l.mu.Lock()
+	l.requests = append(l.requests, r)
+	l.mu.Unlock()
+	l.wait.Add(1)
+	go func() {
+		defer l.wait.Done()
+		l.balancer.Drive(ctx, r)
+	}()
+	return r
+}
+
+// Wait waits until every request has ended, or the context it is driven in.
+func (l *Load) Wait() { l.wait.Wait() }
+
+// Requests returns all requests so far.
+func (l *Load) Requests() []*Request {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]*Request(nil), l.requests...)
+}
+
+func newRequest(w Work, n int) *Request {
+	id := fmt.Sprintf("%s-%d", w.Name, n)
+	nonce := "output of " + w.Org + " " + id
+	payload, _ := json.Marshal(standin.Behaviour{RunSeconds: w.Run.Seconds(), Output: nonce})
+	return &Request{
+		Org: w.Org, Nonce: nonce, CancelAfter: w.CancelAfter,
+		Body: api.SubmitRequest{
+			RequestID: id, Caller: w.Name, Class: w.Class, Shape: w.Shape, Idempotent: w.Idempotent,
+			DeclaredRunSeconds: w.Run.Seconds(), WaitSeconds: w.Wait.Seconds(), Payload: payload,
+		},
+	}
+}
--- /dev/null
+++ b/test/harness/operator.go
@@ -0,0 +1,78 @@
+package harness
+
+import (
+	"context"
+	"net/http"
+
+	"agatewinch/internal/api"
+	"agatewinch/internal/config"
+	"agatewinch/internal/core"
+)
+
+func (c *Cluster) operator(h *EntryHost) *api.Client {
+	return &api.Client{Base: h.GateURL, Key: operatorKey, HTTP: c.Direct}
+}
+
+// Apply replaces the configuration through a host's gate.
+func (c *Cluster) Apply(ctx context.Context, h *EntryHost, base core.Generation, set config.Set) (core.Generation, error) {
+	var answer api.ApplyAnswer
+	err := c.operator(h).Call(ctx, http.MethodPut, api.PathConfig, api.ApplyRequest{Base: base, Set: set}, &answer)
+	return answer.Generation, err
+}
+
+// Config returns the configuration that a gate has in force.
+func (c *Cluster) Config(ctx context.Context, h *EntryHost) (api.ConfigAnswer, error) {
+	var answer api.ConfigAnswer
+	err := c.operator(h).Call(ctx, http.MethodGet, api.PathConfig, nil, &answer)
+	return answer, err
+}
+
+// Status returns what a gate tells of all schedulers.
+func (c *Cluster) Status(ctx context.Context, h *EntryHost) (api.StatusAnswer, error) {
+	var answer api.StatusAnswer
+	err := c.operator(h).Call(ctx, http.MethodGet, api.PathStatus, nil, &answer)
+	return answer, err
+}
+
+// ready reports whether a gate wants to be in the balancer's view.
+func (c *Cluster) ready(ctx context.Context, h *EntryHost) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.GateURL+api.PathReady, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := c.Direct.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Active returns the host whose scheduler is active for a zone, as far as any gate can
+// tell; nil when none is.
+func (c *Cluster) Active(ctx context.Context, zone string) *EntryHost {
+	var best *EntryHost
+	var term core.Term
+	for _, h := range c.Hosts {
+		status, err := c.Status(ctx, h)
+		if err != nil {
+			continue
+		}
+		for _, s := range status.Schedulers {
+			if s.Zone == core.ZoneID(zone) && s.Active && s.Term > term {
+				best, term = c.Host(s.Host), s.Term
+			}
+		}
+	}
+	return best
+}
+
+// Host returns the entry host of a name.
+func (c *Cluster) Host(name string) *EntryHost {
+	for _, h := range c.Hosts {
+		if h.Name == name {
+			return h
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/test/harness/process.go
@@ -0,0 +1,209 @@
+// Package harness runs the real binaries on loopback addresses, each link through a
+// fault-injecting proxy, with callers that record all they are told.
+package harness
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// The binaries that the harness starts.
+const (
+	binaryGate      = "agatewinch-gate"
+	binaryScheduler = "agatewinch-scheduler"
+	binaryStandin   = "agatewinch-standin"
+)
+
+// binaries builds the binaries once for a test process.
+var binaries = sync.OnceValues(func() (string, error) {
+	root, err := moduleRoot()
+	if err != nil {
+		return "", err
+	}
+	dir, err := os.MkdirTemp("", "agatewinch-bin-")
+	if err != nil {
+		return "", trace.ConvertSystemError(err)
+	}
+	args := []string{"build", "-o", dir + "/"}
+	for _, name := range []string{binaryGate, binaryScheduler, binaryStandin} {
+		args = append(args, "./cmd/"+name)
+	}
+	cmd := exec.Command("go", args...)
+	cmd.Dir = root
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return "", trace.BadParameter("build: %v: %s", err, out)
+	}
+	return dir, nil
+})
+
+// RemoveBinaries removes what the tests built; TestMain calls it at the end.
+func RemoveBinaries() {
+	if dir, err := binaries(); err == nil {
+		_ = os.RemoveAll(dir)
+	}
+}
+
+// moduleRoot finds the directory of go.mod above the working directory.
+func moduleRoot() (string, error) {
+	dir, err := os.Getwd()
+	if err != nil {
+		return "", trace.ConvertSystemError(err)
+	}
+	for {
+		if _, err := os.Stat(filepath.Join(dir, "go.mod")); err == nil {
+			return dir, nil
+		}
+		parent := filepath.Dir(dir)
+		if parent == dir {
+			return "", trace.NotFound("no go.mod above the working directory")
+		}
+		dir = parent
+	}
+}
+
+// starts runs the starts of all processes on one locked thread: the kernel ends a
+// child together with the thread that started it, so that none outlives the test.
+var starts = sync.OnceValue(func() chan func() {
+	ch := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for f := range ch {
+			f()
+		}
+	}()
+	return ch
+})
+
+// Process is one process of the system, which can be started again after its end.
+type Process struct {
+	// Name is unique in the cluster.
+	Name string
+
+	binary, settings, log string
+
+	starting sync.Mutex
+
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	ended chan struct{}
+}
+
+// Start starts the process; it must not run.
+func (p *Process) Start() error {
+	dir, err := binaries()
+	if err != nil {
+		return err
+	}
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	cmd := exec.Command(filepath.Join(dir, p.binary), "--settings", p.settings)
+	cmd.Stdout, cmd.Stderr = out, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	starts() <- func() { started <- cmd.Start() }
+	if err := <-started; err != nil {
+		return trace.Wrap(err)
+	}
+	ended := make(chan struct{})
+	go func() {
+		_ = cmd.Wait()
+		_ = out.Close()
+		close(ended)
+	}()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cmd, p.ended = cmd, ended
+	return nil
+}
+
+// EnsureRunning starts the process again when it has ended.
+func (p *Process) EnsureRunning() error {
+	p.starting.Lock()
+	defer p.starting.Unlock()
+	if p.Running() {
+		return nil
+	}
+	return p.Start()
+}
+
+func (p *Process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// Kill ends the process with SIGKILL and waits for its end.
+func (p *Process) Kill() {
+	p.signal(syscall.SIGKILL)
+	_ = p.AwaitEnd(time.Minute)
+}
+
+// Pause stops the process with SIGSTOP.
+func (p *Process) Pause() { p.signal(syscall.SIGSTOP) }
+
+// Resume lets a paused process go on.
+func (p *Process) Resume() { p.signal(syscall.SIGCONT) }
+
+// Terminate asks for a planned stop with SIGTERM.
+func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
+
+// AwaitEnd waits until the process has ended.
+func (p *Process) AwaitEnd(timeout time.Duration) error {
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	if ended == nil {
+		return nil
+	}
+	select {
+	case <-ended:
+		return nil
+	case <-time.After(timeout):
+		return trace.LimitExceeded("%s still runs after %v", p.Name, timeout)
+	}
+}
+
+// Running reports whether the process runs or is paused.
+func (p *Process) Running() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended == nil {
+		return false
+	}
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// tail returns the end of the process's log.
+func (p *Process) tail(bytes int) string {
+	data, err := os.ReadFile(p.log)
+	if err != nil {
+		return err.Error()
+	}
+	return string(data[max(0, len(data)-bytes):])
+}
+
+// showLogs prints the logs' ends of a failed test.
+func showLogs(t testing.TB, processes []*Process) {
+	const tailBytes = 2000
+	for _, p := range processes {
+		fmt.Printf("--- %s: %s: %s\n%s\n", t.Name(), p.Name, p.log, p.tail(tailBytes))
+	}
+}
--- /dev/null
+++ b/test/harness/settings.go
@@ -0,0 +1,63 @@
+package harness
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+	"gotest.tools/v3/assert"
+
+	"agatewinch/internal/standin"
+)
+
+// The settings files that the harness writes, as far as it sets them.
+
+type standinFile struct {
+	Listen     string          `yaml:"listen"`
+	WorkerBase string          `yaml:"worker_base"`
+	ConfigDir  string          `yaml:"config_dir"`
+	EntryHosts []entryHostLine `yaml:"entry_hosts"`
+
+	Log    standin.LogFaults    `yaml:"log"`
+	Worker standin.WorkerFaults `yaml:"worker"`
+}
+
+type entryHostLine struct {
+	ID   string `yaml:"id"`
+	Zone string `yaml:"zone"`
+	Addr string `yaml:"addr"`
+}
+
+type hostFile struct {
+	Host     string `yaml:"host"`
+	Region   string `yaml:"region"`
+	Zone     string `yaml:"zone"`
+	Listen   string `yaml:"listen"`
+	Platform string `yaml:"platform"`
+}
+
+type schedulerLine struct {
+	Zone string `yaml:"zone"`
+	Addr string `yaml:"addr"`
+}
+
+type gateFile struct {
+	hostFile   `yaml:",inline"`
+	Schedulers []schedulerLine `yaml:"schedulers"`
+}
+
+type schedulerFile struct {
+	hostFile   `yaml:",inline"`
+	LeaseTTL   time.Duration `yaml:"lease_ttl"`
+	ReserveTTL time.Duration `yaml:"reserve_ttl"`
+}
+
+func writeYAML(t testing.TB, path string, body any) {
+	t.Helper()
+	data, err := yaml.Marshal(body)
+	assert.NilError(t, err)
+	assert.NilError(t, os.MkdirAll(filepath.Dir(path), 0o700))
+	assert.NilError(t, os.WriteFile(path, data, 0o600))
+}
