--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	$(GO) tool staticcheck ./...
 
 bench: build
-	bin/agatewinch-bench run --scenario all --policy fifo,guaranteed --seed $(SEED) --json
+	./scripts/bench.sh
 
 faults: build
 	$(GO) test ./test/faults -count=1 -timeout 540s -run TestSeed -seed $(SEED) -v
@@ -34,7 +34,7 @@
 	$(GO) test ./test/faults -count=1 -timeout 0 -run TestSoak -soak $(N) -v
 
 capacity: build
-	bin/agatewinch-bench capacity
+	./scripts/capacity.sh
 
 clean:
 	rm -rf bin build
