core: hold urgent work without accelerators to its quota; bound lost attempts

Urgent tasks that take only processors counted as nothing against the urgent quota, so a flood of checks could fill every worker. They now count as the accelerators that go with their dominant share. A job whose tasks are lost five times ends as outcome unknown.

--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -28,6 +28,10 @@
 	// recorded is true when this attempt's placement stands in the log.
 	recorded bool
 	retries  int
+	// losses counts the attempts that were lost after they may have started, other than
+	// by an eviction.
+	losses  int
+	evicted bool
 	// failures counts the attempts that ended with a failed task.
 	failures int
 	// checked is the configuration's generation for which the job is known to fit.
@@ -51,6 +55,7 @@
 	isCharged bool
 	placedAt  Instant
 	holding   resources
+	units     float64
 	missed    bool
 	began     Instant
 	reason    string
--- a/internal/core/parameters.go
+++ b/internal/core/parameters.go
@@ -47,6 +47,8 @@
 	defaultMaxQueued = 10000
 	// failuresPerJob is the number of workers a job may fail on before it is ended.
 	failuresPerJob = 3
+	// lossesPerJob is the number of attempts of a job that may be lost before it is ended.
+	lossesPerJob = 5
 	// failuresPerWorker is the number of jobs in a row that fail on a worker before it is quarantined.
 	failuresPerWorker = 3
 )
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -2,6 +2,9 @@
 
 import "fmt"
 
+// rounding is the error that sums of urgent units may carry.
+const rounding = 1e-6
+
 // overQuota says why the job would take its organisation over its quota; it is empty
 // when the job stays within.
 func (c *Core) overQuota(j *job) string {
@@ -11,12 +14,13 @@
 		return fmt.Sprintf("organisation %s uses %d accelerators; with the job's %d it would pass its quota of %d",
 			j.Org, j.org.running.accelerators, n, def.Quota)
 	}
-	if !j.class.Urgent || n == 0 || c.opts.Policy == PolicyFIFO {
+	if !j.class.Urgent || c.opts.Policy == PolicyFIFO {
 		return ""
 	}
-	if limit := c.urgentLimit(j.org); j.org.urgent+n > limit {
-		return fmt.Sprintf("organisation %s uses %d accelerators for urgent work; with the job's %d it would pass its urgent quota of %d",
-			j.Org, j.org.urgent, n, limit)
+	units := c.urgentUnits(j.Shape)
+	if limit := c.urgentLimit(j.org); j.org.urgent+units > float64(limit)+rounding {
+		return fmt.Sprintf("organisation %s uses %.1f accelerators for urgent work; with the job's %.1f it would pass its urgent quota of %d",
+			j.Org, j.org.urgent, units, limit)
 	}
 	return ""
 }
@@ -28,3 +32,12 @@
 	}
 	return o.promised(c.opts.Zone)
 }
+
+// urgentUnits is what a job of shape s counts against the urgent quota: its accelerators,
+// or for work without any the accelerators that go with its dominant share of the zone.
+func (c *Core) urgentUnits(s Shape) float64 {
+	if s.CellSize > 0 {
+		return float64(s.Accelerators())
+	}
+	return c.need(s).dominant(c.total) * float64(c.total.accelerators)
+}
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"fmt"
+
 	"agatewinch/internal/errkind"
 )
 
@@ -17,11 +19,20 @@
 		return
 	}
 	c.uncharge(now, j)
+	if j.attemptBegan() != beganNo && !j.evicted {
+		j.losses++
+	}
+	j.evicted = false
 	switch {
 	case j.orphan && j.outcome == nil:
 		c.forget(j)
 	case j.outcome != nil:
 		c.finish(now, j, *j.outcome)
+	case j.losses >= lossesPerJob:
+		c.finish(now, j, Outcome{
+			State: Failed, Kind: errkind.OutcomeUnknown,
+			Message: fmt.Sprintf("lost %d times after it may have started: %s", j.losses, j.reason),
+		})
 	case j.checkpointedWhole():
 		c.resumeLater(now, j)
 	case j.Idempotent, j.attemptBegan() == beganNo:
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -81,7 +81,8 @@
 	def Organisation
 	// running is what its placed jobs hold.
 	running resources
-	urgent  int
+	// urgent is what its placed urgent jobs count against its urgent quota.
+	urgent  float64
 	usage   usage
 	callers map[CallerID]*caller
 	lanes   [laneCount]lane
@@ -168,8 +169,10 @@
 func (c *Core) charge(now Instant, j *job) {
 	n := c.need(j.Shape)
 	j.org.running.add(n)
+	j.units = 0
 	if j.class.Urgent {
-		j.org.urgent += n.accelerators
+		j.units = c.urgentUnits(j.Shape)
+		j.org.urgent += j.units
 	}
 	j.placedAt = now
 	j.holding = n
@@ -185,8 +188,8 @@
 	}
 	j.isCharged = false
 	j.org.running.sub(j.holding)
-	if j.class.Urgent {
-		j.org.urgent -= j.holding.accelerators
+	if j.units > 0 {
+		j.org.urgent -= j.units
 	}
 	used := j.holding.dominant(c.total) * now.Sub(j.placedAt).Seconds()
 	j.org.usage.sum += used * c.growing
--- a/internal/core/worker.go
+++ b/internal/core/worker.go
@@ -164,8 +164,8 @@
 }
 
 func (c *Core) workerChanged(now Instant, e WorkerChanged) {
-	w, ok := c.workers[e.Worker]
-	if !ok || w.health == e.Health {
+	w := c.worker(e.Worker)
+	if w.health == e.Health {
 		return
 	}
 	before := w.usable()
