core: say what UrgentQuota bounds

Urgent work beyond the quota takes its turn with the other work instead of waiting for the quota: held there, a rush of checks was slower than under fifo.

--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -17,7 +17,8 @@
 	Weight int
 	// Quota bounds the accelerators of all its running jobs; zero means no bound.
 	Quota int
-	// UrgentQuota bounds the accelerators of its running urgent jobs; zero means its guarantee.
+	// UrgentQuota bounds the accelerators of its running urgent jobs that go before other
+	// work; zero means its guarantee. Urgent jobs beyond it take their turn.
 	UrgentQuota int
 	// MaxQueued bounds its waiting jobs in each class; zero means the default.
 	MaxQueued  int
