--- a/internal/core/backfill.go
+++ b/internal/core/backfill.go
@@ -101,8 +101,8 @@
 // precedes reports whether a comes before b in order.
 func (c *Core) precedes(a, b *job) bool {
 	switch {
-	case laneOf(a) != laneOf(b):
-		return laneOf(a) < laneOf(b)
+	case c.urgentNow(a) != c.urgentNow(b):
+		return c.urgentNow(a)
 	case a.org != b.org:
 		return c.share(a.org) < c.share(b.org)
 	case a.caller != b.caller:
--- a/internal/core/freed.go
+++ b/internal/core/freed.go
@@ -63,7 +63,7 @@
 	if g.failedAt == 0 {
 		return false
 	}
-	j := g.callers[0].jobs.first().job
+	j := g.first()
 	if g.overQuota {
 		return g.quotaAt == j.org.released
 	}
--- a/internal/core/never.go
+++ b/internal/core/never.go
@@ -16,9 +16,6 @@
 	if quota := j.org.def.Quota; quota > 0 && s.Accelerators() > quota {
 		return fmt.Sprintf("the job needs %d accelerators and the quota of organisation %s is %d", s.Accelerators(), j.Org, quota)
 	}
-	if limit := c.urgentLimit(o); j.class.Urgent && c.opts.Policy != PolicyFIFO && c.urgentUnits(s) > float64(limit)+rounding {
-		return fmt.Sprintf("the job counts as %.1f accelerators and the urgent quota of organisation %s in zone %s is %d", c.urgentUnits(s), j.Org, c.opts.Zone, limit)
-	}
 	if s.Cells < 1 {
 		return "the shape has no cells"
 	}
--- a/internal/core/order.go
+++ b/internal/core/order.go
@@ -33,33 +33,62 @@
 }
 
 // next returns the waiting job that comes first in order and may fit: urgent ones
-// first, then by the organisations' shares, the callers' and arrival.
+// within their quota first, then by the organisations' shares, the callers' and arrival.
 func (c *Core) next() *job {
-	for l := laneUrgent; l < laneCount; l++ {
-		var best *group
-		var bestShare float64
-		for _, o := range c.orgOrder {
-			if o.lanes[l].n == 0 {
-				continue
-			}
-			g := c.firstGroup(&o.lanes[l])
-			if g == nil {
-				continue
-			}
-			if s := c.share(o); best == nil || s < bestShare {
-				best, bestShare = g, s
-			}
+	if j := c.nextOf(c.firstUrgent); j != nil {
+		return j
+	}
+	return c.nextOf(c.firstOfAny)
+}
+
+// nextOf returns the first job of the organisation with the least share among those
+// for which first has one.
+func (c *Core) nextOf(first func(*org) *job) *job {
+	var best *job
+	var bestShare float64
+	for _, o := range c.orgOrder {
+		if o.lanes[laneUrgent].n == 0 && o.lanes[laneNormal].n == 0 {
+			continue
 		}
-		if best != nil {
-			return best.callers[0].jobs.first().job
+		j := first(o)
+		if j == nil {
+			continue
 		}
+		if s := c.share(o); best == nil || s < bestShare {
+			best, bestShare = j, s
+		}
+	}
+	return best
+}
+
+// firstUrgent returns the organisation's first urgent job, if its urgent quota allows it.
+func (c *Core) firstUrgent(o *org) *job {
+	if o.lanes[laneUrgent].n == 0 {
+		return nil
+	}
+	g := c.firstGroup(&o.lanes[laneUrgent], nil)
+	if g == nil || !c.urgentNow(g.first()) {
+		return nil
 	}
-	return nil
+	return g.first()
 }
 
+// firstOfAny returns the organisation's first job of either lane.
+func (c *Core) firstOfAny(o *org) *job {
+	g := c.firstGroup(&o.lanes[laneUrgent], nil)
+	g = c.firstGroup(&o.lanes[laneNormal], g)
+	if g == nil {
+		return nil
+	}
+	return g.first()
+}
+
+// first returns the group's first job.
+func (g *group) first() *job { return g.callers[0].jobs.first().job }
+
 // firstGroup returns the group whose first caller is the least served, of those that may fit.
-func (c *Core) firstGroup(l *lane) *group {
-	var best *group
+// It is best when none of them comes before best.
+func (c *Core) firstGroup(l *lane, best *group) *group {
 	for _, g := range l.list {
 		if c.passedOver(g) {
 			continue
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -14,17 +14,15 @@
 		return fmt.Sprintf("organisation %s uses %d accelerators; with the job's %d it would pass its quota of %d",
 			j.Org, j.org.running.accelerators, n, def.Quota)
 	}
-	if !j.class.Urgent || c.opts.Policy == PolicyFIFO {
-		return ""
-	}
-	units := c.urgentUnits(j.Shape)
-	if limit := c.urgentLimit(j.org); j.org.urgent+units > float64(limit)+rounding {
-		return fmt.Sprintf("organisation %s uses %.1f accelerators for urgent work; with the job's %.1f it would pass its urgent quota of %d",
-			j.Org, j.org.urgent, units, limit)
-	}
 	return ""
 }
 
+// urgentNow reports whether the job is urgent and within its organisation's urgent
+// quota. Urgent work beyond the quota takes its turn with the other work.
+func (c *Core) urgentNow(j *job) bool {
+	return j.class.Urgent && j.org.urgent+c.urgentUnits(j.Shape) <= float64(c.urgentLimit(j.org))+rounding
+}
+
 // urgentLimit bounds the accelerators of an organisation's running urgent jobs.
 func (c *Core) urgentLimit(o *org) int {
 	if o.def.UrgentQuota > 0 {
--- a/internal/core/reclaim.go
+++ b/internal/core/reclaim.go
@@ -157,7 +157,7 @@
 		return false
 	}
 	if v.Org == cl.job.Org {
-		return cl.job.class.Urgent && !v.class.Urgent
+		return cl.core.urgentNow(cl.job) && !v.class.Urgent
 	}
 	return true
 }
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -170,7 +170,7 @@
 	n := c.need(j.Shape)
 	j.org.running.add(n)
 	j.units = 0
-	if j.class.Urgent {
+	if c.urgentNow(j) {
 		j.units = c.urgentUnits(j.Shape)
 		j.org.urgent += j.units
 	}
