agatewinchctl: diff, list, explain, cancel, drain and top, formats and exit codes

Cause: the thin path had four commands, one exit code and JSON only. Change: all commands of the operators' interface with -o table|json|yaml, documented exit codes for every error kind, completion and examples; a gate that was never reached is told apart from an answer that was lost. api.Client gains Job, which returns a failed job's answer whole. wire.StatusReply gains JSON names and Metrics (additive).

--- a/cmd/agatewinch-gate/main.go
+++ b/cmd/agatewinch-gate/main.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	registry := metrics.New()
+	registry := metrics.New(metrics.SourceGate)
 	registry.Publish(api.VarsName)
 	log := &httpadapter.Log{Base: s.Platform, Client: httpadapter.NewClient(s.PlatformConns)}
 	g := gate.New(s.options(registry), logger, log)
--- a/cmd/agatewinchctl/main.go
+++ b/cmd/agatewinchctl/main.go
@@ -2,127 +2,126 @@
 package main
 
 import (
-	"encoding/json"
+	"context"
 	"fmt"
+	"io"
 	"net/http"
-	"net/url"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
 
 	"agatewinch/internal/api"
-	"agatewinch/internal/config"
-	"agatewinch/internal/core"
+	"agatewinch/internal/tlsconfig"
 )
 
-const callTimeout = 40 * time.Second
+const (
+	// callTimeout is longer than the longest poll.
+	callTimeout = (api.MaxWaitSeconds + 10) * time.Second
+	defaultGate = "http://127.0.0.1:7400"
+)
 
+// app holds the flags that all commands share.
 type app struct {
-	gate string
-	key  string
-}
+	out io.Writer
+	// started is true once a command's arguments were taken.
+	started bool
 
-func (a *app) client() *api.Client {
-	return &api.Client{Base: a.gate, Key: a.key, HTTP: &http.Client{Timeout: callTimeout}}
+	gate   string
+	key    string
+	output string
+	tls    tlsconfig.Files
 }
 
 func main() {
-	a := &app{}
-	root := &cobra.Command{Use: "agatewinchctl", Short: "Operate agatewinch", SilenceUsage: true, SilenceErrors: true}
-	root.PersistentFlags().StringVar(&a.gate, "gate", "http://127.0.0.1:7400", "URL of a gate")
-	root.PersistentFlags().StringVar(&a.key, "key", os.Getenv("AGATEWINCH_KEY"), "API key (default: $AGATEWINCH_KEY)")
-	root.AddCommand(a.applyCmd(), a.statusCmd(), a.submitCmd(), a.getCmd())
-	if err := root.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "error:", trace.UserMessage(err))
-		os.Exit(1)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	os.Exit(execute(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// execute runs one command line and returns its exit code.
+func execute(ctx context.Context, args []string, out, errOut io.Writer) int {
+	a := &app{out: out}
+	root := newRoot(a)
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	err := root.ExecuteContext(ctx)
+	if err != nil && !a.started {
+		err = usageError{err}
 	}
+	if err != nil && !isSilent(err) {
+		_, _ = fmt.Fprintln(errOut, "error:", trace.UserMessage(err))
+	}
+	return exitCode(err)
 }
 
-func (a *app) applyCmd() *cobra.Command {
-	var dir string
-	var dryRun bool
-	cmd := &cobra.Command{Use: "apply -f DIR", Short: "Replace the configuration by the files of a directory, whole or not at all", Args: cobra.NoArgs}
-	cmd.Flags().StringVarP(&dir, "file", "f", "", "directory with *.yaml files")
-	cmd.Flags().BoolVar(&dryRun, "dry-run", false, "check only")
-	_ = cmd.MarkFlagRequired("file")
-	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		set, err := config.LoadDir(dir)
-		if err != nil {
-			return trace.Wrap(err)
-		}
-		var cur api.ConfigAnswer
-		if err := a.client().Call(cmd.Context(), http.MethodGet, api.PathConfig, nil, &cur); err != nil {
-			return trace.Wrap(err)
-		}
-		var answer api.ApplyAnswer
-		req := api.ApplyRequest{Base: cur.Generation, Set: *set, DryRun: dryRun}
-		if err := a.client().Call(cmd.Context(), http.MethodPut, api.PathConfig, req, &answer); err != nil {
-			return trace.Wrap(err)
-		}
-		fmt.Println("generation", answer.Generation)
-		return nil
+func newRoot(a *app) *cobra.Command {
+	root := &cobra.Command{
+		Use: "agatewinchctl", Short: "Operate agatewinch",
+		Long: "Operate agatewinch through one of its gates.\n\n" + exitCodesHelp,
+		Example: "  export AGATEWINCH_GATE=http://10.0.0.1:7400 AGATEWINCH_KEY=...\n" +
+			"  agatewinchctl apply -f config/ --dry-run\n  agatewinchctl status",
+		SilenceUsage: true, SilenceErrors: true,
 	}
-	return cmd
+	flags := root.PersistentFlags()
+	flags.StringVar(&a.gate, "gate", envOr("AGATEWINCH_GATE", defaultGate), "URL of a gate (default: $AGATEWINCH_GATE)")
+	flags.StringVar(&a.key, "key", "", "API key (default: $AGATEWINCH_KEY)")
+	flags.StringVarP(&a.output, "output", "o", formatTable, "table, json or yaml")
+	flags.StringVar(&a.tls.CA, "ca", "", "file with the authorities of the gate's certificate")
+	flags.StringVar(&a.tls.Cert, "cert", "", "file with a client certificate")
+	flags.StringVar(&a.tls.Key, "cert-key", "", "file with the client certificate's key")
+	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions(formats, cobra.ShellCompDirectiveNoFileComp))
+	root.PersistentPreRunE = func(*cobra.Command, []string) error {
+		a.started = true
+		return a.checkFlags()
+	}
+	root.AddCommand(a.applyCmd(), a.diffCmd(), a.getCmd(), a.listCmd(), a.statusCmd(), a.topCmd(),
+		a.explainCmd(), a.cancelCmd(), a.drainCmd(), a.submitCmd())
+	return root
 }
 
-func (a *app) statusCmd() *cobra.Command {
-	var output string
-	cmd := &cobra.Command{Use: "status", Short: "Show the schedulers", Args: cobra.NoArgs}
-	cmd.Flags().StringVarP(&output, "output", "o", "json", "json")
-	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		var answer api.StatusAnswer
-		if err := a.client().Call(cmd.Context(), http.MethodGet, api.PathStatus, nil, &answer); err != nil {
-			return trace.Wrap(err)
-		}
-		return printJSON(answer)
+func envOr(name, otherwise string) string {
+	if v := os.Getenv(name); v != "" {
+		return v
 	}
-	return cmd
+	return otherwise
 }
 
-func (a *app) submitCmd() *cobra.Command {
-	var req api.SubmitRequest
-	var shape core.Shape
-	var payload string
-	cmd := &cobra.Command{Use: "submit REQUEST_ID", Short: "Submit a job and wait for it", Args: cobra.ExactArgs(1)}
-	flags := cmd.Flags()
-	flags.StringVar(&req.Caller, "caller", "operator", "caller within the organisation")
-	flags.StringVar(&req.Class, "class", "", "class of work")
-	flags.IntVar(&shape.Cells, "cells", 1, "number of cells")
-	flags.IntVar(&shape.CellSize, "cell-size", 1, "accelerators in a cell")
-	flags.IntVar(&shape.CPU, "cpu", 1, "cores for each task")
-	flags.Int64Var(&shape.MemoryBytes, "memory-bytes", 1<<30, "memory for each task")
-	flags.Float64Var(&req.DeclaredRunSeconds, "run-seconds", 1, "declared run time")
-	flags.Float64Var(&req.WaitSeconds, "wait", 30, "seconds to wait for the end")
-	flags.BoolVar(&req.Idempotent, "idempotent", false, "the job may run twice")
-	flags.StringVar(&payload, "payload", "", "JSON passed to every task")
-	cmd.RunE = func(cmd *cobra.Command, args []string) error {
-		req.RequestID, req.Shape = args[0], shape
-		if payload != "" {
-			req.Payload = json.RawMessage(payload)
-		}
-		var answer api.JobAnswer
-		if err := a.client().Call(cmd.Context(), http.MethodPost, api.PathJobs, req, &answer); err != nil {
-			return trace.Wrap(err)
+func (a *app) checkFlags() error {
+	if a.key == "" {
+		a.key = os.Getenv("AGATEWINCH_KEY")
+	}
+	for _, f := range formats {
+		if a.output == f {
+			return nil
 		}
-		return printJSON(answer)
 	}
-	return cmd
+	return usageError{trace.BadParameter("-o %s: want table, json or yaml", a.output)}
 }
 
-func (a *app) getCmd() *cobra.Command {
-	return &cobra.Command{Use: "get REQUEST_ID", Short: "Show a job", Args: cobra.ExactArgs(1), RunE: func(cmd *cobra.Command, args []string) error {
-		var answer api.JobAnswer
-		if err := a.client().Call(cmd.Context(), http.MethodGet, api.PathJobs+"/"+url.PathEscape(args[0]), nil, &answer); err != nil {
-			return trace.Wrap(err)
-		}
-		return printJSON(answer)
-	}}
+// client returns a client of the gate.
+func (a *app) client() (*api.Client, error) {
+	certs, err := tlsconfig.New(a.tls, logr.Discard())
+	if err != nil {
+		return nil, usageError{err}
+	}
+	transport := &http.Transport{DisableKeepAlives: true}
+	if certs != nil {
+		transport.DialTLSContext = certs.Dial
+	}
+	return &api.Client{Base: a.gate, Key: a.key, HTTP: &http.Client{Timeout: callTimeout, Transport: transport}}, nil
 }
 
-func printJSON(v any) error {
-	enc := json.NewEncoder(os.Stdout)
-	enc.SetIndent("", "  ")
-	return trace.Wrap(enc.Encode(v))
+// call sends one request to the gate.
+func (a *app) call(ctx context.Context, method, path string, in, out any) error {
+	client, err := a.client()
+	if err != nil {
+		return err
+	}
+	return client.Call(ctx, method, path, in, out)
 }
--- a/internal/api/client.go
+++ b/internal/api/client.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 
 	"github.com/gravitational/trace"
 
@@ -23,37 +25,85 @@
 	HTTP *http.Client
 }
 
+// UnreachableError tells that no whole answer came from the gate.
+type UnreachableError struct {
+	// Sent is false when nothing was sent, so that nothing can have taken effect.
+	Sent bool
+	Err  error
+}
+
+// Error tells whether the request may have taken effect.
+func (e *UnreachableError) Error() string {
+	if e.Sent {
+		return "the gate's answer was lost; the request may have taken effect: " + e.Err.Error()
+	}
+	return "the gate cannot be reached: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Err }
+
 // Call sends in, or nothing when it is nil, and decodes the answer into out. An error
-// answer becomes an errkind.Error.
+// answer, that of a failed job included, becomes an errkind.Error.
 func (c *Client) Call(ctx context.Context, method, path string, in, out any) error {
+	status, data, err := c.do(ctx, method, path, in)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if status < http.StatusBadRequest {
+		return trace.Wrap(json.Unmarshal(data, out))
+	}
+	return errorOf(status, data)
+}
+
+// Job is Call for a request that a job's state answers. The answer of a failed job is
+// returned whole, without an error.
+func (c *Client) Job(ctx context.Context, method, path string, in any) (JobAnswer, error) {
+	status, data, err := c.do(ctx, method, path, in)
+	if err != nil {
+		return JobAnswer{}, trace.Wrap(err)
+	}
+	var answer JobAnswer
+	decodeErr := json.Unmarshal(data, &answer)
+	if status >= http.StatusBadRequest && !answer.State.Ended() {
+		return JobAnswer{}, errorOf(status, data)
+	}
+	return answer, trace.Wrap(decodeErr)
+}
+
+// do returns the status and body of an answer, or an UnreachableError.
+func (c *Client) do(ctx context.Context, method, path string, in any) (int, []byte, error) {
 	var body io.Reader
 	if in != nil {
 		data, err := json.Marshal(in)
 		if err != nil {
-			return trace.Wrap(err)
+			return 0, nil, trace.BadParameter("%v", err)
 		}
 		body = bytes.NewReader(data)
 	}
-	req, err := http.NewRequestWithContext(ctx, method, c.Base+path, body)
+	var sent atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }})
+	req, err := http.NewRequestWithContext(traced, method, c.Base+path, body)
 	if err != nil {
-		return trace.Wrap(err)
+		return 0, nil, trace.BadParameter("%v", err)
 	}
 	req.Header.Set("Authorization", "Bearer "+c.Key)
 	resp, err := c.HTTP.Do(req)
 	if err != nil {
-		return trace.ConnectionProblem(err, "gate cannot be reached")
+		return 0, nil, trace.Wrap(&UnreachableError{Sent: sent.Load(), Err: err})
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
-		return trace.ConnectionProblem(err, "answer was cut short")
-	}
-	if resp.StatusCode < http.StatusBadRequest {
-		return trace.Wrap(json.Unmarshal(data, out))
+		return 0, nil, trace.Wrap(&UnreachableError{Sent: true, Err: err})
 	}
+	return resp.StatusCode, data, nil
+}
+
+func errorOf(status int, data []byte) error {
 	var answer ErrorAnswer
 	if json.Unmarshal(data, &answer) != nil || answer.Error.Kind == errkind.None {
-		return trace.BadParameter("gate answered status %d", resp.StatusCode)
+		return trace.BadParameter("gate answered status %d", status)
 	}
 	return trace.Wrap(&errkind.Error{Kind: answer.Error.Kind, Message: answer.Error.Message, RetryAfterSeconds: answer.Error.RetryAfterSeconds})
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -70,7 +70,7 @@
 		rates: rates{defaults: opts.Limits, buckets: map[string]*rate.Limiter{}},
 	}
 	if g.metrics == nil {
-		g.metrics = metrics.New()
+		g.metrics = metrics.New(metrics.SourceGate)
 	}
 	g.follow.SnapshotInterval = opts.ConfigSnapshotInterval
 	for _, own := range []bool{true, false} {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -38,12 +38,19 @@
 	MaxSeries = 64
 )
 
+// The sources of measures.
+const (
+	SourceGate      = "gate"
+	SourceScheduler = "scheduler"
+)
+
 // Other stands for organisations and classes beyond MaxSeries.
 const Other = "(other)"
 
 // Registry holds the metrics of one process.
 type Registry struct {
-	now func() time.Time
+	source string
+	now    func() time.Time
 
 	mu      sync.Mutex
 	series  map[seriesKey]*series
@@ -65,10 +72,11 @@
 }
 
 // New returns an empty registry.
-func New() *Registry { return newAt(time.Now) }
+// Its rows name source as the kind of process that measures.
+func New(source string) *Registry { return newAt(source, time.Now) }
 
-func newAt(now func() time.Time) *Registry {
-	return &Registry{now: now, series: map[seriesKey]*series{}, errors: map[errkind.Kind]uint64{}, pairs: map[pair]bool{}, rotated: now()}
+func newAt(source string, now func() time.Time) *Registry {
+	return &Registry{source: source, now: now, series: map[seriesKey]*series{}, errors: map[errkind.Kind]uint64{}, pairs: map[pair]bool{}, rotated: now()}
 }
 
 // Publish makes the registry's snapshot the expvar of that name. It may be called once
@@ -138,6 +146,8 @@
 	Organisation string  `json:"organisation"`
 	Class        string  `json:"class"`
 	Measure      Measure `json:"measure"`
+	// Source tells which kind of process measured.
+	Source string `json:"source"`
 	// All covers the process's life, Recent the last one to two minutes.
 	All    Summary `json:"all"`
 	Recent Summary `json:"recent"`
@@ -163,7 +173,7 @@
 	}
 	for key, s := range r.series {
 		out.Series = append(out.Series, Row{
-			Organisation: key.org, Class: key.class, Measure: key.measure,
+			Organisation: key.org, Class: key.class, Measure: key.measure, Source: r.source,
 			All: summarize(s.all), Recent: summarize(s.recent.Merge()),
 		})
 	}
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -11,7 +11,7 @@
 )
 
 func TestQuantilesAreWithinTheHistogramsPrecision(t *testing.T) {
-	r := New()
+	r := New(SourceGate)
 	for i := 1; i <= 1000; i++ {
 		r.Observe("haneul", "check", Start, time.Duration(i)*time.Millisecond)
 	}
@@ -25,7 +25,7 @@
 
 func TestRecentValuesFadeAndTotalsStay(t *testing.T) {
 	now := time.Unix(0, 0)
-	r := newAt(func() time.Time { return now })
+	r := newAt(SourceGate, func() time.Time { return now })
 	r.Observe("a", "c", Wait, time.Second)
 	now = now.Add(recentWindow)
 	assert.Equal(t, r.Snapshot().Series[0].Recent.Count, int64(1))
@@ -36,7 +36,7 @@
 }
 
 func TestNumberOfSeriesIsBounded(t *testing.T) {
-	r := New()
+	r := New(SourceGate)
 	for i := range 10 * MaxSeries {
 		r.Observe(fmt.Sprint("org", i), "c", Wait, time.Second)
 	}
@@ -47,14 +47,14 @@
 }
 
 func TestTimesOutOfRangeAreCounted(t *testing.T) {
-	r := New()
+	r := New(SourceGate)
 	r.Observe("a", "c", Completion, -time.Second)
 	r.Observe("a", "c", Completion, 1000*24*time.Hour)
 	assert.Equal(t, r.Snapshot().Series[0].All.Count, int64(2))
 }
 
 func TestErrorsAreCountedByKind(t *testing.T) {
-	r := New()
+	r := New(SourceGate)
 	r.Error(errkind.QueueFull)
 	r.Error(errkind.QueueFull)
 	assert.Equal(t, r.Snapshot().Errors[errkind.QueueFull], uint64(2))
--- a/internal/tlsconfig/tlsconfig.go
+++ b/internal/tlsconfig/tlsconfig.go
@@ -23,7 +23,7 @@
 // Files are the settings of one use of TLS, all in PEM. With none given, plain TCP is used.
 type Files struct {
 	// Cert and Key are this process's certificate chain and private key.
-	Cert string `yaml:"cert" validate:"required_with=Key CA"`
+	Cert string `yaml:"cert" validate:"required_with=Key"`
 	Key  string `yaml:"key" validate:"required_with=Cert"`
 	// CA holds the authorities of the other side. A listener that has it takes only
 	// clients with a certificate of these authorities; a client needs it.
@@ -78,22 +78,33 @@
 }
 
 func (f Files) load() (loaded, error) {
-	cert, err := tls.LoadX509KeyPair(f.Cert, f.Key)
-	if err != nil {
-		return loaded{}, trace.BadParameter("certificate %s with key %s: %v", f.Cert, f.Key, err)
+	var out loaded
+	var err error
+	if f.Cert != "" || f.Key != "" {
+		if out.cert, err = tls.LoadX509KeyPair(f.Cert, f.Key); err != nil {
+			return loaded{}, trace.BadParameter("certificate %q with key %q: %v", f.Cert, f.Key, err)
+		}
 	}
 	if f.CA == "" {
-		return loaded{cert: cert}, nil
+		return out, nil
 	}
 	data, err := os.ReadFile(f.CA)
 	if err != nil {
 		return loaded{}, trace.ConvertSystemError(err)
 	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(data) {
+	out.pool = x509.NewCertPool()
+	if !out.pool.AppendCertsFromPEM(data) {
 		return loaded{}, trace.BadParameter("%s holds no certificate", f.CA)
 	}
-	return loaded{cert: cert, pool: pool}, nil
+	return out, nil
+}
+
+// certificates returns the process's certificate, if it has one.
+func (l loaded) certificates() []tls.Certificate {
+	if len(l.cert.Certificate) == 0 {
+		return nil
+	}
+	return []tls.Certificate{l.cert}
 }
 
 // current returns the certificates, read again if a file has changed. Files that cannot
@@ -137,7 +148,7 @@
 func (s *Source) serverNow() *tls.Config {
 	now := s.current()
 	cfg := &tls.Config{
-		MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{now.cert}, ClientCAs: now.pool,
+		MinVersion: tls.VersionTLS12, Certificates: now.certificates(), ClientCAs: now.pool,
 		// A resumed session would outlive the withdrawal of its authority.
 		SessionTicketsDisabled: true,
 		NextProtos:             []string{"http/1.1"},
@@ -156,7 +167,7 @@
 	}
 	now := s.current()
 	return &tls.Config{
-		MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{now.cert}, RootCAs: now.pool,
+		MinVersion: tls.VersionTLS12, Certificates: now.certificates(), RootCAs: now.pool,
 		ServerName: serverName, NextProtos: []string{"http/1.1"},
 	}
 }
@@ -175,6 +186,9 @@
 
 // Listen listens on addr, with TLS when s is not nil.
 func (s *Source) Listen(addr string) (net.Listener, error) {
+	if s != nil && s.files.Cert == "" {
+		return nil, trace.BadParameter("TLS on %s needs a certificate", addr)
+	}
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, trace.Wrap(err)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,6 +9,7 @@
 
 	"agatewinch/internal/core"
 	"agatewinch/internal/errkind"
+	"agatewinch/internal/metrics"
 )
 
 // Version is the protocol version that this build speaks.
@@ -124,25 +125,27 @@
 	Load       core.Stats
 }
 
-// StatusReply describes one process to operators.
+// StatusReply describes one process to operators, who get it as JSON too.
 type StatusReply struct {
-	Host       string
-	Zone       core.ZoneID
-	Active     bool
-	Term       core.Term
-	LogUp      bool
-	Generation core.Generation
-	Load       core.Stats
-	Workers    []WorkerStatus
-	Peers      []Heartbeat
+	Host       string          `json:"host"`
+	Zone       core.ZoneID     `json:"zone"`
+	Active     bool            `json:"active"`
+	Term       core.Term       `json:"term"`
+	LogUp      bool            `json:"log_up"`
+	Generation core.Generation `json:"generation"`
+	Load       core.Stats      `json:"load"`
+	Workers    []WorkerStatus  `json:"workers"`
+	Peers      []Heartbeat     `json:"peers,omitempty"`
+	// Metrics are the times measured by the process.
+	Metrics []metrics.Row `json:"metrics,omitempty"`
 }
 
 // WorkerStatus describes one worker to operators.
 type WorkerStatus struct {
-	Worker core.WorkerID
-	Rack   core.RackID
-	Health core.WorkerHealth
-	Tasks  int
+	Worker core.WorkerID     `json:"worker"`
+	Rack   core.RackID       `json:"rack"`
+	Health core.WorkerHealth `json:"health"`
+	Tasks  int               `json:"tasks"`
 }
 
 // Config asks for the accepted configuration if it is newer than Have.
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -39,4 +39,4 @@
 	[ "$free" -ge 2 ] && break
 	sleep 0.2
 done
-AGATEWINCH_KEY=example-haneul-key ctl submit "quickstart-$$" --class reconcile --cells 2 --cell-size 8 --cpu 8 --run-seconds 1
+AGATEWINCH_KEY=example-haneul-key ctl submit "quickstart-$$" --class reconcile --cells 2 --cell-size 8 --cpu 8 --run-seconds 1 -o json
