config: a proposal waits until the stream was read to its end once

Cause: TestForcedSetIsTakenOnlyWhereNoneIsInForce failed once in a run of all packages: a proposal made before the first read went out although the log was trimmed, and no reader could judge it.

--- a/internal/config/follow_test.go
+++ b/internal/config/follow_test.go
@@ -77,6 +77,7 @@
 func TestRefusedAppendIsSaidToBeRefused(t *testing.T) {
 	log := fakelog.New()
 	f := run(t, log, time.Hour)
+	eventually(t, "the follower has read the log", f.Ready)
 	log.SetDown(true)
 	_, err := apply(t, f, 0)
 	assert.Assert(t, errkind.Is(err, errkind.LogUnavailable))
--- a/internal/config/reader.go
+++ b/internal/config/reader.go
@@ -44,7 +44,10 @@
 	// anchor is the highest offset from which a reader that knows nothing can start
 	// on a trimmed log, by the records seen.
 	anchor platform.Offset
+	// caught is true when all records up to the end were read and judged.
 	caught bool
+	// scanned is true when the end was reached once, judged or not.
+	scanned bool
 
 	results map[string]Result
 	order   []string
@@ -67,6 +70,7 @@
 	if r.next < p.End {
 		return
 	}
+	r.scanned = true
 	if r.known {
 		r.caught = true
 		return
