config: refuse guarantees that do not fit, with their line; harness: operator_keys

The core's CheckGuarantees replaces the variable that stood in for it. The harness's gates name the operator's key, which the first apply needs.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -14,7 +14,7 @@
 	maxNameLength       = 63
 	maxNumber           = 1 << 30
 	maxWorkers          = 10000
-	maxCellsOfGuarantee = 100000
+	maxCellsOfGuarantee = 10000
 	maxAccelerators     = 64
 )
 
@@ -182,18 +182,27 @@
 	}
 }
 
-// checkGuarantees tells whether all guarantees fit on the workers together. The core
-// sets it; while it does not, every set passes this check.
-var checkGuarantees = func(*core.Config) []error { return nil }
-
+// feasible tells whether all guarantees fit on the workers together.
 func (c *checker) feasible() []*Fault {
 	var faults []*Fault
-	for _, err := range checkGuarantees(c.set.Core(0)) {
-		faults = append(faults, &Fault{Path: "organisations", Reason: err.Error()})
+	for _, err := range core.CheckGuarantees(c.set.Core(0)) {
+		faults = append(faults, &Fault{Path: c.guaranteePath(err.Error()), Reason: err.Error()})
 	}
 	return faults
 }
 
+// guaranteePath finds the guarantee that the core's text begins with.
+func (c *checker) guaranteePath(text string) string {
+	for i, o := range c.set.Organisations {
+		for j, g := range o.Guarantees {
+			if strings.HasPrefix(text, fmt.Sprintf("organisation %s: zone %s:", o.Name, g.Zone)) {
+				return fmt.Sprintf("organisations[%d].guarantees[%d]", i, j)
+			}
+		}
+	}
+	return "organisations"
+}
+
 func (c *checker) name(path, name string, seen map[string]string) {
 	if len(name) > maxNameLength || !namePattern.MatchString(name) {
 		c.fail(path, "%q is not a name: want at most %d of a-z, 0-9, '-' and '.'", name, maxNameLength)
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -101,7 +101,15 @@
 	if !d.broken {
 		c.checkReferences()
 	}
-	for _, f := range c.faults {
+	d.addPlaced(c.faults)
+	if len(d.faults) == 0 {
+		d.addPlaced(c.feasible())
+	}
+}
+
+// addPlaced adds faults of the set with the lines that their paths were read from.
+func (d *decoder) addPlaced(faults []*Fault) {
+	for _, f := range faults {
 		if d.refused[f.Path] {
 			continue
 		}
@@ -110,11 +118,6 @@
 		}
 		d.faults = append(d.faults, f)
 	}
-	if len(d.faults) == 0 {
-		for _, f := range c.feasible() {
-			d.faults = append(d.faults, f)
-		}
-	}
 }
 
 func (d *decoder) readFile(f File) {
--- a/test/harness/cluster.go
+++ b/test/harness/cluster.go
@@ -156,6 +156,7 @@
 func (c *Cluster) writeSettings() {
 	for _, h := range c.Hosts {
 		gate := gateFile{hostFile: c.hostFile(h, h.Gate.Name, h.GateURL[len("http://"):])}
+		gate.OperatorKeys = []string{config.HashKey(operatorKey)}
 		for _, other := range c.Hosts {
 			addr := c.link(h.Gate.Name, other.Scheduler.Name, other.SchedulerAddr)
 			gate.Schedulers = append(gate.Schedulers, schedulerLine{Zone: other.Zone, Addr: addr})
--- a/test/harness/settings.go
+++ b/test/harness/settings.go
@@ -46,6 +46,8 @@
 type gateFile struct {
 	hostFile   `yaml:",inline"`
 	Schedulers []schedulerLine `yaml:"schedulers"`
+	// OperatorKeys are hashes of the keys that may apply the first configuration.
+	OperatorKeys []string `yaml:"operator_keys"`
 }
 
 type schedulerFile struct {
