--- a/cmd/agatewinch-gate/main.go
+++ b/cmd/agatewinch-gate/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -26,6 +27,7 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	readTimeout       = 30 * time.Second
+	dialTimeout       = 2 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 16 << 10
 	// stopTimeout is longer than the longest poll.
@@ -43,10 +45,18 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	peerCerts, err := tlsconfig.New(s.PeerTLS, logger)
+	if err != nil {
+		return trace.Wrap(err)
+	}
 	registry := metrics.New(metrics.SourceGate)
 	registry.Publish(api.VarsName)
 	log := &httpadapter.Log{Base: s.Platform, Client: httpadapter.NewClient(s.PlatformConns)}
-	g := gate.New(s.options(registry), logger, log)
+	opts := s.options(registry)
+	if peerCerts != nil {
+		opts.PeerClient = peerClient(peerCerts)
+	}
+	g := gate.New(opts, logger, log)
 
 	stopping, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -84,6 +94,13 @@
 	return nil
 }
 
+// peerClient dials schedulers with TLS.
+func peerClient(certs *tlsconfig.Source) *http.Client {
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+	certs.Secure(transport)
+	return &http.Client{Transport: transport}
+}
+
 func newServer(h http.Handler, maxConnections int) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
--- a/cmd/agatewinchctl/main.go
+++ b/cmd/agatewinchctl/main.go
@@ -111,9 +111,7 @@
 		return nil, usageError{err}
 	}
 	transport := &http.Transport{DisableKeepAlives: true}
-	if certs != nil {
-		transport.DialTLSContext = certs.Dial
-	}
+	certs.Secure(transport)
 	return &api.Client{Base: a.gate, Key: a.key, HTTP: &http.Client{Timeout: callTimeout, Transport: transport}}, nil
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +40,8 @@
 	Limits       Limits
 	// ConfigSnapshotInterval is config.Follower's SnapshotInterval.
 	ConfigSnapshotInterval time.Duration
+	// PeerClient dials the schedulers; nil dials without TLS.
+	PeerClient *http.Client
 	// Metrics may be nil; nothing is published then.
 	Metrics *metrics.Registry
 }
@@ -76,7 +79,7 @@
 	for _, own := range []bool{true, false} {
 		for _, s := range opts.Schedulers {
 			if (s.Zone == opts.Zone) == own {
-				g.peers = append(g.peers, schedulerPeer{Scheduler: s, client: peer.NewClient(s.Addr)})
+				g.peers = append(g.peers, schedulerPeer{Scheduler: s, client: peer.NewClient(s.Addr, peer.WithHTTPClient(opts.PeerClient))})
 			}
 		}
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,6 +11,8 @@
 	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
 	"go.yaml.in/yaml/v3"
+
+	"agatewinch/internal/tlsconfig"
 )
 
 // ExitInvalid is the exit code for settings that do not pass the checks.
@@ -32,6 +34,8 @@
 	// ConfigSnapshotInterval is how often the configuration in force is appended to the
 	// log again; it must be well under the log's retention.
 	ConfigSnapshotInterval time.Duration `yaml:"config_snapshot_interval" validate:"min=0"`
+	// PeerTLS is for connections between the system's own processes, both ways.
+	PeerTLS tlsconfig.Files `yaml:"peer_tls"`
 }
 
 // Load fills out, a pointer to a settings struct with defaults in it, from the file
--- a/internal/tlsconfig/tlsconfig.go
+++ b/internal/tlsconfig/tlsconfig.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -172,29 +173,69 @@
 	}
 }
 
-// Dial connects to addr with TLS; it fits http.Transport's DialTLSContext. The
-// handshake ends with ctx.
+// Dial connects to addr with TLS. The handshake ends with ctx.
 func (s *Source) Dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	return s.dialOver(ctx, (&net.Dialer{}).DialContext, network, addr)
+}
+
+// dialFunc opens a plain connection.
+type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+func (s *Source) dialOver(ctx context.Context, dial dialFunc, network, addr string) (net.Conn, error) {
 	host, _, err := net.SplitHostPort(addr)
 	if err != nil {
 		return nil, trace.BadParameter("%v", err)
 	}
-	dialer := &tls.Dialer{Config: s.Client(host)}
-	conn, err := dialer.DialContext(ctx, network, addr)
-	return conn, trace.Wrap(err)
+	plain, err := dial(ctx, network, addr)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	conn := tls.Client(plain, s.Client(host))
+	if err := conn.HandshakeContext(ctx); err != nil {
+		_ = plain.Close()
+		return nil, trace.Wrap(err)
+	}
+	return conn, nil
+}
+
+// Secure makes t dial with TLS over its own DialContext, with the files as they are at
+// each dial. It does nothing when s is nil.
+func (s *Source) Secure(t *http.Transport) {
+	if s == nil {
+		return
+	}
+	dial := dialFunc((&net.Dialer{}).DialContext)
+	if t.DialContext != nil {
+		dial = t.DialContext
+	}
+	// The dial function takes precedence; the configuration tells users of t that it
+	// dials with TLS.
+	t.TLSClientConfig = s.Client("")
+	t.DialTLSContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		return s.dialOver(ctx, dial, network, addr)
+	}
+}
+
+// Wrap makes a listener use TLS; a nil s leaves it as it is.
+func (s *Source) Wrap(ln net.Listener) (net.Listener, error) {
+	if s == nil {
+		return ln, nil
+	}
+	if s.files.Cert == "" {
+		return nil, trace.BadParameter("TLS on %s needs a certificate", ln.Addr())
+	}
+	return tls.NewListener(ln, s.Server()), nil
 }
 
 // Listen listens on addr, with TLS when s is not nil.
 func (s *Source) Listen(addr string) (net.Listener, error) {
-	if s != nil && s.files.Cert == "" {
-		return nil, trace.BadParameter("TLS on %s needs a certificate", addr)
-	}
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if s == nil {
-		return ln, nil
+	wrapped, err := s.Wrap(ln)
+	if err != nil {
+		_ = ln.Close()
 	}
-	return tls.NewListener(ln, s.Server()), nil
+	return wrapped, trace.Wrap(err)
 }
--- a/internal/tlsconfig/tlsconfig_test.go
+++ b/internal/tlsconfig/tlsconfig_test.go
@@ -18,8 +18,12 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
+
+	"agatewinch/internal/peer"
+	"agatewinch/internal/wire"
 )
 
 // authority signs certificates for 127.0.0.1.
@@ -89,7 +93,8 @@
 
 // get returns the body and the serial number of the server's certificate.
 func get(addr string, client *Source) (string, int64, error) {
-	transport := &http.Transport{DialTLSContext: client.Dial, DisableKeepAlives: true}
+	transport := &http.Transport{DisableKeepAlives: true}
+	client.Secure(transport)
 	resp, err := (&http.Client{Transport: transport, Timeout: 10 * time.Second}).Get("https://" + addr)
 	if err != nil {
 		return "", 0, err
@@ -156,6 +161,30 @@
 	assert.Equal(t, kept, int64(42), "a broken file must leave the certificate before it in use")
 }
 
+func TestPeersTalkOverMutualTLSOnly(t *testing.T) {
+	ca := newAuthority(t, "ca")
+	dir := t.TempDir()
+	ln, err := newSource(t, ca.write(t, dir, "scheduler", 2)).Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &http.Server{Handler: peer.Serve(func(context.Context, wire.Kind, cbor.RawMessage) (any, error) {
+		return wire.StatusReply{Host: "h"}, nil
+	}), ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { _ = server.Close() })
+
+	transport := &http.Transport{}
+	newSource(t, ca.write(t, dir, "gate", 3)).Secure(transport)
+	secure := peer.NewClient(ln.Addr().String(), peer.WithHTTPClient(&http.Client{Transport: transport}))
+	defer secure.Close()
+	var reply wire.StatusReply
+	assert.NilError(t, secure.Call(context.Background(), wire.KindStatus, wire.Empty{}, &reply))
+	assert.Equal(t, reply.Host, "h")
+
+	plain := peer.NewClient(ln.Addr().String())
+	defer plain.Close()
+	assert.Assert(t, plain.Call(context.Background(), wire.KindStatus, wire.Empty{}, &reply) != nil)
+}
+
 func TestNoFilesMeanNoTLS(t *testing.T) {
 	s, err := New(Files{}, logr.Discard())
 	assert.NilError(t, err)
