--- a/cmd/agatewinch-bench/run.go
+++ b/cmd/agatewinch-bench/run.go
@@ -24,6 +24,7 @@
 	seed     uint64
 	lease    time.Duration
 	json     bool
+	jobs     string
 }
 
 func runCmd() *cobra.Command {
@@ -37,6 +38,7 @@
 	flags.Uint64Var(&o.seed, "seed", 1, "seed of the workload")
 	flags.DurationVar(&o.lease, "lease", 6*time.Second, "the schedulers' lease time")
 	flags.BoolVar(&o.json, "json", false, "print JSON lines")
+	flags.StringVar(&o.jobs, "jobs", "", "also write each job's story as JSON lines to this path with the policy's name behind it")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error { return o.run(cmd.Context()) }
 	return cmd
 }
@@ -132,7 +134,27 @@
 	if err != nil {
 		return bench.Line{}, trace.Wrap(err)
 	}
+	if o.jobs != "" {
+		if err := writeStories(o.jobs+"-"+target.Policy+".jsonl", bench.Stories(results, ledger)); err != nil {
+			return bench.Line{}, trace.Wrap(err)
+		}
+	}
 	line := bench.Measure(w, results, base, ledger, o.lease)
 	line.Policy, line.Scenario, line.Seed, line.Size = target.Policy, s.Name, o.seed, o.size
 	return line, nil
 }
+
+func writeStories(path string, stories []bench.Story) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	defer func() { _ = file.Close() }()
+	enc := json.NewEncoder(file)
+	for _, s := range stories {
+		if err := enc.Encode(s); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return trace.Wrap(file.Close())
+}
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -20,6 +20,10 @@
 	return 1
 }
 
+// urgentQuota is how many accelerators org's urgent work may hold in each zone: what
+// its guarantee has, and as much again.
+func urgentQuota(org string) int { return 2 * acceleratorsPerWorker * guaranteedCells(org) }
+
 // Size describes the machines of a fleet.
 type Size struct {
 	Name   string
@@ -51,7 +55,7 @@
 	}}
 	set.Keys = append(set.Keys, config.Key{Name: "operations", Role: config.RoleOperator, SHA256: config.HashKey(Key(""))})
 	for _, org := range orgs {
-		o := config.Organisation{Name: org, Weight: guaranteedCells(org), Quota: zoneCount * s.WorkersPerZone * 8}
+		o := config.Organisation{Name: org, Weight: guaranteedCells(org), Quota: zoneCount * s.WorkersPerZone * 8, UrgentQuota: urgentQuota(org)}
 		for z := range zoneCount {
 			o.Guarantees = append(o.Guarantees, config.Guarantee{Zone: zoneName(z), Cells: guaranteedCells(org), CellSize: 8})
 		}
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -26,7 +26,7 @@
 			done
 			sleep 3
 			bin/agatewinch-bench run --targets "$dir/targets.yaml" --scenario "$scenario" --seed "$seed" --size "$size" \
-				--policy "${policies// /,}" --json | tee -a "$out/results.jsonl"
+				--policy "${policies// /,}" --jobs "$dir/jobs" --json | tee -a "$out/results.jsonl"
 			cluster_stop
 		done
 	done
