core: lighter classes that keep their progress yield to heavier ones

Cause: during a survey flood gangs of a heavier class waited for whole workers that 4-accelerator surveys held; a class's weight only counted in its caller's share. Change: a job that cannot be placed may clear cells by preempting checkpointed work of a lighter class, when that loses less than the job gains and no other organisation may reclaim the cells.

--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -87,6 +87,7 @@
 	NoteProbed           NoteCode = "worker_probed"
 	NoteGangBroken       NoteCode = "gang_broken"
 	NoteMoved            NoteCode = "task_moved"
+	NoteYielded          NoteCode = "task_yielded"
 	NoteGuaranteeMissed  NoteCode = "guarantee_missed"
 	NoteAdopted          NoteCode = "task_adopted"
 	NoteOrphan           NoteCode = "orphan_stopped"
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -35,8 +35,10 @@
 	live        []*worker
 	accelerated []*worker
 	estimates   map[estimateKey]*estimate
-	out         []Action
-	mutation    mutation
+	// placedByWeight counts the placed jobs by their class's weight.
+	placedByWeight map[int]int
+	out            []Action
+	mutation       mutation
 }
 
 // New returns a core without workers or jobs.
@@ -50,6 +52,8 @@
 		estimates: map[estimateKey]*estimate{},
 		classes:   map[ClassName]Class{},
 		changes:   changes{version: 1},
+
+		placedByWeight: map[int]int{},
 	}
 }
 
--- a/internal/core/order.go
+++ b/internal/core/order.go
@@ -86,7 +86,7 @@
 	}
 	g := j.queued.queue.group
 	g.failedAt, g.overQuota = c.changes.version, false
-	if c.opts.Policy == PolicyGuaranteed && !c.reclaim(now, j) {
+	if c.opts.Policy == PolicyGuaranteed && !c.reclaim(now, j) && !c.yieldTo(now, j) {
 		c.setHead(now, j)
 	}
 	return false
--- a/internal/core/reclaim.go
+++ b/internal/core/reclaim.go
@@ -38,7 +38,7 @@
 	if c.mutation == mutationNoReclaim || j.claim != nil || j.org.guaranteed == 0 || j.Shape.Accelerators() == 0 {
 		return false
 	}
-	chosen := c.chooseCells(now, j)
+	chosen := c.chooseCells(now, j, reclaiming)
 	if chosen == nil {
 		c.noteMissed(j)
 		return false
@@ -69,15 +69,15 @@
 }
 
 // chooseCells returns one cell for each task of j, of least loss, or nil.
-func (c *Core) chooseCells(now Instant, j *job) []candidate {
+func (c *Core) chooseCells(now Instant, j *job, purpose purpose) []candidate {
 	need, per := c.missingParts(j), c.partsPerCell(j.Shape)
-	cl := clearing{core: c, now: now, job: j, size: c.partSize(j.Shape), stopping: map[*job]bool{}, taken: map[*worker]uint64{}, extra: map[*worker]amount{}}
+	cl := clearing{core: c, now: now, job: j, purpose: purpose, size: c.partSize(j.Shape), stopping: map[*job]bool{}, taken: map[*worker]uint64{}, extra: map[*worker]amount{}}
 	if per > 1 {
 		return cl.chooseRacks(need, per)
 	}
 	var chosen []candidate
 	for len(chosen) < need {
-		best := cl.cheapest(j.org.boundWorkers)
+		best := cl.cheapest(cl.workers())
 		if best == nil {
 			return nil
 		}
@@ -87,11 +87,22 @@
 	return chosen
 }
 
+// purpose is why cells are cleared.
+type purpose int
+
+const (
+	// reclaiming clears an organisation's guaranteed cells for its own job.
+	reclaiming purpose = iota
+	// yielding clears cells of lighter work for a job of a heavier class.
+	yielding
+)
+
 // clearing is the choice of the cells for one claim.
 type clearing struct {
 	core     *Core
 	now      Instant
 	job      *job
+	purpose  purpose
 	size     int
 	stopping map[*job]bool
 	taken    map[*worker]uint64
@@ -108,10 +119,26 @@
 	}
 }
 
+// workers returns where the cells may be.
+func (cl *clearing) workers() []*worker {
+	if cl.purpose == yielding {
+		return cl.core.accelerated
+	}
+	return cl.job.org.boundWorkers
+}
+
+// allowed returns the accelerators of w that may be cleared.
+func (cl *clearing) allowed(w *worker) uint64 {
+	if cl.purpose == yielding {
+		return w.all() &^ w.reclaimable(cl.job.org)
+	}
+	return cl.job.org.bound[w.def.ID]
+}
+
 func (cl *clearing) cheapest(workers []*worker) *candidate {
 	var best *candidate
 	for _, w := range workers {
-		own := cl.job.org.bound[w.def.ID]
+		own := cl.allowed(w)
 		if own == 0 || !w.usable() {
 			continue
 		}
@@ -158,7 +185,7 @@
 	}
 	k.victims = append(k.victims, t.job)
 	k.loss += cl.core.loss(cl.now, t.job)
-	if t.job.Org == cl.job.Org {
+	if t.job.Org == cl.job.Org && cl.purpose == reclaiming {
 		k.loss += ownPenalty
 	}
 	return true
@@ -171,6 +198,9 @@
 	if t.detached || v.restoring || !v.stoppable() || !v.evictable() {
 		return false
 	}
+	if cl.purpose == yielding {
+		return cl.mayYield(v)
+	}
 	if v.Org == cl.job.Org {
 		return cl.job.class.Urgent && !v.class.Urgent
 	}
@@ -323,10 +353,22 @@
 		kind = stopPreempt
 	}
 	c.emit(Note{Code: note, Job: v.ID, Org: v.Org, Worker: v.tasks[0].Worker})
-	v.reason = "stopped so that an organisation has its guaranteed cells"
+	v.reason = stopReason(note)
 	c.abort(now, v, kind)
 }
 
+// stopReason explains a stop to the caller of the job that is stopped.
+func stopReason(note NoteCode) string {
+	switch note {
+	case NoteYielded:
+		return "stopped for a job of a heavier class"
+	case NoteMoved:
+		return "stopped to be moved, so that a larger job has whole cells"
+	default:
+		return "stopped so that an organisation has its guaranteed cells"
+	}
+}
+
 // completeClaims places the jobs whose claimed cells are clear.
 func (c *Core) completeClaims(now Instant) {
 	for _, j := range append([]*job(nil), c.claims...) {
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -175,6 +175,7 @@
 	j.holding = n
 	j.charged = n.dominant(c.total) * c.expected(j).Seconds() / float64(j.class.Weight)
 	j.isCharged = true
+	c.placedByWeight[j.class.Weight]++
 	c.addCaller(j.caller, j.charged)
 }
 
@@ -184,6 +185,7 @@
 		return
 	}
 	j.isCharged = false
+	c.placedByWeight[j.class.Weight]--
 	j.org.running.sub(j.holding)
 	if j.class.Urgent {
 		j.org.urgent -= j.holding.accelerators
