--- a/internal/core/reclaim.go
+++ b/internal/core/reclaim.go
@@ -23,7 +23,7 @@
 	if c.mutation == mutationNoReclaim || j.claim != nil || j.org.guaranteed == 0 || j.Shape.Accelerators() == 0 {
 		return false
 	}
-	chosen := c.chooseCells(now, j)
+	chosen := c.chooseCells(now, j, reclaiming)
 	if chosen == nil {
 		c.noteMissed(j)
 		return false
@@ -54,15 +54,15 @@
 }
 
 // chooseCells returns one cell for each task of j, of least loss, or nil.
-func (c *Core) chooseCells(now Instant, j *job) []candidate {
+func (c *Core) chooseCells(now Instant, j *job, purpose purpose) []candidate {
 	need, per := c.missingParts(j), c.partsPerCell(j.Shape)
-	cl := clearing{core: c, now: now, job: j, size: c.partSize(j.Shape), stopping: map[*job]bool{}, taken: map[*worker]uint64{}, extra: map[*worker]amount{}}
+	cl := clearing{core: c, now: now, job: j, purpose: purpose, size: c.partSize(j.Shape), stopping: map[*job]bool{}, taken: map[*worker]uint64{}, extra: map[*worker]amount{}}
 	if per > 1 {
 		return cl.chooseRacks(need, per)
 	}
 	var chosen []candidate
 	for len(chosen) < need {
-		best := cl.cheapest(j.org.boundWorkers)
+		best := cl.cheapest(cl.workers())
 		if best == nil {
 			return nil
 		}
@@ -72,11 +72,22 @@
 	return chosen
 }
 
+// purpose is why cells are cleared.
+type purpose int
+
+const (
+	// reclaiming clears an organisation's guaranteed cells for its own job.
+	reclaiming purpose = iota
+	// yielding clears cells of lighter work for a job of a heavier class.
+	yielding
+)
+
 // clearing is the choice of the cells for one claim.
 type clearing struct {
 	core     *Core
 	now      Instant
 	job      *job
+	purpose  purpose
 	size     int
 	stopping map[*job]bool
 	taken    map[*worker]uint64
@@ -93,10 +104,26 @@
 	}
 }
 
+// workers returns where the cells may be.
+func (cl *clearing) workers() []*worker {
+	if cl.purpose == yielding {
+		return cl.core.accelerated
+	}
+	return cl.job.org.boundWorkers
+}
+
+// allowed returns the accelerators of w that may be cleared.
+func (cl *clearing) allowed(w *worker) uint64 {
+	if cl.purpose == yielding {
+		return w.all() &^ w.reclaimable(cl.job.org)
+	}
+	return cl.job.org.bound[w.def.ID]
+}
+
 func (cl *clearing) cheapest(workers []*worker) *candidate {
 	var best *candidate
 	for _, w := range workers {
-		own := cl.job.org.bound[w.def.ID]
+		own := cl.allowed(w)
 		if own == 0 || !w.usable() {
 			continue
 		}
@@ -143,7 +170,7 @@
 	}
 	k.victims = append(k.victims, t.job)
 	k.loss += cl.core.loss(cl.now, t.job)
-	if t.job.Org == cl.job.Org {
+	if t.job.Org == cl.job.Org && cl.purpose == reclaiming {
 		k.loss += ownPenalty
 	}
 	return true
@@ -156,6 +183,9 @@
 	if t.detached || v.restoring || !v.stoppable() || !v.evictable() {
 		return false
 	}
+	if cl.purpose == yielding {
+		return cl.mayYield(v)
+	}
 	if v.Org == cl.job.Org {
 		return cl.core.urgentNow(cl.job) && !v.class.Urgent
 	}
