--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -73,6 +73,8 @@
 	Code   NoteCode
 	Job    JobID
 	Worker WorkerID
+	// Org is the organisation that the decision concerns, if there is one.
+	Org OrgID
 }
 
 // NoteCode numbers the kinds of decisions reported by Note.
@@ -85,6 +87,7 @@
 	NoteProbed           NoteCode = "worker_probed"
 	NoteGangBroken       NoteCode = "gang_broken"
 	NoteMoved            NoteCode = "task_moved"
+	NoteYielded          NoteCode = "task_yielded"
 	NoteGuaranteeMissed  NoteCode = "guarantee_missed"
 	NoteAdopted          NoteCode = "task_adopted"
 	NoteOrphan           NoteCode = "orphan_stopped"
