election, lease: the active role of a zone and the holder's view of its leases

Cause: every scheduler claimed its zone once at its start, and nothing ever took the role away. Change: claims are renewed in the log; a standby claims the next term when the holder is not heard and its claim has not been renewed by the reader's own monotonic clock; without the log the best ranked live peer takes the role. Terms only grow, also above what workers report. After a pause a holder is not confirmed before it has read the claims again. internal/lease says when a lease is surely held and when it has surely lapsed. Conclusion: unit and property tests with fakes; times over real processes follow with the scheduler.

--- /dev/null
+++ b/internal/election/claims.go
@@ -0,0 +1,180 @@
+// Package election decides which scheduler of an availability zone is active. The role is
+// soft: two active schedulers at once are safe, because workers refuse the lower term and
+// placements of a lower term are void, and merely wasteful.
+package election
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+
+	"agatewinch/internal/core"
+	"agatewinch/internal/platform"
+)
+
+// Claim is a record of the claims stream. A claim of a term counts when the term is above
+// all before it; a repetition by the same holder renews it.
+type Claim struct {
+	Zone core.ZoneID `cbor:"1,keyasint"`
+	Host string      `cbor:"2,keyasint"`
+	// Holder is unique for each process.
+	Holder string    `cbor:"3,keyasint"`
+	Term   core.Term `cbor:"4,keyasint"`
+	// Released is true when the holder gives the role up.
+	Released bool `cbor:"5,keyasint,omitempty"`
+}
+
+const (
+	// claimsTail is how many records from the stream's end a new reader starts at. Live
+	// claims are renewed and so stand there; an older term is learnt from the workers.
+	claimsTail  = 4096
+	claimsLimit = 1000
+)
+
+// claims follows the claims stream for one zone.
+type claims struct {
+	zone core.ZoneID
+	log  platform.Log
+	poll time.Duration
+
+	mu sync.Mutex
+	// newest is the claim that counts and seen the time at which it was last read.
+	newest Claim
+	seen   time.Time
+	next   platform.Offset
+	caught bool
+	// readSent is the time before the last successful read was sent.
+	readSent time.Time
+	changed  chan struct{}
+}
+
+func newClaims(zone core.ZoneID, log platform.Log, poll time.Duration) *claims {
+	return &claims{zone: zone, log: log, poll: poll, changed: make(chan struct{})}
+}
+
+// run reads the stream until ctx ends.
+func (c *claims) run(ctx context.Context) error {
+	located := false
+	for ctx.Err() == nil {
+		var err error
+		if !located {
+			err = c.locate(ctx)
+			located = err == nil
+		}
+		if err == nil {
+			err = c.read(ctx)
+		}
+		var trimmed *platform.TrimmedError
+		if errors.As(err, &trimmed) {
+			c.skipTo(trimmed.Oldest)
+			continue
+		}
+		pause(ctx, c.poll)
+	}
+	return trace.Wrap(ctx.Err())
+}
+
+func (c *claims) locate(ctx context.Context) error {
+	page, err := c.log.Read(ctx, platform.StreamClaims, 0, 1, 0)
+	var trimmed *platform.TrimmedError
+	if errors.As(err, &trimmed) {
+		page, err = c.log.Read(ctx, platform.StreamClaims, trimmed.Oldest, 1, 0)
+	}
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	from := page.Oldest
+	if page.End > from+claimsTail {
+		from = page.End - claimsTail
+	}
+	c.skipTo(from)
+	return nil
+}
+
+func (c *claims) skipTo(from platform.Offset) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next = max(c.next, from)
+}
+
+// read takes in all that the stream holds now.
+func (c *claims) read(ctx context.Context) error {
+	for {
+		sent := time.Now()
+		c.mu.Lock()
+		from := c.next
+		c.mu.Unlock()
+		page, err := c.log.Read(ctx, platform.StreamClaims, from, claimsLimit, 0)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if c.take(page, sent) {
+			return nil
+		}
+	}
+}
+
+// take applies a page and reports whether it reached the stream's end.
+func (c *claims) take(page platform.Page, sent time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range page.Records {
+		var claim Claim
+		if cbor.Unmarshal(r.Data, &claim) == nil && claim.Zone == c.zone {
+			c.apply(claim, time.Now())
+		}
+	}
+	c.next = max(c.next, page.Next)
+	if page.Next < page.End {
+		return false
+	}
+	c.readSent, c.caught = sent, true
+	close(c.changed)
+	c.changed = make(chan struct{})
+	return true
+}
+
+func (c *claims) apply(claim Claim, now time.Time) {
+	renewal := claim.Term == c.newest.Term && claim.Holder == c.newest.Holder
+	if claim.Term > c.newest.Term || renewal {
+		c.newest, c.seen = claim, now
+	}
+}
+
+// claimsView is what the stream shows.
+type claimsView struct {
+	newest Claim
+	seen   time.Time
+	// readSent is zero before the stream was read to its end once.
+	readSent time.Time
+	changed  <-chan struct{}
+}
+
+func (c *claims) view() claimsView {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return claimsView{newest: c.newest, seen: c.seen, readSent: c.readSent, changed: c.changed}
+}
+
+// append writes a claim. It fails when the claim may not be in the stream.
+func (c *claims) append(ctx context.Context, claim Claim) error {
+	data, err := cbor.Marshal(claim)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	_, err = c.log.Append(ctx, platform.StreamClaims, [][]byte{data})
+	return trace.Wrap(err)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/election/decide_test.go
@@ -0,0 +1,83 @@
+package election
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"agatewinch/internal/core"
+	"agatewinch/internal/wire"
+)
+
+var testRules = rules{stale: time.Second, rankDelay: 300 * time.Millisecond, settle: time.Second}
+
+func standby() view {
+	return view{
+		self: "host-2", holder: "host-2.x", ready: true, running: time.Minute, logUp: true,
+		claim: Claim{Host: "host-1", Holder: "host-1.x", Term: 4}, known: 4, claimAge: time.Minute,
+	}
+}
+
+func TestDecide(t *testing.T) {
+	active := wire.Heartbeat{Host: "host-1", Active: true, Term: 4}
+	leaving := wire.Heartbeat{Host: "host-1", Active: true, Leaving: true, Term: 4}
+	better := wire.Heartbeat{Host: "host-0"}
+	cases := []struct {
+		name   string
+		change func(v *view)
+		want   decision
+	}{
+		{"claims when the holder is silent and its claim stale", func(*view) {}, claimInLog},
+		{"waits while the claim is fresh", func(v *view) { v.claimAge = 100 * time.Millisecond }, stay},
+		{"waits while the holder is heard although its claim is stale", func(v *view) { v.peers = []wire.Heartbeat{active} }, stay},
+		{"claims at once when the holder leaves", func(v *view) { v.claimAge, v.peers = 0, []wire.Heartbeat{leaving} }, claimInLog},
+		{"claims at once when the claim is released", func(v *view) { v.claimAge, v.claim.Released = 0, true }, claimInLog},
+		{"lets a better ranked peer go first", func(v *view) { v.claimAge, v.peers = 1100*time.Millisecond, []wire.Heartbeat{better} }, stay},
+		{"goes after a better ranked peer that does nothing", func(v *view) { v.claimAge, v.peers = 1400*time.Millisecond, []wire.Heartbeat{better} }, claimInLog},
+		{"takes the role by rank when the log is away", func(v *view) { v.logUp = false }, takeByRank},
+		{"leaves the role to a better ranked peer when the log is away", func(v *view) { v.logUp, v.peers = false, []wire.Heartbeat{better} }, stay},
+		{"listens first when the log is away", func(v *view) { v.logUp, v.running = false, 0 }, stay},
+		{"does not claim before it is ready", func(v *view) { v.ready = false }, stay},
+		{"does not claim while it stops", func(v *view) { v.stopping = true }, stay},
+		{"keeps the role", func(v *view) { v.holding, v.term = true, 5 }, stay},
+		{"keeps the role while the log is away", func(v *view) { v.holding, v.term, v.logUp = true, 5, false }, stay},
+		{"stands down for a higher term", func(v *view) { v.holding, v.term, v.known = true, 5, 6 }, standDown},
+		{"stands down for another holder of its term", func(v *view) { v.holding, v.term, v.rival = true, 5, true }, standDown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			v := standby()
+			c.change(&v)
+			assert.Equal(t, decide(v, testRules), c.want)
+		})
+	}
+}
+
+// TestAtMostOneOfManyStandbysTakesTheRoleByRank lets all processes of a zone that hear
+// each other decide without the log.
+func TestAtMostOneOfManyStandbysTakesTheRoleByRank(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.SliceOfNDistinct(rapid.StringMatching("host-[a-e]"), 1, 4, rapid.ID).Draw(t, "hosts")
+		leaving := make([]bool, len(hosts))
+		for i := range leaving {
+			leaving[i] = rapid.Bool().Draw(t, "leaving")
+		}
+		took := 0
+		staying := false
+		for i, self := range hosts {
+			v := view{self: self, ready: true, stopping: leaving[i], running: time.Minute, claimAge: time.Minute, known: core.Term(3)}
+			for k, other := range hosts {
+				if k != i {
+					v.peers = append(v.peers, wire.Heartbeat{Host: other, Leaving: leaving[k]})
+				}
+			}
+			staying = staying || !leaving[i]
+			if decide(v, testRules) == takeByRank {
+				took++
+			}
+		}
+		assert.Equal(t, took, map[bool]int{true: 1, false: 0}[staying])
+	})
+}
--- /dev/null
+++ b/internal/election/election_test.go
@@ -0,0 +1,216 @@
+package election
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"agatewinch/internal/core"
+	"agatewinch/internal/platform"
+	"agatewinch/internal/platform/fakelog"
+	"agatewinch/internal/wire"
+)
+
+const zone = core.ZoneID("kr-a")
+
+// network lets elections hear each other's heartbeats, unless cut.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]*node
+	cut   bool
+}
+
+type node struct {
+	*Election
+	net      *network
+	log      *mortalLog
+	stopping bool
+	cancel   context.CancelFunc
+	done     chan struct{}
+
+	mu    sync.Mutex
+	terms []core.Term
+}
+
+func (n *node) LivePeers(core.ZoneID) []wire.Heartbeat {
+	n.net.mu.Lock()
+	defer n.net.mu.Unlock()
+	var out []wire.Heartbeat
+	for host, other := range n.net.nodes {
+		if host == n.opts.Host || n.net.cut {
+			continue
+		}
+		active, term := other.Active()
+		out = append(out, wire.Heartbeat{Host: host, Role: RoleScheduler, Zone: zone, Active: active, Term: term, Leaving: other.stopping})
+	}
+	return out
+}
+
+func (n *node) Activate(_ context.Context, term core.Term) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.terms = append(n.terms, term)
+	return nil
+}
+
+func (n *node) Deactivate(context.Context) {}
+
+func (n *node) Ready() bool { return true }
+
+func (n *node) lastTerm() core.Term {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.terms) == 0 {
+		return 0
+	}
+	return n.terms[len(n.terms)-1]
+}
+
+func (net *network) start(t *testing.T, host string, log platform.Log) *node {
+	t.Helper()
+	opts := Options{
+		Zone: zone, Host: host, Holder: host + ".1", Renew: 20 * time.Millisecond, Poll: 10 * time.Millisecond, Stale: 200 * time.Millisecond,
+		LogAway: 100 * time.Millisecond, RankDelay: 50 * time.Millisecond, Settle: 100 * time.Millisecond,
+	}
+	n := &node{net: net, log: &mortalLog{Log: log}, done: make(chan struct{})}
+	n.Election = New(opts, logr.Discard(), n.log, n, n)
+	ctx, cancel := context.WithCancel(t.Context())
+	n.cancel = cancel
+	net.mu.Lock()
+	net.nodes[host] = n
+	net.mu.Unlock()
+	go func() {
+		defer close(n.done)
+		_ = n.Run(ctx)
+	}()
+	t.Cleanup(n.kill)
+	return n
+}
+
+// mortalLog takes nothing from a process that has died.
+type mortalLog struct {
+	platform.Log
+	dead atomic.Bool
+}
+
+func (l *mortalLog) Append(ctx context.Context, s platform.Stream, data [][]byte) (platform.Offset, error) {
+	if l.dead.Load() {
+		return 0, platform.ErrNotApplied
+	}
+	return l.Log.Append(ctx, s, data)
+}
+
+// kill ends the node and its heartbeats, with no time to give the role up.
+func (n *node) kill() {
+	n.log.dead.Store(true)
+	n.net.mu.Lock()
+	delete(n.net.nodes, n.opts.Host)
+	n.net.mu.Unlock()
+	n.cancel()
+	<-n.done
+}
+
+func waitActive(t *testing.T, n *node, want bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if active, term := n.Active(); active != want {
+			return poll.Continue("active %v, term %d", active, term)
+		}
+		return poll.Success()
+	}, poll.WithDelay(5*time.Millisecond))
+}
+
+func TestStandbyTakesOverWithAHigherTermWhenTheHolderDies(t *testing.T) {
+	log, net := fakelog.New(), &network{nodes: map[string]*node{}}
+	first := net.start(t, "host-1", log)
+	waitActive(t, first, true)
+	second := net.start(t, "host-2", log)
+	first.kill()
+	waitActive(t, second, true)
+	assert.Assert(t, second.lastTerm() > first.lastTerm())
+}
+
+func TestStoppingHolderHandsOverWhileItStillRuns(t *testing.T) {
+	log, net := fakelog.New(), &network{nodes: map[string]*node{}}
+	first := net.start(t, "host-1", log)
+	waitActive(t, first, true)
+	second := net.start(t, "host-2", log)
+	net.mu.Lock()
+	first.stopping = true
+	net.mu.Unlock()
+	first.Stop()
+	waitActive(t, second, true)
+	waitActive(t, first, false)
+}
+
+func TestHolderStandsDownWhenAWorkerKnowsAHigherTermAndGoesAboveIt(t *testing.T) {
+	net := &network{nodes: map[string]*node{}}
+	n := net.start(t, "host-1", fakelog.New())
+	waitActive(t, n, true)
+	n.Observe(40, true)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n.lastTerm() > 40 {
+			return poll.Success()
+		}
+		return poll.Continue("last term %d", n.lastTerm())
+	}, poll.WithDelay(5*time.Millisecond))
+}
+
+func TestRoleIsTakenByRankWhileTheLogIsAway(t *testing.T) {
+	log, net := fakelog.New(), &network{nodes: map[string]*node{}}
+	log.SetDown(true)
+	second := net.start(t, "host-2", log)
+	first := net.start(t, "host-1", log)
+	waitActive(t, first, true)
+	active, _ := second.Active()
+	assert.Assert(t, !active)
+}
+
+func TestTwoHoldersOfACutZoneEndAsOneWhenTheLogIsBack(t *testing.T) {
+	log, net := fakelog.New(), &network{nodes: map[string]*node{}, cut: true}
+	log.SetDown(true)
+	first, second := net.start(t, "host-1", log), net.start(t, "host-2", log)
+	waitActive(t, first, true)
+	waitActive(t, second, true)
+	assert.Equal(t, first.lastTerm(), second.lastTerm())
+	net.mu.Lock()
+	net.cut = false
+	net.mu.Unlock()
+	log.SetDown(false)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		a, ta := first.Active()
+		b, tb := second.Active()
+		if a != b && max(ta, tb) > 1 {
+			return poll.Success()
+		}
+		return poll.Continue("active %v term %d, active %v term %d", a, ta, b, tb)
+	}, poll.WithDelay(5*time.Millisecond))
+}
+
+func TestClaimWhoseAnswerIsLostIsReadBack(t *testing.T) {
+	log, net := fakelog.New(), &network{nodes: map[string]*node{}}
+	log.SetFault(func() fakelog.Fault { return fakelog.AnswerLost })
+	waitActive(t, net.start(t, "host-1", log), true)
+}
+
+func TestPausedHolderIsNotConfirmedBeforeItHasReadTheClaimsAgain(t *testing.T) {
+	log, net := fakelog.New(), &network{nodes: map[string]*node{}}
+	n := net.start(t, "host-1", log)
+	waitActive(t, n, true)
+	n.kill()
+	n.Election.mu.Lock()
+	n.holding, n.resumed = true, time.Now()
+	n.confirmed = n.resumed.Add(-time.Hour)
+	n.Election.mu.Unlock()
+	n.confirm()
+	assert.Assert(t, !n.Confirmed())
+	assert.NilError(t, n.claims.read(t.Context()))
+	n.confirm()
+	assert.Assert(t, n.Confirmed())
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -29,6 +29,10 @@
 	ConfigInForce = Event{2001, "configuration in force", "A new generation of the configuration is in force on this host."}
 
 	SchedulerActive  = Event{3001, "scheduler active", "This host now holds the zone's active role."}
+	RolePaused       = Event{3003, "holder was paused", "The process was stopped for longer than its claim lives; it sends nothing to workers before it has read the claims again."}
+	RoleSuperseded   = Event{3004, "role superseded", "Another process holds the zone's active role, or the role could not be taken up; the higher term goes on."}
+	PlacementVoid    = Event{3005, "placement void", "A placement was refused by the order of the log: another holder's term came first."}
+	OutcomeDropped   = Event{3006, "outcome not recorded", "The buffer of outcomes that wait for the log is full; the job is settled again at the next recovery."}
 	SchedulerStandby = Event{3002, "scheduler standby", "This host gave up the zone's active role."}
 
 	WorkerHealth  = Event{4001, "worker health changed", "A worker became live, leaving, unreachable or gone."}
@@ -44,7 +48,7 @@
 	return []Event{
 		ProcessStarted, ProcessStopping, ProcessStopped, ProcessFailed,
 		ConfigInForce,
-		SchedulerActive, SchedulerStandby,
+		SchedulerActive, SchedulerStandby, RolePaused, RoleSuperseded, PlacementVoid, OutcomeDropped,
 		WorkerHealth, CoreNote, LeaseRefused,
 		LogWriteError, JournalLoaded, JournalGap,
 	}
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,44 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const ttl = 6 * time.Second
+
+func TestLeaseIsHeldFromBeforeItsRenewalWasSent(t *testing.T) {
+	start := time.Now()
+	l := New(ttl, start)
+	assert.Assert(t, !l.Held(start))
+	l.Renewed(start, start.Add(5*time.Second))
+	assert.Assert(t, l.Held(start.Add(5*time.Second)))
+	assert.Assert(t, !l.Held(start.Add(ttl)), "the answer's time must not count")
+}
+
+func TestLapseIsProvenOnlyAfterTheLastCallThatMayHaveArrived(t *testing.T) {
+	start := time.Now()
+	l := New(ttl, start)
+	l.Renewed(start, start)
+	l.Unsure(start.Add(4 * time.Second))
+	assert.Assert(t, !l.Lapsed(start.Add(ttl+time.Second)))
+	assert.Assert(t, !l.Lapsed(start.Add(4*time.Second+ttl)))
+	assert.Assert(t, l.Lapsed(start.Add(4*time.Second+ttl+ttl/marginShare)))
+}
+
+func TestHolderNeverCountsALeaseAsHeldAndLapsedAtOnce(t *testing.T) {
+	start := time.Now()
+	l := New(ttl, start)
+	l.Renewed(start, start.Add(time.Second))
+	for at := time.Duration(0); at < 3*ttl; at += 10 * time.Millisecond {
+		assert.Assert(t, !l.Held(start.Add(at)) || !l.Lapsed(start.Add(at)))
+	}
+}
+
+func TestNewHolderCannotProveTheLapseOfAFormerHoldersLeaseAtOnce(t *testing.T) {
+	start := time.Now()
+	l := New(ttl, start)
+	assert.Assert(t, !l.Lapsed(start.Add(ttl-time.Millisecond)))
+}
