--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -178,7 +178,6 @@
 		if now.Sub(last) > e.opts.Stale {
 			e.notePause(now, now.Sub(last))
 		}
-		last = now
 		e.step(ctx)
 		// Taking the role up or giving it back may take a while; that is no pause.
 		last = time.Now()
@@ -250,16 +249,13 @@
 func (e *Election) schedulers() []wire.Heartbeat {
 	var out []wire.Heartbeat
 	for _, p := range e.peers.LivePeers(e.opts.Zone) {
-		if p.Role == RoleScheduler && p.Host != e.opts.Host {
+		if p.Role == wire.RoleScheduler && p.Host != e.opts.Host {
 			out = append(out, p)
 		}
 	}
 	return out
 }
 
-// RoleScheduler is the Role of a scheduler's heartbeat.
-const RoleScheduler = "scheduler"
-
 // confirm notes that the role is in order, but after a pause only once the claims have
 // been read since, or the log is known to be away.
 func (e *Election) confirm() {
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -47,7 +47,7 @@
 			continue
 		}
 		active, term := other.Active()
-		out = append(out, wire.Heartbeat{Host: host, Role: RoleScheduler, Zone: zone, Active: active, Term: term, Leaving: other.stopping})
+		out = append(out, wire.Heartbeat{Host: host, Role: wire.RoleScheduler, Zone: zone, Active: active, Term: term, Leaving: other.stopping})
 	}
 	return out
 }
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -51,6 +51,9 @@
 type Ended struct {
 	Job     core.JobID   `cbor:"1,keyasint"`
 	Outcome core.Outcome `cbor:"2,keyasint"`
+	// Forget frees the job's ID for another try: the job was refused after its admission
+	// and did not run.
+	Forget bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Expired drops the outcomes that were recorded before an offset.
--- a/internal/journal/state.go
+++ b/internal/journal/state.go
@@ -111,9 +111,13 @@
 	if !current && !reportedByWorkers(r.Ended.Outcome) {
 		return
 	}
+	s.live--
+	if r.Ended.Forget {
+		delete(s.entries, r.Ended.Job)
+		return
+	}
 	outcome := r.Ended.Outcome
 	e.Outcome, e.EndedBy, e.EndedAt = &outcome, r.ID, at
-	s.live--
 }
 
 func reportedByWorkers(o core.Outcome) bool {
@@ -139,7 +143,7 @@
 		return ok && e.PlacedBy == r.ID
 	case r.Ended != nil:
 		e, ok := s.entries[r.Ended.Job]
-		return ok && e.EndedBy == r.ID
+		return ok && e.EndedBy == r.ID || !ok && r.Ended.Forget
 	default:
 		h := s.holders[r.Zone]
 		return h.Holder == r.Holder && h.Term == r.Term
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -6,6 +6,7 @@
 
 	"agatewinch/internal/core"
 	"agatewinch/internal/errkind"
+	"agatewinch/internal/journal"
 	"agatewinch/internal/wire"
 )
 
@@ -14,69 +15,189 @@
 type record struct {
 	job     core.Job
 	digest  uint64
+	zone    core.ZoneID
 	state   core.JobState
 	workers []core.WorkerID
 	outcome *core.Outcome
 	endedAt time.Time
+	// ended is closed when nothing more comes from this process for the job.
 	ended   chan struct{}
 	refusal error
+	// elsewhere is true when this process no longer serves the job.
+	elsewhere bool
+	// unwritten is true while the outcome is not yet in the log.
+	unwritten bool
+}
+
+func newRecord(job core.Job, digest uint64, zone core.ZoneID) *record {
+	return &record{job: job, digest: digest, zone: zone, state: core.Queued, ended: make(chan struct{})}
 }
 
 func (r *record) reply() wire.JobReply {
-	return wire.JobReply{Job: r.job.ID, State: r.state, Workers: r.workers, Outcome: r.outcome}
+	return wire.JobReply{Job: r.job.ID, State: r.state, Workers: r.workers, Outcome: r.outcome, Zone: r.zone, Elsewhere: r.elsewhere}
+}
+
+// anyDigest joins a job whose submission's digest is not known: a running task that was
+// adopted tells its job but not the request.
+const anyDigest = 0
+
+func checkDigest(job core.Job, have, got uint64) error {
+	if have != got && have != anyDigest && got != anyDigest {
+		return errkind.New(errkind.RequestMismatch, "request ID %s was used with another body", job.Request)
+	}
+	return nil
+}
+
+// known returns what this process knows of a job, from its own records or the journal.
+// It runs on the loop.
+func (s *Scheduler) known(id core.JobID) (*record, bool) {
+	if r, ok := s.jobs[id]; ok {
+		return r, true
+	}
+	e, ok := s.journal.Lookup(id)
+	if !ok || s.expected[id] > 0 {
+		return nil, false
+	}
+	return s.fromEntry(e), true
 }
 
-// admit puts a job into the core, or joins the one that is there.
-func (s *Scheduler) admit(ctx context.Context, req wire.Submit) (*record, error) {
-	if r, ok := s.jobs[req.Job.ID]; ok {
-		if r.digest != req.Digest {
-			return nil, errkind.New(errkind.RequestMismatch, "request ID %s was used with another body", req.Job.Request)
+// fromEntry returns the record of a job in the journal that this process does not serve
+// yet. A live job of the own zone is taken up when this process is active.
+func (s *Scheduler) fromEntry(e journal.Entry) *record {
+	if e.Live() && e.Zone == s.opts.Zone && s.act != nil {
+		return s.restore(e)
+	}
+	r := newRecord(e.Job, e.Digest, e.Zone)
+	close(r.ended)
+	if e.Live() {
+		r.elsewhere = true
+		if e.Placed != nil {
+			r.state = core.Placing
 		}
-		return r, nil
+		return r
 	}
-	if !s.active {
-		return nil, errkind.New(errkind.NoScheduler, "this scheduler is not active")
+	r.state, r.outcome = e.Outcome.State, e.Outcome
+	return r
+}
+
+// restore brings a job of the journal into the core.
+func (s *Scheduler) restore(e journal.Entry) *record {
+	job := e.Job
+	job.Logged = true
+	r := newRecord(job, e.Digest, e.Zone)
+	s.jobs[job.ID] = r
+	ev := core.JobRestored{Job: job}
+	if e.Placed != nil {
+		ev.Placed = e.Placed.Placements
 	}
-	r := &record{job: req.Job, digest: req.Digest, state: core.Queued, ended: make(chan struct{})}
-	s.jobs[req.Job.ID] = r
-	s.step(ctx, core.JobSubmitted{Job: req.Job})
+	s.step(s.act, ev)
+	return r
+}
+
+// submit brings a new job into the core.
+func (s *Scheduler) submit(job core.Job, digest uint64) (*record, error) {
+	r := newRecord(job, digest, s.opts.Zone)
+	s.jobs[job.ID] = r
+	s.step(s.act, core.JobSubmitted{Job: job})
 	return r, r.refusal
 }
 
-func (s *Scheduler) refuse(a core.JobRefused) {
+// refused answers a submission that the core did not take. The admission of a logged job
+// is taken back in the log, so that its request ID may be used again.
+func (s *Scheduler) refused(act *activation, a core.JobRefused) {
 	r, ok := s.jobs[a.Job]
-	if !ok {
+	if !ok || r.outcome != nil {
 		return
 	}
-	delete(s.jobs, a.Job)
 	r.refusal = &errkind.Error{Kind: a.Kind, Message: a.Message, RetryAfterSeconds: a.RetryAfterSeconds}
 	close(r.ended)
+	if !r.job.Logged {
+		delete(s.jobs, a.Job)
+		return
+	}
+	outcome := core.Outcome{State: core.Failed, Kind: a.Kind, Ran: errkind.RanNo, Message: a.Message}
+	r.state, r.outcome, r.endedAt = core.Failed, &outcome, time.Now()
+	s.settle(act, r, outcome, true)
 }
 
 func (s *Scheduler) started(a core.JobStarted) {
-	if r, ok := s.jobs[a.Job]; ok {
+	if r, ok := s.jobs[a.Job]; ok && r.outcome == nil {
 		r.state = core.Running
 		r.workers = a.Workers
 	}
 }
 
-func (s *Scheduler) ended(ctx context.Context, a core.JobEnded) {
-	r, ok := s.jobs[a.Job]
-	if !ok || r.outcome != nil {
+func (s *Scheduler) ended(act *activation, id core.JobID, outcome core.Outcome) {
+	r, ok := s.jobs[id]
+	if !ok {
+		// An adopted job whose caller has not come back yet: the answer is kept for it.
+		r = newRecord(core.Job{ID: id}, anyDigest, s.opts.Zone)
+		s.jobs[id] = r
+	}
+	if r.outcome != nil {
 		return
 	}
-	outcome := a.Outcome
 	r.state, r.outcome, r.endedAt = outcome.State, &outcome, time.Now()
 	close(r.ended)
 	if r.job.Logged {
-		go s.recordOutcome(ctx, a.Job, outcome)
+		s.settle(act, r, outcome, false)
+	}
+}
+
+// endedElsewhere takes an outcome that another holder recorded first.
+func (s *Scheduler) endedElsewhere(id core.JobID) {
+	e, known := s.journal.Lookup(id)
+	r, ok := s.jobs[id]
+	if !ok || r.outcome != nil || !known || e.Live() {
+		return
 	}
+	r.state, r.outcome, r.endedAt = e.Outcome.State, e.Outcome, time.Now()
+	close(r.ended)
+	s.step(s.act, core.JobCancelled{Job: id})
 }
 
 func (s *Scheduler) forgetEnded() {
 	for id, r := range s.jobs {
-		if r.outcome != nil && time.Since(r.endedAt) > endedKept {
+		if r.outcome != nil && !r.unwritten && time.Since(r.endedAt) > endedKept {
 			delete(s.jobs, id)
 		}
 	}
 }
+
+// journalChanged follows what other processes write for this zone. It runs on the
+// journal's reading goroutine.
+func (s *Scheduler) journalChanged(c journal.Change) {
+	active, _ := s.election.Active()
+	if !active {
+		return
+	}
+	post := func(f func()) { s.post(context.Background(), f) }
+	r := c.Record
+	if r == nil {
+		post(func() {
+			if s.act != nil {
+				s.reconcile()
+			}
+		})
+		return
+	}
+	if r.Zone != s.opts.Zone {
+		return
+	}
+	other := r.Holder != s.opts.Journal.Writer
+	if other {
+		s.election.Observe(r.Term, true)
+	}
+	switch {
+	case r.Admitted != nil && c.Counts:
+		id := r.Admitted.Job.ID
+		post(func() {
+			if s.act != nil {
+				s.known(id)
+			}
+		})
+	case r.Ended != nil && c.Counts && other:
+		id := r.Ended.Job
+		post(func() { s.endedElsewhere(id) })
+	}
+}
--- /dev/null
+++ b/internal/scheduler/metrics.go
@@ -0,0 +1,63 @@
+package scheduler
+
+import (
+	"expvar"
+	"sync/atomic"
+
+	"agatewinch/internal/core"
+)
+
+// metrics are the counters of one scheduler.
+type metrics struct {
+	// messages and messageBytes count requests from peers by kind.
+	messages     *expvar.Map
+	messageBytes *expvar.Map
+	// workerCalls counts calls to workers by kind.
+	workerCalls     *expvar.Map
+	placementsVoid  atomic.Int64
+	outcomesDropped atomic.Int64
+}
+
+func newMetrics() *metrics {
+	return &metrics{messages: new(expvar.Map).Init(), messageBytes: new(expvar.Map).Init(), workerCalls: new(expvar.Map).Init()}
+}
+
+// Metrics is a summary of a scheduler at one moment.
+type Metrics struct {
+	Active bool       `json:"active"`
+	Term   core.Term  `json:"term"`
+	LogUp  bool       `json:"log_up"`
+	Load   core.Stats `json:"load"`
+	// LogLagRecords is the number of records not yet read and LogLagSeconds the time
+	// since the last read.
+	LogLagRecords   int     `json:"log_lag_records"`
+	LogLagSeconds   float64 `json:"log_lag_seconds"`
+	LiveInLog       int     `json:"live_in_log"`
+	EndedInLog      int     `json:"ended_in_log"`
+	OutcomesWaiting int     `json:"outcomes_waiting"`
+	OutcomesDropped int64   `json:"outcomes_dropped"`
+	PlacementsVoid  int64   `json:"placements_void"`
+	InboxLength     int     `json:"inbox_length"`
+	CallsInProgress int64   `json:"calls_in_progress"`
+}
+
+// Metrics returns the present summary.
+func (s *Scheduler) Metrics() Metrics {
+	active, term := s.election.Active()
+	records, age := s.journal.Lag()
+	live, ended := s.journal.Len()
+	return Metrics{
+		Active: active, Term: term, LogUp: s.election.LogUp(), Load: *s.stats.Load(),
+		LogLagRecords: records, LogLagSeconds: age.Seconds(), LiveInLog: live, EndedInLog: ended,
+		OutcomesWaiting: len(s.outcomes), OutcomesDropped: s.metrics.outcomesDropped.Load(),
+		PlacementsVoid: s.metrics.placementsVoid.Load(), InboxLength: len(s.inbox), CallsInProgress: s.inCalls.Load(),
+	}
+}
+
+// Publish adds the scheduler's metrics to the process's expvar page. It is called once.
+func (s *Scheduler) Publish() {
+	expvar.Publish("scheduler", expvar.Func(func() any { return s.Metrics() }))
+	expvar.Publish("peer_messages", s.metrics.messages)
+	expvar.Publish("peer_message_bytes", s.metrics.messageBytes)
+	expvar.Publish("worker_calls", s.metrics.workerCalls)
+}
--- a/internal/scheduler/serve.go
+++ b/internal/scheduler/serve.go
@@ -17,6 +17,13 @@
 
 // Handle answers one request from a gate or another scheduler.
 func (s *Scheduler) Handle(ctx context.Context, kind wire.Kind, body cbor.RawMessage) (any, error) {
+	s.metrics.messages.Add(string(kind), 1)
+	s.metrics.messageBytes.Add(string(kind), int64(len(body)))
+	if kind == wire.KindHeartbeat {
+		return decodeThen(ctx, body, s.handleHeartbeat)
+	}
+	s.inCalls.Add(1)
+	defer s.inCalls.Add(-1)
 	switch kind {
 	case wire.KindSubmit:
 		return decodeThen(ctx, body, s.handleSubmit)
@@ -30,6 +37,10 @@
 		return decodeThen(ctx, body, s.handleExplain)
 	case wire.KindStatus:
 		return decodeThen(ctx, body, s.handleStatus)
+	case wire.KindConfig:
+		return decodeThen(ctx, body, s.handleConfig)
+	case wire.KindDrain:
+		return decodeThen(ctx, body, s.handleDrain)
 	default:
 		return nil, errkind.New(errkind.InvalidRequest, "unknown message kind %q", kind)
 	}
@@ -37,45 +48,28 @@
 
 func decodeThen[Req, Reply any](ctx context.Context, body cbor.RawMessage, h func(context.Context, Req) (Reply, error)) (any, error) {
 	var req Req
-	if err := cbor.Unmarshal(body, &req); err != nil {
+	if err := wire.DecodeBody(body, &req); err != nil {
 		return nil, errkind.New(errkind.InvalidRequest, "malformed message")
 	}
 	return h(ctx, req)
 }
 
-// ask runs f on the loop and waits for its result.
-func ask[T any](ctx context.Context, s *Scheduler, f func() (T, error)) (T, error) {
-	type result struct {
-		value T
-		err   error
-	}
-	ch := make(chan result, 1)
-	s.post(ctx, func() {
-		v, err := f()
-		ch <- result{v, err}
-	})
-	select {
-	case r := <-ch:
-		return r.value, r.err
-	case <-ctx.Done():
-		var zero T
-		return zero, trace.Wrap(ctx.Err())
-	}
+func (s *Scheduler) handleHeartbeat(_ context.Context, hb wire.Heartbeat) (wire.Heartbeat, error) {
+	return s.peers.HandleHeartbeat(hb), nil
 }
 
-func (s *Scheduler) handleSubmit(ctx context.Context, req wire.Submit) (wire.JobReply, error) {
-	if req.Job.Logged {
-		if err := s.write(ctx, entry{Admitted: &req.Job}); err != nil {
-			return wire.JobReply{}, errkind.New(errkind.LogUnavailable, "the job could not be recorded")
-		}
-	}
-	r, err := ask(ctx, s, func() (*record, error) { return s.admit(context.WithoutCancel(ctx), req) })
-	if err != nil {
-		return wire.JobReply{}, err
+func (s *Scheduler) handleConfig(_ context.Context, req wire.Config) (wire.ConfigReply, error) {
+	cur := s.follow.Current()
+	if cur.Generation <= req.Have {
+		return wire.ConfigReply{Generation: cur.Generation}, nil
 	}
-	return s.await(ctx, r, req.Wait)
+	return wire.ConfigReply{Generation: cur.Generation, Record: cur.Record}, nil
 }
 
+// errNotActive answers a call about a job that this process knows nothing of and may not
+// take: nothing was done.
+func errNotActive() error { return errkind.New(errkind.NoScheduler, "this scheduler is not active") }
+
 func (s *Scheduler) handleWait(ctx context.Context, req wire.Wait) (wire.JobReply, error) {
 	r, err := ask(ctx, s, func() (*record, error) { return s.lookup(req.Job) })
 	if err != nil {
@@ -85,23 +79,34 @@
 }
 
 func (s *Scheduler) lookup(id core.JobID) (*record, error) {
-	r, ok := s.jobs[id]
-	if !ok {
-		return nil, errkind.New(errkind.NotFound, "job %s is not known", id)
+	if r, ok := s.known(id); ok {
+		return r, nil
 	}
-	return r, nil
+	if s.act == nil {
+		return nil, errNotActive()
+	}
+	return nil, errkind.New(errkind.NotFound, "job %s is not known", id)
 }
 
+// await answers when the job has ended, or with its state when the wait is over, when the
+// process stops, or when it no longer serves the job.
 func (s *Scheduler) await(ctx context.Context, r *record, wait time.Duration) (wire.JobReply, error) {
 	timer := time.NewTimer(min(wait, maxWait))
 	defer timer.Stop()
+	stopping := false
 	select {
 	case <-r.ended:
 	case <-timer.C:
+	case <-s.stopping:
+		stopping = true
 	case <-ctx.Done():
 		return wire.JobReply{}, trace.Wrap(ctx.Err())
 	}
-	return ask(ctx, s, func() (wire.JobReply, error) { return r.reply(), r.refusal })
+	return ask(ctx, s, func() (wire.JobReply, error) {
+		reply := r.reply()
+		reply.Elsewhere = r.elsewhere || stopping && r.outcome == nil
+		return reply, r.refusal
+	})
 }
 
 func (s *Scheduler) handleCancel(ctx context.Context, req wire.Cancel) (wire.JobReply, error) {
@@ -110,7 +115,7 @@
 		if err != nil {
 			return wire.JobReply{}, err
 		}
-		s.step(context.WithoutCancel(ctx), core.JobCancelled{Job: req.Job})
+		s.step(s.act, core.JobCancelled{Job: req.Job})
 		return r.reply(), nil
 	})
 }
@@ -132,7 +137,10 @@
 
 func (s *Scheduler) handleExplain(ctx context.Context, req wire.Explain) (core.Explanation, error) {
 	return ask(ctx, s, func() (core.Explanation, error) {
-		ex, ok := s.core.Explain(req.Job)
+		if s.act == nil {
+			return core.Explanation{}, errNotActive()
+		}
+		ex, ok := s.act.core.Explain(req.Job)
 		if !ok {
 			return ex, errkind.New(errkind.NotFound, "job %s is not live", req.Job)
 		}
@@ -141,14 +149,36 @@
 }
 
 func (s *Scheduler) handleStatus(ctx context.Context, _ wire.Empty) (wire.StatusReply, error) {
+	active, term := s.election.Active()
 	return ask(ctx, s, func() (wire.StatusReply, error) {
 		reply := wire.StatusReply{
-			Host: s.opts.Host, Zone: s.opts.Zone, Active: s.active, Term: s.holder.Term,
-			Generation: s.follow.Current().Generation, Load: s.core.Stats(),
+			Host: s.opts.Host, Zone: s.opts.Zone, Active: active, Term: term, LogUp: s.election.LogUp(),
+			Generation: s.follow.Current().Generation, Peers: s.peers.LivePeers(s.opts.Zone),
+		}
+		if s.act == nil {
+			return reply, nil
 		}
-		for id, ses := range s.sessions {
-			reply.Workers = append(reply.Workers, wire.WorkerStatus{Worker: id, Health: ses.health})
+		reply.Load = s.act.core.Stats()
+		for id, ses := range s.act.sessions {
+			reply.Workers = append(reply.Workers, wire.WorkerStatus{Worker: id, Health: ses.told})
 		}
 		return reply, nil
 	})
 }
+
+// handleDrain marks a worker as leaving. The mark lives in this process: a new holder
+// learns of it from the operators again.
+func (s *Scheduler) handleDrain(ctx context.Context, req wire.Drain) (wire.Empty, error) {
+	return ask(ctx, s, func() (wire.Empty, error) {
+		if s.act == nil {
+			return wire.Empty{}, errNotActive()
+		}
+		ses, ok := s.act.sessions[req.Worker]
+		if !ok {
+			return wire.Empty{}, errkind.New(errkind.NotFound, "worker %s is not known", req.Worker)
+		}
+		s.drained[req.Worker] = !req.Undo
+		s.healthChanged(s.act, ses)
+		return wire.Empty{}, nil
+	})
+}
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -3,196 +3,207 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"agatewinch/internal/core"
-	"agatewinch/internal/event"
+	"agatewinch/internal/lease"
 	"agatewinch/internal/platform"
 )
 
 const (
 	opsQueued  = 1024
 	opsPerCall = 64
-	// renewalsPerLease is how often a lease is renewed in its life.
-	renewalsPerLease = 3
-	retryPause       = 200 * time.Millisecond
+	// slowCall is how long a worker may take before nothing new is placed on it.
+	slowCall = time.Second
+	// leasePoll is how often a held-back batch looks at the lease again.
+	leasePoll = 20 * time.Millisecond
 )
 
-// session is the traffic with one worker: a queue of operations, sent in order, and a
-// renewal that waits for reports.
+// session is the traffic with one worker at one address: a queue of operations, sent in
+// order, and a renewal that waits for reports.
 type session struct {
 	worker core.WorkerID
+	// addr is empty while the host list has not named the worker.
 	addr   string
-	ops    chan platform.Op
-	health core.WorkerHealth
+	ops    chan queuedOp
+	lease  *lease.Lease
+	ctx    context.Context
 	cancel context.CancelFunc
+	// list is held while a list of tasks is read, and by each batch, so that the core
+	// sees lists and answers in the order in which the worker made them.
+	list sync.Mutex
+
+	// The fields below belong to the loop.
+	direct        core.WorkerHealth
+	told          core.WorkerHealth
+	listedLeaving bool
 }
 
-func (s *Scheduler) updateSessions(ctx context.Context, hosts []platform.Host) {
-	if !s.active {
-		return
-	}
-	for _, h := range hosts {
-		if h.Kind != platform.BackendHost || h.Zone != s.opts.Zone {
-			continue
-		}
-		id := core.WorkerID(h.ID)
-		if ses, ok := s.sessions[id]; ok && ses.addr == h.Addr {
-			continue
-		}
-		s.openSession(ctx, id, h.Addr)
-	}
+type queuedOp struct {
+	platform.Op
+	at time.Time
 }
 
-func (s *Scheduler) openSession(ctx context.Context, id core.WorkerID, addr string) {
-	if old, ok := s.sessions[id]; ok {
+func (s *Scheduler) openSession(act *activation, id core.WorkerID, addr string) *session {
+	if old, ok := act.sessions[id]; ok {
 		old.cancel()
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	ses := &session{worker: id, addr: addr, ops: make(chan platform.Op, opsQueued), cancel: cancel}
-	s.sessions[id] = ses
-	go s.sendLoop(ctx, ses, s.holder)
-	go s.renewLoop(ctx, ses, s.holder)
+	// A former holder may have renewed the lease until this activation began, and an
+	// answer of the worker may show that it still does; two lives are the bound after
+	// which a worker that was never reached counts as gone.
+	ttl := s.opts.Core.LeaseTTL
+	ses := &session{worker: id, addr: addr, ops: make(chan queuedOp, opsQueued), lease: lease.New(ttl, time.Now().Add(ttl))}
+	ses.ctx, ses.cancel = context.WithCancel(act.ctx)
+	act.sessions[id] = ses
+	go s.sendLoop(act, ses)
+	go s.renewLoop(act, ses)
+	return ses
 }
 
-// send queues an operation; a full queue counts as a refusal, since nothing was sent.
-func (s *Scheduler) send(ctx context.Context, id core.WorkerID, op platform.Op) {
-	ses, ok := s.sessions[id]
-	if ok {
+// send queues an operation. What cannot be queued was not sent.
+func (s *Scheduler) send(act *activation, id core.WorkerID, op platform.Op) {
+	if ses, ok := act.sessions[id]; ok {
 		select {
-		case ses.ops <- op:
+		case ses.ops <- queuedOp{Op: op, at: time.Now()}:
 			return
 		default:
 		}
 	}
-	result := core.CallRefused
-	if op.Kind != platform.OpReserve {
-		result = core.CallUnknown
-	}
-	go s.answered(ctx, id, op, result, platform.OpResult{Reason: core.RefusedThrottled})
+	go s.answered(act, id, op, notSent(op.Kind), platform.OpResult{Reason: core.RefusedThrottled})
 }
 
-func (s *Scheduler) sendLoop(ctx context.Context, ses *session, holder platform.Holder) {
+func (s *Scheduler) sendLoop(act *activation, ses *session) {
 	for {
-		batch := platform.Batch{Holder: holder, TTL: s.opts.Core.LeaseTTL}
 		select {
-		case op := <-ses.ops:
-			batch.Ops = append(batch.Ops, op)
-		case <-ctx.Done():
+		case first := <-ses.ops:
+			if batch := s.collect(act, ses, first); len(batch) > 0 {
+				s.sendBatch(act, ses, batch)
+			}
+		case <-ses.ctx.Done():
+			s.dropQueued(act, ses)
 			return
 		}
-		for len(ses.ops) > 0 && len(batch.Ops) < opsPerCall {
-			batch.Ops = append(batch.Ops, <-ses.ops)
-		}
-		s.sendBatch(ctx, ses, batch)
 	}
 }
 
-func (s *Scheduler) sendBatch(ctx context.Context, ses *session, batch platform.Batch) {
-	results, err := s.backend.Do(ctx, ses.addr, batch)
-	for i, op := range batch.Ops {
-		switch {
-		case errors.Is(err, platform.ErrNotApplied):
-			s.answered(ctx, ses.worker, op, notApplied(op.Kind), platform.OpResult{})
-		case err != nil:
-			s.answered(ctx, ses.worker, op, core.CallUnknown, platform.OpResult{})
-		case results[i].OK:
-			s.answered(ctx, ses.worker, op, core.CallDone, results[i])
+// dropQueued answers what a replaced session did not send.
+func (s *Scheduler) dropQueued(act *activation, ses *session) {
+	for {
+		select {
+		case op := <-ses.ops:
+			s.answered(act, ses.worker, op.Op, notSent(op.Kind), platform.OpResult{Reason: core.RefusedThrottled})
 		default:
-			s.answered(ctx, ses.worker, op, core.CallRefused, results[i])
+			return
 		}
 	}
 }
 
-// notApplied is the result of a call that never reached the worker: a reservation or
-// start did not happen, a stop is still to be done.
-func notApplied(kind platform.OpKind) core.CallResult {
-	if kind == platform.OpReserve || kind == platform.OpStart {
-		return core.CallRefused
+// collect gathers a batch and holds it back until the lease on the worker and the role
+// are surely in order. What waits for longer than a reservation lives is not sent.
+func (s *Scheduler) collect(act *activation, ses *session, first queuedOp) []platform.Op {
+	queue := []queuedOp{first}
+	for !ses.lease.Held(time.Now()) || !s.election.Confirmed() {
+		if time.Since(first.at) > s.opts.Core.ReserveTTL || ses.ctx.Err() != nil {
+			break
+		}
+		pause(ses.ctx, leasePoll)
 	}
-	return core.CallUnknown
-}
-
-func (s *Scheduler) answered(ctx context.Context, id core.WorkerID, op platform.Op, result core.CallResult, r platform.OpResult) {
-	switch op.Kind {
-	case platform.OpReserve:
-		s.feed(ctx, core.ReserveDone{Task: op.Task, Worker: id, Result: result, Reason: r.Reason})
-	case platform.OpStart:
-		s.feed(ctx, core.StartDone{Task: op.Task, Worker: id, Result: result, Reason: r.Reason})
-	default:
-		s.feed(ctx, core.StopDone{Task: op.Task, Worker: id, Result: result, Checkpointed: r.Checkpointed, Lost: r.Lost})
+	for len(ses.ops) > 0 && len(queue) < opsPerCall {
+		queue = append(queue, <-ses.ops)
+	}
+	if ses.ctx.Err() == nil && ses.lease.Held(time.Now()) && s.election.Confirmed() {
+		batch := make([]platform.Op, len(queue))
+		for i, op := range queue {
+			batch[i] = op.Op
+		}
+		return batch
+	}
+	for _, op := range queue {
+		s.answered(act, ses.worker, op.Op, notSent(op.Kind), platform.OpResult{Reason: core.RefusedThrottled})
 	}
+	return nil
 }
 
-func (s *Scheduler) renewLoop(ctx context.Context, ses *session, holder platform.Holder) {
-	ttl := s.opts.Core.LeaseTTL
-	req := platform.RenewRequest{Holder: holder, TTL: ttl, List: true}
-	for ctx.Err() == nil {
-		reply, err := s.backend.Renew(ctx, ses.addr, req)
-		if err != nil {
-			s.setHealth(ctx, ses, core.WorkerUnreachable)
-			pause(ctx, retryPause)
-			continue
+func (s *Scheduler) sendBatch(act *activation, ses *session, ops []platform.Op) {
+	ses.list.Lock()
+	defer ses.list.Unlock()
+	slow := time.AfterFunc(slowCall, func() { s.setDirect(act, ses, core.WorkerUnreachable) })
+	defer slow.Stop()
+	ctx, cancel := context.WithTimeout(ses.ctx, s.opts.Core.ReserveTTL)
+	defer cancel()
+	sent := time.Now()
+	results, err := s.backend.Do(ctx, ses.addr, platform.Batch{Holder: act.holder, TTL: s.opts.Core.LeaseTTL, Ops: ops})
+	s.metrics.workerCalls.Add("do", 1)
+	switch {
+	case err == nil && len(results) == len(ops):
+		s.takeResults(act, ses, ops, results, sent)
+	case errors.Is(err, platform.ErrNotApplied):
+		for _, op := range ops {
+			s.answered(act, ses.worker, op, notSent(op.Kind), platform.OpResult{})
 		}
-		if !reply.OK {
-			event.Info(s.logger, event.LeaseRefused, "worker", ses.worker, "term", reply.Term)
-			pause(ctx, ttl/renewalsPerLease)
-			continue
+	default:
+		ses.lease.Unsure(time.Now())
+		for _, op := range ops {
+			s.answered(act, ses.worker, op, core.CallUnknown, platform.OpResult{})
 		}
-		s.takeReply(ctx, ses, &req, reply)
 	}
 }
 
-func (s *Scheduler) takeReply(ctx context.Context, ses *session, req *platform.RenewRequest, reply platform.RenewReply) {
-	if req.List {
-		s.feed(ctx, tasksFound(ses.worker, reply.Tasks))
-	}
-	for _, r := range reply.Reports {
-		req.After = r.Seq
-		s.feed(ctx, reported(ses.worker, r))
+func (s *Scheduler) takeResults(act *activation, ses *session, ops []platform.Op, results []platform.OpResult, sent time.Time) {
+	renewed := true
+	for i, op := range ops {
+		r := results[i]
+		switch {
+		case r.OK:
+			s.answered(act, ses.worker, op, core.CallDone, r)
+		case r.Reason == core.RefusedLowTerm:
+			renewed = false
+			s.answered(act, ses.worker, op, core.CallUnknown, r)
+		default:
+			if r.Reason == core.RefusedLeaving {
+				s.setDirect(act, ses, core.WorkerLeaving)
+			}
+			s.answered(act, ses.worker, op, refusalResult(op.Kind, r.Reason), r)
+		}
 	}
-	health := core.WorkerLive
-	if reply.Leaving {
-		health = core.WorkerLeaving
+	if renewed {
+		ses.lease.Renewed(sent, time.Now())
+		return
 	}
-	s.setHealth(ctx, ses, health)
-	req.List = false
-	req.Wait = req.TTL / renewalsPerLease
+	// The renewal tells which term the worker knows.
+	s.election.Observe(act.holder.Term, true)
 }
 
-func tasksFound(id core.WorkerID, held []platform.HeldTask) core.TasksFound {
-	found := core.TasksFound{Worker: id}
-	for _, t := range held {
-		found.Tasks = append(found.Tasks, core.FoundTask{Task: t.Task, Cell: t.Cell, Started: t.Started, Job: t.Job})
+// refusalResult is what a worker's refusal proves. Only a worker that does not know the
+// task proves that a stopped task does not run.
+func refusalResult(kind platform.OpKind, reason core.RefusalReason) core.CallResult {
+	if isStop(kind) && reason != core.RefusedUnknown {
+		return core.CallUnknown
 	}
-	return found
+	return core.CallRefused
 }
 
-func reported(id core.WorkerID, r platform.TaskReport) core.Event {
-	switch r.Kind {
-	case platform.ReportEnded:
-		return core.TaskEnded{Task: r.Task, Worker: id, OK: r.OK, Output: r.Output, Ran: r.Ran}
-	case platform.ReportLapsed:
-		return core.TaskLapsed{Task: r.Task, Worker: id, Started: r.Started}
-	default:
-		return core.UsageReported{Task: r.Task, Ran: r.Ran, Lag: r.Lag}
+// notSent is the result of a call that never reached the worker: a reservation or start
+// did not happen, a stop is still to be done.
+func notSent(kind platform.OpKind) core.CallResult {
+	if isStop(kind) {
+		return core.CallUnknown
 	}
+	return core.CallRefused
 }
 
-func (s *Scheduler) setHealth(ctx context.Context, ses *session, health core.WorkerHealth) {
-	s.post(ctx, func() {
-		if ses.health == health {
-			return
-		}
-		ses.health = health
-		event.Info(s.logger, event.WorkerHealth, "worker", ses.worker, "health", health)
-		s.step(ctx, core.WorkerChanged{Worker: ses.worker, Health: health})
-	})
+func isStop(kind platform.OpKind) bool {
+	return kind != platform.OpReserve && kind != platform.OpStart
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
+func (s *Scheduler) answered(act *activation, id core.WorkerID, op platform.Op, result core.CallResult, r platform.OpResult) {
+	switch op.Kind {
+	case platform.OpReserve:
+		s.feed(act, core.ReserveDone{Task: op.Task, Worker: id, Result: result, Reason: r.Reason})
+	case platform.OpStart:
+		s.feed(act, core.StartDone{Task: op.Task, Worker: id, Result: result, Reason: r.Reason})
+	default:
+		s.feed(act, core.StopDone{Task: op.Task, Worker: id, Result: result, Checkpointed: r.Checkpointed, Lost: r.Lost})
 	}
 }
