--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -51,6 +51,7 @@
 		SchedulerActive, SchedulerStandby, RolePaused, RoleSuperseded, PlacementVoid, OutcomeDropped,
 		WorkerHealth, CoreNote, LeaseRefused,
 		LogWriteError, JournalLoaded, JournalGap,
+		PeerLive, PeerSilent, PeerReplaced, PeerForgotten, PeerConfigFailed,
 	}
 }
 
