scheduler: active role, leases, state in the log and recovery

Cause: a scheduler kept its state in memory, claimed its zone once, and nothing was recovered after its death. Outcomes wait for the log in a bounded buffer. A planned stop hands the role over before the process ends. Bytes by purpose at the connections, messages by kind, queue, term and log lag are on /debug/vars. Expected of the core: PlacementRecorded{OK: false} ends an accepted job as log_unavailable, not run; while the log is away it would be better to keep such a job queued. Expected of the gate: on Elsewhere ask the zone's active scheduler again; a standby answers calls on unknown jobs with no_scheduler. Conclusion: fakes at the platform's ports; real processes follow in the fault suite.

--- a/cmd/agatewinch-scheduler/main.go
+++ b/cmd/agatewinch-scheduler/main.go
@@ -2,30 +2,24 @@
 package main
 
 import (
-	"context"
-	"errors"
-	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
-	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
-	"golang.org/x/sync/errgroup"
 
 	"agatewinch/internal/core"
 	"agatewinch/internal/event"
-	"agatewinch/internal/peer"
-	"agatewinch/internal/platform/httpadapter"
-	"agatewinch/internal/scheduler"
+	"agatewinch/internal/journal"
 	"agatewinch/internal/settings"
 )
 
-const readHeaderTimeout = 5 * time.Second
-
 type schedulerSettings struct {
 	settings.Host `yaml:",inline"`
+	// Advertise is the IP and port that peers are told; the listening one when empty.
+	Advertise string `yaml:"advertise" validate:"omitempty,hostname_port"`
+	// Schedulers are known schedulers, of this zone and others; the host list and
+	// heartbeats name further ones.
+	Schedulers []schedulerAddr `yaml:"schedulers" validate:"dive"`
 	// Policy orders and places waiting jobs.
 	Policy string `yaml:"policy" validate:"oneof=fifo guaranteed"`
 	// LeaseTTL is the life of a lease on a worker.
@@ -34,46 +28,40 @@
 	ReserveTTL time.Duration `yaml:"reserve_ttl" validate:"min=100ms"`
 	// MaxQueued bounds waiting jobs for each organisation and class.
 	MaxQueued int `yaml:"max_queued" validate:"min=1"`
-	// PlatformConns bounds connections to each worker and to the platform.
+	// WorkerConns bounds the connections to each worker. A worker's connections are
+	// shared by the schedulers of its zone, with a part spare for a failover.
+	WorkerConns int `yaml:"worker_conns" validate:"min=3"`
+	// PlatformConns bounds the connections to the platform.
 	PlatformConns int `yaml:"platform_conns" validate:"min=3"`
+	// SnapshotInterval is the longest time between snapshots of the state of jobs; it has
+	// to be well below the log's retention.
+	SnapshotInterval time.Duration `yaml:"snapshot_interval" validate:"min=1s"`
+	// EndedKept is how long the outcome of a job stays known after its end.
+	EndedKept time.Duration `yaml:"ended_kept" validate:"min=1s"`
+}
+
+type schedulerAddr struct {
+	Zone string `yaml:"zone" validate:"required"`
+	Addr string `yaml:"addr" validate:"required,hostname_port"`
 }
 
 func main() {
 	s := schedulerSettings{
 		Host:   settings.Host{LogFormat: string(event.FormatJSON)},
 		Policy: string(core.PolicyGuaranteed), LeaseTTL: 6 * time.Second, ReserveTTL: 2 * time.Second,
-		MaxQueued: 10000, PlatformConns: 16,
+		MaxQueued: 10000, WorkerConns: 8, PlatformConns: 16,
+		SnapshotInterval: journal.DefaultSnapshotInterval, EndedKept: journal.DefaultEndedKept,
 	}
 	settings.Main("agatewinch-scheduler", "The scheduler of an availability zone", &s, func(*cobra.Command) error { return run(s) })
 }
 
-func run(s schedulerSettings) error {
-	logger := event.NewLogger(os.Stderr, event.Format(s.LogFormat)).WithValues("host", s.Host.Host, "zone", s.Zone)
-	client := httpadapter.NewClient(s.PlatformConns)
-	zone := core.ZoneID(s.Zone)
-	sched := scheduler.New(scheduler.Options{
-		Host: s.Host.Host, Zone: zone,
-		Core: core.Options{Zone: zone, Policy: core.Policy(s.Policy), LeaseTTL: s.LeaseTTL, ReserveTTL: s.ReserveTTL, MaxQueued: s.MaxQueued},
-	}, logger, &httpadapter.Log{Base: s.Platform, Client: client}, &httpadapter.Hosts{Base: s.Platform, Client: client}, &httpadapter.Backend{Client: client})
+func (s schedulerSettings) advertised() string {
+	if s.Advertise != "" {
+		return s.Advertise
+	}
+	return s.Listen
+}
 
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	group, ctx := errgroup.WithContext(ctx)
-	mux := http.NewServeMux()
-	mux.Handle(peer.Path, peer.Serve(sched.Handle))
-	server := &http.Server{Addr: s.Listen, Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
-	group.Go(func() error { return trace.Wrap(sched.Run(ctx)) })
-	group.Go(func() error {
-		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
-			return trace.Wrap(err)
-		}
-		return nil
-	})
-	group.Go(func() error {
-		<-ctx.Done()
-		event.Info(logger, event.ProcessStopping)
-		return trace.Wrap(server.Close())
-	})
-	event.Info(logger, event.ProcessStarted, "listen", s.Listen, "policy", s.Policy)
-	return trace.Wrap(group.Wait())
+func (s schedulerSettings) logger() (out *os.File, format event.Format) {
+	return os.Stderr, event.Format(s.LogFormat)
 }
--- /dev/null
+++ b/cmd/agatewinch-scheduler/run.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net"
+	"net/http"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+
+	"agatewinch/internal/core"
+	"agatewinch/internal/event"
+	"agatewinch/internal/membership"
+	"agatewinch/internal/peer"
+	"agatewinch/internal/platform/httpadapter"
+	"agatewinch/internal/scheduler"
+	"agatewinch/internal/traffic"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	// stopTimeout bounds a planned stop.
+	stopTimeout = 15 * time.Second
+	// heartbeatInterval and heartbeatTimeout let a standby serve within 2 s of the
+	// holder's death, together with the age at which a claim counts as stale.
+	heartbeatInterval = 300 * time.Millisecond
+	heartbeatTimeout  = time.Second
+	dialTimeout       = time.Second
+	// metricsPath serves the counters of expvar.
+	metricsPath = "/debug/vars"
+)
+
+// process is the scheduler with all that it is connected to.
+type process struct {
+	logger  logr.Logger
+	sched   *scheduler.Scheduler
+	members *membership.Membership
+	peers   *peer.Server
+	server  *http.Server
+	counted *traffic.Counters
+}
+
+func newProcess(s schedulerSettings) *process {
+	out, format := s.logger()
+	p := &process{logger: event.NewLogger(out, format).WithValues("host", s.Host.Host, "zone", s.Zone), counted: traffic.New()}
+	platformClient := p.client(traffic.Platform, s.PlatformConns)
+	hosts := &httpadapter.Hosts{Base: s.Platform, Client: platformClient}
+	zone := core.ZoneID(s.Zone)
+	opts := scheduler.DefaultOptions(s.Host.Host, zone, core.Options{
+		Zone: zone, Policy: core.Policy(s.Policy), LeaseTTL: s.LeaseTTL, ReserveTTL: s.ReserveTTL, MaxQueued: s.MaxQueued,
+	})
+	opts.Addr = s.advertised()
+	opts.Journal.SnapshotInterval, opts.Journal.EndedKept = s.SnapshotInterval, s.EndedKept
+	p.sched = scheduler.New(opts, p.logger, &httpadapter.Log{Base: s.Platform, Client: platformClient}, hosts,
+		&httpadapter.Backend{Client: p.client(traffic.Workers, s.WorkerConns)})
+	memberOpts := membership.Options{
+		Hosts: hosts, Config: p.sched.Config(), Interval: heartbeatInterval, Timeout: heartbeatTimeout, Logger: p.logger,
+		HTTPClient: p.client(traffic.Peers, 0),
+	}
+	for _, a := range s.Schedulers {
+		memberOpts.Seeds = append(memberOpts.Seeds, membership.Seed{Zone: core.ZoneID(a.Zone), Addr: a.Addr})
+	}
+	p.members = membership.New(memberOpts, p.sched.Heartbeat)
+	p.sched.Join(p.members)
+	p.peers = peer.NewServer(p.sched.Handle)
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, p.peers)
+	mux.Handle(metricsPath, expvar.Handler())
+	p.server = &http.Server{Addr: s.Listen, Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	return p
+}
+
+// client returns an HTTP client whose connections are bounded and counted.
+func (p *process) client(purpose traffic.Purpose, perHost int) *http.Client {
+	client := httpadapter.NewClient(perHost)
+	if t, ok := client.Transport.(*http.Transport); ok {
+		t.DialContext = p.counted.Dial(purpose, (&net.Dialer{Timeout: dialTimeout}).DialContext)
+	}
+	return client
+}
+
+func run(s schedulerSettings) error {
+	p := newProcess(s)
+	p.sched.Publish()
+	p.counted.Publish()
+	listener, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	// The work goes on after the signal, until the planned stop is complete.
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return trace.Wrap(p.sched.Run(ctx)) })
+	group.Go(func() error { return ignoreCancel(p.members.Run(ctx)) })
+	group.Go(func() error {
+		if err := p.server.Serve(p.counted.Listen(traffic.Peers, listener)); !errors.Is(err, http.ErrServerClosed) {
+			return trace.Wrap(err)
+		}
+		return nil
+	})
+	group.Go(func() error {
+		defer cancel()
+		select {
+		case <-signals.Done():
+			p.stop()
+		case <-ctx.Done():
+		}
+		return trace.Wrap(p.server.Close())
+	})
+	event.Info(p.logger, event.ProcessStarted, "listen", s.Listen, "policy", s.Policy)
+	err = group.Wait()
+	event.Info(p.logger, event.ProcessStopped)
+	return trace.Wrap(err)
+}
+
+// stop hands the active role over and lets calls in progress end.
+func (p *process) stop() {
+	event.Info(p.logger, event.ProcessStopping)
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	p.sched.Stop(ctx)
+	if err := p.peers.Shutdown(ctx); err != nil {
+		event.Error(p.logger, err, event.ProcessStopping)
+	}
+}
+
+func ignoreCancel(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return trace.Wrap(err)
+}
--- a/internal/journal/write.go
+++ b/internal/journal/write.go
@@ -214,7 +214,9 @@
 		}
 		return nil
 	}
-	event.Error(j.logger, err, event.LogWriteError, "records", len(batch))
+	if ctx.Err() == nil {
+		event.Error(j.logger, err, event.LogWriteError, "records", len(batch))
+	}
 	refused := errors.Is(err, platform.ErrNotApplied)
 	var again []*pending
 	for _, p := range batch {
--- a/internal/scheduler/recording.go
+++ b/internal/scheduler/recording.go
@@ -36,9 +36,11 @@
 // settle queues a job's outcome for the log. It runs on the loop and does not wait.
 func (s *Scheduler) settle(act *activation, r *record, outcome core.Outcome, forget bool) {
 	r.unwritten = true
+	s.unwritten.Add(1)
 	select {
 	case s.outcomes <- settled{job: r.job.ID, outcome: outcome, term: act.holder.Term, forget: forget}:
 	default:
+		s.unwritten.Add(-1)
 		s.metrics.outcomesDropped.Add(1)
 		event.Info(s.logger, event.OutcomeDropped, "job", r.job.ID)
 	}
@@ -63,6 +65,7 @@
 }
 
 func (s *Scheduler) writeOutcome(ctx context.Context, o settled) {
+	defer s.unwritten.Add(-1)
 	wait := &backoff.ExponentialBackOff{
 		InitialInterval: outcomeRetryFirst, MaxInterval: outcomeRetryHigh, Multiplier: 2, RandomizationFactor: 0.5,
 	}
@@ -85,16 +88,15 @@
 	})
 }
 
+// placementTimeout is how long the cells of a job are held for the log to take its
+// placement.
+const placementTimeout = 2 * time.Second
+
 // recordPlacement writes the intent to start a job before anything is sent. Only the
 // placement that the log shows to count may be acted on.
 func (s *Scheduler) recordPlacement(act *activation, a core.RecordPlacement) {
 	done := func(ok bool) { s.feed(act, core.PlacementRecorded{Job: a.Job, Attempt: a.Attempt, OK: ok}) }
-	if !s.election.LogUp() {
-		done(false)
-		return
-	}
-	placed := &journal.Placed{Job: a.Job, Attempt: a.Attempt, Placements: a.Placements}
-	v, err := s.journal.Write(act.ctx, act.holder.Term, journal.Record{Placed: placed})
+	v, err := s.writePlacement(act, a)
 	switch {
 	case errors.Is(err, platform.ErrNotApplied):
 		done(false)
@@ -110,3 +112,18 @@
 		s.election.Observe(max(v.Holder.Term, act.holder.Term+1), true)
 	}
 }
+
+// writePlacement tries until the log has the placement, or has surely refused it for
+// placementTimeout. A placement of unknown fate is never given up.
+func (s *Scheduler) writePlacement(act *activation, a core.RecordPlacement) (journal.Verdict, error) {
+	placed := &journal.Placed{Job: a.Job, Attempt: a.Attempt, Placements: a.Placements}
+	began := time.Now()
+	for {
+		v, err := s.journal.Write(act.ctx, act.holder.Term, journal.Record{Placed: placed})
+		refused := errors.Is(err, platform.ErrNotApplied)
+		if !refused || time.Since(began) > placementTimeout || act.ctx.Err() != nil {
+			return v, trace.Wrap(err)
+		}
+		pause(act.ctx, outcomeRetryFirst)
+	}
+}
--- a/internal/scheduler/role.go
+++ b/internal/scheduler/role.go
@@ -19,14 +19,12 @@
 	// upkeepInterval is how often the journal's snapshots and expiry are looked after.
 	upkeepInterval = 2 * time.Second
 	upkeepTimeout  = 30 * time.Second
-	// handOverTimeout bounds the wait for a standby in a planned stop.
+	// handOverTimeout bounds the wait for a standby in a planned stop, which claims the
+	// role at once when it hears that the holder leaves.
 	handOverTimeout = 3 * time.Second
-	// callsTimeout bounds the wait for calls in progress in a planned stop; their long
-	// polls are answered early.
-	callsTimeout = 5 * time.Second
+	// flushTimeout bounds the wait for outcomes on their way into the log.
+	flushTimeout = 3 * time.Second
 	stopPoll     = 20 * time.Millisecond
-	// replyGrace lets replies of finished calls leave the process.
-	replyGrace = 200 * time.Millisecond
 )
 
 // Ready reports whether this process could take the active role: it has a view of the
@@ -72,6 +70,7 @@
 		holder: platform.Holder{ID: s.opts.Journal.Writer, Term: term},
 	}
 	s.act = act
+	s.serving.Store(true)
 	if cur := s.follow.Current(); cur.Set != nil {
 		s.step(act, core.ConfigChanged{Config: cur.Set.Core(cur.Generation)})
 	}
@@ -87,6 +86,7 @@
 	term := s.act.holder.Term
 	s.act.cancel()
 	s.act = nil
+	s.serving.Store(false)
 	for id, r := range s.jobs {
 		if r.outcome != nil {
 			continue
@@ -112,9 +112,9 @@
 	return n
 }
 
-// Stop ends the service without cutting off a call: nothing new is taken, calls in
-// progress are answered, and the role goes to a standby if there is one. Run's context is
-// cancelled afterwards by the caller.
+// Stop begins a planned stop: nothing new is taken, long polls are answered early, and the
+// role goes to a standby if there is one. The caller then lets calls in progress end and
+// cancels Run's context.
 func (s *Scheduler) Stop(ctx context.Context) {
 	s.stopOnce.Do(func() { close(s.stopping) })
 	s.election.Stop()
@@ -122,10 +122,7 @@
 		active, _ := s.election.Active()
 		return !active || !s.hasStandby()
 	})
-	s.waitUntil(ctx, callsTimeout, func() bool { return s.inCalls.Load() == 0 })
-	wait, cancel := context.WithTimeout(ctx, replyGrace)
-	defer cancel()
-	<-wait.Done()
+	s.waitUntil(ctx, flushTimeout, func() bool { return s.unwritten.Load() == 0 || !s.election.LogUp() })
 }
 
 func (s *Scheduler) hasStandby() bool {
@@ -156,9 +153,9 @@
 
 // Heartbeat describes this process to its peers.
 func (s *Scheduler) Heartbeat() wire.Heartbeat {
-	active, term := s.election.Active()
+	_, term := s.election.Active()
 	return wire.Heartbeat{
-		Host: s.opts.Host, Role: wire.RoleScheduler, Zone: s.opts.Zone, Addr: s.opts.Addr, Active: active, Term: term,
+		Host: s.opts.Host, Role: wire.RoleScheduler, Zone: s.opts.Zone, Addr: s.opts.Addr, Active: s.serving.Load(), Term: term,
 		Leaving: s.isStopping(), Generation: s.follow.Current().Generation, Load: *s.stats.Load(),
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -86,6 +86,10 @@
 	stopping chan struct{}
 	stopOnce sync.Once
 	inCalls  atomic.Int64
+	// serving is true while an activation's core takes jobs.
+	serving atomic.Bool
+	// unwritten counts the outcomes on their way into the log.
+	unwritten atomic.Int64
 
 	// The fields below belong to the loop.
 	act  *activation
@@ -125,7 +129,7 @@
 // alone is the membership of a process without peers.
 type alone struct{}
 
-func (alone) LivePeers(core.ZoneID) []wire.Heartbeat                 { return nil }
+func (alone) LivePeers(core.ZoneID) []wire.Heartbeat               { return nil }
 func (alone) HandleHeartbeat(wire.Heartbeat) (none wire.Heartbeat) { return none }
 
 // peersOf reads the scheduler's peers when they are needed, since they are set late.
--- a/internal/scheduler/serve.go
+++ b/internal/scheduler/serve.go
@@ -149,10 +149,10 @@
 }
 
 func (s *Scheduler) handleStatus(ctx context.Context, _ wire.Empty) (wire.StatusReply, error) {
-	active, term := s.election.Active()
+	_, term := s.election.Active()
 	return ask(ctx, s, func() (wire.StatusReply, error) {
 		reply := wire.StatusReply{
-			Host: s.opts.Host, Zone: s.opts.Zone, Active: active, Term: term, LogUp: s.election.LogUp(),
+			Host: s.opts.Host, Zone: s.opts.Zone, Active: s.act != nil, Term: term, LogUp: s.election.LogUp(),
 			Generation: s.follow.Current().Generation, Peers: s.peers.LivePeers(s.opts.Zone),
 		}
 		if s.act == nil {
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -8,7 +8,6 @@
 
 	"github.com/gravitational/trace"
 
-	"agatewinch/internal/core"
 	"agatewinch/internal/errkind"
 	"agatewinch/internal/journal"
 	"agatewinch/internal/platform"
