--- a/internal/core/fake_test.go
+++ b/internal/core/fake_test.go
@@ -5,7 +5,6 @@
 	"reflect"
 	"time"
 
-	"agatewinch/internal/core/cell"
 	"agatewinch/internal/errkind"
 )
 
@@ -69,10 +68,17 @@
 	cfg     *Config
 	// newHolder is true when earlier holders may have left tasks behind.
 	newHolder bool
+	// since is the first step of the present holder.
+	since int
+	// placed is the last placement of each job that the log holds.
+	placed map[JobID][]Placement
+	// configured is when the configuration last changed; what was placed before keeps
+	// the places that were allowed then.
+	configured Instant
 }
 
 func newFake(t reporter, opts Options, cfg *Config, m mutation) *fake {
-	f := &fake{t: t, core: New(opts), workers: map[WorkerID]*fakeWorker{}, jobs: map[JobID]*truth{}, cfg: cfg}
+	f := &fake{t: t, core: New(opts), workers: map[WorkerID]*fakeWorker{}, jobs: map[JobID]*truth{}, cfg: cfg, placed: map[JobID][]Placement{}}
 	f.core.mutation = m
 	f.step(ConfigChanged{Config: cfg})
 	for _, w := range cfg.Workers {
@@ -97,6 +103,7 @@
 func (f *fake) take(action Action) {
 	switch a := action.(type) {
 	case RecordPlacement:
+		f.placed[a.Job] = a.Placements
 		f.answers = append(f.answers, PlacementRecorded{Job: a.Job, Attempt: a.Attempt, OK: true})
 	case Reserve:
 		f.call(a.Placement.Worker, a)
@@ -158,6 +165,26 @@
 	}
 }
 
+// drop loses the worker's next call: it never takes effect, and the result is unknown.
+func (f *fake) drop(w *fakeWorker) {
+	if len(w.calls) == 0 {
+		return
+	}
+	c := w.calls[0]
+	w.calls = w.calls[1:]
+	if !c.answered {
+		f.answers = append(f.answers, unknown(answerTo(c.action, CallUnknown)))
+	}
+}
+
+// repeatLate feeds a worker's answer of an earlier step once more.
+func (f *fake) repeatLate(i int) {
+	switch ev := f.history[i].event.(type) {
+	case ReserveDone, StartDone, StopDone, TaskEnded, TaskLapsed, PlacementRecorded:
+		f.step(ev)
+	}
+}
+
 func answerTo(action Action, r CallResult) Event {
 	switch a := action.(type) {
 	case Reserve:
@@ -364,7 +391,7 @@
 func (f *fake) checkQuotas() {
 	used := map[OrgID]int{}
 	for _, j := range f.core.jobs {
-		if j.state == Placing || j.state == Running {
+		if (j.state == Placing || j.state == Running) && j.placedAt >= f.configured {
 			used[j.Org] += j.Shape.Accelerators()
 		}
 	}
@@ -381,7 +408,7 @@
 	for _, b := range bindHomes(f.core.cfg, f.core.opts.Zone) {
 		for _, p := range b.parts {
 			for _, t := range f.core.workers[p.worker].held {
-				if uint64(t.Cell)&p.cell != 0 && t.job.Org != b.org && !t.job.Idempotent && !t.job.class.Checkpoint {
+				if uint64(t.Cell)&p.cell != 0 && t.job.Org != b.org && t.job.placedAt >= f.configured && !t.job.Idempotent && !t.job.class.Checkpoint {
 					f.t.Fatalf("guarantee: %s cannot be stopped and holds a cell of %s on %s", t.job.ID, b.org, p.worker)
 				}
 			}
@@ -391,10 +418,7 @@
 
 // heal delivers everything and lets all tasks end until nothing is left to do.
 func (f *fake) heal() {
-	for _, id := range f.order {
-		f.workers[id].health = WorkerLive
-		f.step(WorkerChanged{Worker: id, Health: WorkerLive})
-	}
+	f.reviveAll()
 	for range 400 {
 		f.drain(true)
 		f.now = f.now.Add(2 * time.Second)
@@ -409,6 +433,13 @@
 	}
 }
 
+func (f *fake) reviveAll() {
+	for _, id := range f.order {
+		f.workers[id].health = WorkerLive
+		f.step(WorkerChanged{Worker: id, Health: WorkerLive})
+	}
+}
+
 // drain delivers every call and answer; with end, running tasks end well.
 func (f *fake) drain(end bool) {
 	for range 200 {
@@ -450,7 +481,7 @@
 func (f *fake) checkReplay() {
 	again := New(f.core.opts)
 	again.mutation = f.core.mutation
-	for i, s := range f.history {
+	for i, s := range f.history[f.since:] {
 		if out := again.Step(s.at, s.event); !reflect.DeepEqual(out, s.actions) {
 			f.t.Fatalf("replay differs at step %d (%T):\n%v\n%v", i, s.event, s.actions, out)
 		}
@@ -464,12 +495,3 @@
 		}
 	}
 }
-
-// freeOn counts free accelerators of the fake workers.
-func (w *fakeWorker) freeOn(width int) int {
-	m := cell.Mask(0, width)
-	for _, t := range w.tasks {
-		m &^= uint64(t.cell)
-	}
-	return cell.Count(m)
-}
--- a/internal/core/property_test.go
+++ b/internal/core/property_test.go
@@ -65,7 +65,7 @@
 // drive applies one random action to the fake.
 func (f *fake) drive(t *rapid.T) {
 	w := f.workers[rapid.SampledFrom(f.order).Draw(t, "worker")]
-	switch rapid.IntRange(0, 15).Draw(t, "action") {
+	switch rapid.IntRange(0, 17).Draw(t, "action") {
 	case 0, 1, 2:
 		j := drawJob.Draw(t, "job")
 		j.ID = JobID(fmt.Sprintf("j%d", len(f.ids)))
@@ -88,6 +88,10 @@
 		}
 	case 12:
 		f.stall(w)
+	case 16:
+		f.drop(w)
+	case 17:
+		f.repeatLate(rapid.IntRange(0, len(f.history)-1).Draw(t, "late"))
 	case 13:
 		f.changeHealth(t, w)
 	case 14:
@@ -113,11 +117,68 @@
 // TestRandomEventsKeepEveryInvariant drives the core with random arrivals, failures,
 // lapses, late and doubled answers, and cancellations.
 func TestRandomEventsKeepEveryInvariant(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) { runRandom(rt, mutationNone) })
+	rapid.Check(t, func(rt *rapid.T) { runRandom(rt, rt, mutationNone) })
 }
 
-func runRandom(rt *rapid.T, m mutation) {
-	f := newFake(rt, smallOptions(), smallConfig(), m)
+// variants are configurations that differ in guarantees, quotas and workers.
+func variants() []*Config {
+	shifted, smaller := smallConfig(), smallConfig()
+	shifted.Organisations[0].Guarantees[0].Cells = 1
+	shifted.Organisations[2].Guarantees = []Guarantee{{Zone: "a", Cells: 1, CellSize: 16}}
+	smaller.Workers = smaller.Workers[:4]
+	smaller.Organisations[1].Quota = 12
+	return []*Config{smallConfig(), shifted, smaller}
+}
+
+// changeConfig puts another configuration in force.
+func (f *fake) changeConfig(t *rapid.T) {
+	next := *rapid.SampledFrom(variants()).Draw(t, "configuration")
+	next.Generation = f.cfg.Generation + 1
+	f.cfg = &next
+	f.now = f.now.Add(time.Millisecond)
+	f.configured = f.now
+	f.step(ConfigChanged{Config: f.cfg})
+}
+
+// TestConfigurationChangesKeepEveryInvariant puts other configurations in force
+// between random events.
+func TestConfigurationChangesKeepEveryInvariant(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFake(rt, smallOptions(), smallConfig(), mutationNone)
+		for range rapid.IntRange(1, 4).Draw(rt, "changes") {
+			for range rapid.IntRange(5, 40).Draw(rt, "steps") {
+				f.drive(rt)
+			}
+			f.changeConfig(rt)
+		}
+		f.heal()
+		f.checkAllEnded()
+		f.checkReplay()
+	})
+}
+
+// TestFirstComeFirstServedKeepsItsPromises drives the baseline policy, which has no
+// guarantees to keep, with the same random events.
+func TestFirstComeFirstServedKeepsItsPromises(t *testing.T) {
+	opts := smallOptions()
+	opts.Policy = PolicyFIFO
+	cfg := smallConfig()
+	for i := range cfg.Organisations {
+		cfg.Organisations[i].Guarantees = nil
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFake(rt, opts, cfg, mutationNone)
+		for range rapid.IntRange(5, 100).Draw(rt, "steps") {
+			f.drive(rt)
+		}
+		f.heal()
+		f.checkAllEnded()
+		f.checkReplay()
+	})
+}
+
+func runRandom(rt *rapid.T, report reporter, m mutation) {
+	f := newFake(report, smallOptions(), smallConfig(), m)
 	for range rapid.IntRange(10, 150).Draw(rt, "steps") {
 		f.drive(rt)
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -26,18 +26,21 @@
 	ProcessStopped  = Event{1003, "process stopped", "A planned stop is complete."}
 	ProcessFailed   = Event{1004, "process failed", "A process could not go on; the error is shown."}
 
-	ConfigInForce = Event{2001, "configuration in force", "A new generation of the configuration is in force on this host."}
+	ConfigInForce    = Event{2001, "configuration in force", "A new generation of the configuration is in force on this host."}
+	ConfigUnreadable = Event{2002, "configuration unreadable", "A generation was accepted that this build cannot use. The host keeps the one before it and is not ready: bring it to the newest build, or apply a set that it can read."}
+	TLSReloadFailed  = Event{2003, "certificate not reloaded", "A changed certificate, key or authority file could not be read; the ones read before stay in use."}
 
 	SchedulerActive  = Event{3001, "scheduler active", "This host now holds the zone's active role."}
+	SchedulerStandby = Event{3002, "scheduler standby", "This host gave up the zone's active role."}
 	RolePaused       = Event{3003, "holder was paused", "The process was stopped for longer than its claim lives; it sends nothing to workers before it has read the claims again."}
 	RoleSuperseded   = Event{3004, "role superseded", "Another process holds the zone's active role, or the role could not be taken up; the higher term goes on."}
 	PlacementVoid    = Event{3005, "placement void", "A placement was refused by the order of the log: another holder's term came first."}
 	OutcomeDropped   = Event{3006, "outcome not recorded", "The buffer of outcomes that wait for the log is full; the job is settled again at the next recovery."}
-	SchedulerStandby = Event{3002, "scheduler standby", "This host gave up the zone's active role."}
 
-	WorkerHealth  = Event{4001, "worker health changed", "A worker became live, leaving, unreachable or gone."}
-	CoreNote      = Event{4002, "scheduling decision", "The core reports a decision; the code says which."}
-	LeaseRefused  = Event{4003, "lease refused", "A worker knows a higher term or another holder."}
+	WorkerHealth = Event{4001, "worker health changed", "A worker became live, leaving, unreachable or gone."}
+	CoreNote     = Event{4002, "scheduling decision", "The core reports a decision; the code says which."}
+	LeaseRefused = Event{4003, "lease refused", "A worker knows a higher term or another holder."}
+
 	LogWriteError = Event{5001, "log write failed", "The platform's log refused or lost an append."}
 	JournalLoaded = Event{5002, "journal loaded", "The state of jobs was read from the newest snapshot and the records after it."}
 	JournalGap    = Event{5003, "journal gap", "Retention dropped records that no snapshot holds: jobs of that time may be missing. Raise the log's retention or lower snapshot_interval."}
@@ -47,7 +50,7 @@
 func Catalogue() []Event {
 	return []Event{
 		ProcessStarted, ProcessStopping, ProcessStopped, ProcessFailed,
-		ConfigInForce,
+		ConfigInForce, ConfigUnreadable, TLSReloadFailed,
 		SchedulerActive, SchedulerStandby, RolePaused, RoleSuperseded, PlacementVoid, OutcomeDropped,
 		WorkerHealth, CoreNote, LeaseRefused,
 		LogWriteError, JournalLoaded, JournalGap,
