election: test that the holder of two is the one whose claim stands

Cause: the test asked for a term above 1, but of two holders of one term the one whose claim came first may keep it. Change: it asks that exactly one is active and that the newest claim, the same for both readers, is its own, which is stricter about who.

--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -186,10 +186,11 @@
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		a, ta := first.Active()
 		b, tb := second.Active()
-		if a != b && max(ta, tb) > 1 {
+		newest := first.claims.view().newest
+		if a != b && newest == second.claims.view().newest && (a && newest.Holder == first.opts.Holder || b && newest.Holder == second.opts.Holder) {
 			return poll.Success()
 		}
-		return poll.Continue("active %v term %d, active %v term %d", a, ta, b, tb)
+		return poll.Continue("active %v term %d, active %v term %d, newest claim %+v", a, ta, b, tb, newest)
 	}, poll.WithDelay(5*time.Millisecond))
 }
 
