gate: find schedulers by membership and forward by routing

Cause: the gate knew a fixed list of schedulers and its own simple loop over it. Change: the gate is a member (role gate), its forwarding is the router's, its fan-outs go to all schedulers that membership knows. A contact that answers is preferred to the address that a peer names. peer_listen, empty by default, is a listener of its own for heartbeats and configurations, so that callers never reach the peers' interface. The fake scheduler of the gate's tests answers heartbeats, as real ones now do. Run: go test -race ./internal/gate ./internal/membership ./internal/routing, pass; make quickstart prints the gang's answer.

--- a/cmd/agatewinch-gate/main.go
+++ b/cmd/agatewinch-gate/main.go
@@ -19,6 +19,7 @@
 	"agatewinch/internal/event"
 	"agatewinch/internal/gate"
 	"agatewinch/internal/metrics"
+	"agatewinch/internal/peer"
 	"agatewinch/internal/platform/httpadapter"
 	"agatewinch/internal/settings"
 	"agatewinch/internal/tlsconfig"
@@ -32,6 +33,8 @@
 	maxHeaderBytes    = 16 << 10
 	// stopTimeout is longer than the longest poll.
 	stopTimeout = (api.MaxWaitSeconds + 5) * time.Second
+	// peerStopTimeout bounds the orderly end of peers' connections.
+	peerStopTimeout = time.Second
 )
 
 func main() {
@@ -51,10 +54,12 @@
 	}
 	registry := metrics.New(metrics.SourceGate)
 	registry.Publish(api.VarsName)
-	log := &httpadapter.Log{Base: s.Platform, Client: httpadapter.NewClient(s.PlatformConns)}
+	platformClient := httpadapter.NewClient(s.PlatformConns)
+	log := &httpadapter.Log{Base: s.Platform, Client: platformClient}
 	opts := s.options(registry)
+	opts.Peers.Hosts = &httpadapter.Hosts{Base: s.Platform, Client: platformClient}
 	if peerCerts != nil {
-		opts.PeerClient = peerClient(peerCerts)
+		opts.Peers.Client = peerClient(peerCerts)
 	}
 	g := gate.New(opts, logger, log)
 
@@ -75,6 +80,9 @@
 		}
 		return nil
 	})
+	if s.PeerListen != "" {
+		group.Go(func() error { return servePeers(running, g, peerCerts, s.PeerListen) })
+	}
 	group.Go(func() error {
 		defer finish()
 		select {
@@ -94,6 +102,30 @@
 	return nil
 }
 
+// servePeers answers peers, on a listener of their own so that callers never reach it,
+// until ctx ends.
+func servePeers(ctx context.Context, g *gate.Gate, certs *tlsconfig.Source, addr string) error {
+	listener, err := certs.Listen(addr)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	peers := peer.NewServer(g.HandlePeer)
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, peers)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	stop := context.AfterFunc(ctx, func() {
+		closing, cancel := context.WithTimeout(context.Background(), peerStopTimeout)
+		defer cancel()
+		_ = peers.Shutdown(closing)
+		_ = server.Close()
+	})
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return trace.Wrap(err)
+	}
+	return nil
+}
+
 // peerClient dials schedulers with TLS.
 func peerClient(certs *tlsconfig.Source) *http.Client {
 	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
--- a/cmd/agatewinch-gate/settings.go
+++ b/cmd/agatewinch-gate/settings.go
@@ -6,6 +6,7 @@
 	"agatewinch/internal/core"
 	"agatewinch/internal/event"
 	"agatewinch/internal/gate"
+	"agatewinch/internal/membership"
 	"agatewinch/internal/metrics"
 	"agatewinch/internal/settings"
 	"agatewinch/internal/tlsconfig"
@@ -18,8 +19,15 @@
 
 type gateSettings struct {
 	settings.Host `yaml:",inline"`
-	// Schedulers are the schedulers of all zones.
+	// Schedulers are addresses of schedulers; the platform's host list and heartbeats
+	// add to them.
 	Schedulers []schedulerAddr `yaml:"schedulers" validate:"required,dive"`
+	// PeerListen is the IP and port for peers; empty serves none.
+	PeerListen string `yaml:"peer_listen" validate:"omitempty,ip_port"`
+	// HeartbeatInterval lies between heartbeats within a zone; to others, and from
+	// gates, they are fewer. HeartbeatTimeout is how long a silent peer counts as live.
+	HeartbeatInterval time.Duration `yaml:"heartbeat_interval" validate:"min=10ms,max=1m"`
+	HeartbeatTimeout  time.Duration `yaml:"heartbeat_timeout" validate:"gtfield=HeartbeatInterval"`
 	// PlatformConns bounds connections to the platform.
 	PlatformConns int `yaml:"platform_conns" validate:"min=3"`
 	// OperatorKeys are hashes of the keys that may apply the first configuration.
@@ -46,7 +54,8 @@
 func defaultSettings() gateSettings {
 	limits := gate.DefaultLimits
 	return gateSettings{
-		Host: settings.Host{LogFormat: string(event.FormatJSON)}, PlatformConns: defaultPlatformConns, DrainGrace: defaultDrainGrace,
+		Host: settings.Host{LogFormat: string(event.FormatJSON)}, PlatformConns: defaultPlatformConns,
+		HeartbeatInterval: membership.DefaultInterval, HeartbeatTimeout: membership.DefaultTimeout, DrainGrace: defaultDrainGrace,
 		MaxRequests: limits.Requests, MaxOperatorRequests: limits.OperatorRequests, MaxConnections: limits.Connections,
 		RequestRate: limits.RequestRate, RequestBurst: limits.RequestBurst,
 	}
@@ -61,8 +70,9 @@
 			RequestRate: s.RequestRate, RequestBurst: s.RequestBurst,
 		},
 	}
+	opts.Peers.Interval, opts.Peers.Timeout, opts.Peers.Addr = s.HeartbeatInterval, s.HeartbeatTimeout, s.PeerListen
 	for _, a := range s.Schedulers {
-		opts.Schedulers = append(opts.Schedulers, gate.Scheduler{Zone: core.ZoneID(a.Zone), Addr: a.Addr})
+		opts.Peers.Schedulers = append(opts.Peers.Schedulers, membership.Seed{Zone: core.ZoneID(a.Zone), Addr: a.Addr})
 	}
 	return opts
 }
--- a/internal/gate/fanout.go
+++ b/internal/gate/fanout.go
@@ -16,12 +16,12 @@
 func fanOut[Reply any](ctx context.Context, g *Gate, kind wire.Kind, body any) (replies []Reply, unreachable []string) {
 	ctx, cancel := context.WithTimeout(ctx, fanOutTimeout)
 	defer cancel()
-	peers := g.peers
+	peers := g.members.Schedulers()
 	results := make([]Reply, len(peers))
 	errs := make([]error, len(peers))
 	var calls sync.WaitGroup
 	for i, p := range peers {
-		calls.Go(func() { errs[i] = p.client.Call(ctx, kind, body, &results[i]) })
+		calls.Go(func() { errs[i] = p.Client.Call(ctx, kind, body, &results[i]) })
 	}
 	calls.Wait()
 	for i, p := range peers {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"errors"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -16,42 +14,35 @@
 
 	"agatewinch/internal/config"
 	"agatewinch/internal/core"
-	"agatewinch/internal/errkind"
 	"agatewinch/internal/event"
+	"agatewinch/internal/membership"
 	"agatewinch/internal/metrics"
-	"agatewinch/internal/peer"
 	"agatewinch/internal/platform"
-	"agatewinch/internal/wire"
+	"agatewinch/internal/routing"
 )
 
-// Scheduler names a scheduler that the gate may forward to.
-type Scheduler struct {
-	Zone core.ZoneID
-	Addr string
-}
-
 // Options are a gate's fixed parameters.
 type Options struct {
-	Host       string
-	Zone       core.ZoneID
-	Schedulers []Scheduler
+	Host string
+	Zone core.ZoneID
+	// Peers tells how schedulers are found.
+	Peers PeerOptions
 	// OperatorKeys may apply the first configuration.
 	OperatorKeys []config.Key
 	Limits       Limits
 	// ConfigSnapshotInterval is config.Follower's SnapshotInterval.
 	ConfigSnapshotInterval time.Duration
-	// PeerClient dials the schedulers; nil dials without TLS.
-	PeerClient *http.Client
 	// Metrics may be nil; nothing is published then.
 	Metrics *metrics.Registry
 }
 
 // Gate is the process's state.
 type Gate struct {
-	opts   Options
-	logger logr.Logger
-	follow *config.Follower
-	peers  []schedulerPeer
+	opts    Options
+	logger  logr.Logger
+	follow  *config.Follower
+	members *membership.Membership
+	router  *routing.Router
 
 	metrics  *metrics.Registry
 	open     openRequests
@@ -60,11 +51,6 @@
 	draining atomic.Bool
 }
 
-type schedulerPeer struct {
-	Scheduler
-	client *peer.Client
-}
-
 // New returns a gate that does not run yet.
 func New(opts Options, logger logr.Logger, log platform.Log) *Gate {
 	g := &Gate{
@@ -76,13 +62,8 @@
 		g.metrics = metrics.New(metrics.SourceGate)
 	}
 	g.follow.SnapshotInterval = opts.ConfigSnapshotInterval
-	for _, own := range []bool{true, false} {
-		for _, s := range opts.Schedulers {
-			if (s.Zone == opts.Zone) == own {
-				g.peers = append(g.peers, schedulerPeer{Scheduler: s, client: peer.NewClient(s.Addr, peer.WithHTTPClient(opts.PeerClient))})
-			}
-		}
-	}
+	g.members = g.newMembership()
+	g.router = g.newRouter()
 	return g
 }
 
@@ -91,6 +72,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return g.follow.Run(ctx) })
 	group.Go(func() error { return g.logConfig(ctx) })
+	group.Go(func() error { return g.members.Run(ctx) })
 	err := group.Wait()
 	if ctx.Err() != nil {
 		return nil
@@ -118,25 +100,3 @@
 		}
 	}
 }
-
-// forward tries the schedulers, the own zone's first, and goes on to the next only
-// when the last one did nothing for certain.
-func (g *Gate) forward(ctx context.Context, kind wire.Kind, body, out any) error {
-	last := errkind.New(errkind.NoScheduler, "no scheduler can be reached")
-	for _, p := range g.peers {
-		err := p.client.Call(ctx, kind, body, out)
-		switch {
-		case err == nil:
-			return nil
-		case errors.Is(err, peer.ErrNotSent):
-			continue
-		case errors.Is(err, peer.ErrLost):
-			return errkind.New(errkind.OutcomeUnknown, "the connection to the scheduler was lost")
-		case errkind.Is(err, errkind.NoScheduler), errkind.Is(err, errkind.NotFound):
-			last = err
-		default:
-			return err
-		}
-	}
-	return last
-}
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -20,6 +20,7 @@
 	"agatewinch/internal/config"
 	"agatewinch/internal/core"
 	"agatewinch/internal/errkind"
+	"agatewinch/internal/membership"
 	"agatewinch/internal/peer"
 	"agatewinch/internal/platform/fakelog"
 	"agatewinch/internal/wire"
@@ -47,6 +48,8 @@
 		return nil, f.refuse
 	}
 	switch kind {
+	case wire.KindHeartbeat:
+		return wire.Heartbeat{Host: "h", Role: wire.RoleScheduler, Zone: "a", Active: true, Term: 1, Incarnation: 1}, nil
 	case wire.KindSubmit:
 		var req wire.Submit
 		if err := cbor.Unmarshal(body, &req); err != nil {
@@ -112,7 +115,7 @@
 	t.Cleanup(schedServer.Close)
 	g := New(Options{
 		Host: "gate-1", Zone: "a", Limits: limits, OperatorKeys: OperatorKeys([]string{config.HashKey(operatorKey)}),
-		Schedulers: []Scheduler{{Zone: "a", Addr: strings.TrimPrefix(schedServer.URL, "http://")}},
+		Peers: PeerOptions{Schedulers: []membership.Seed{{Zone: "a", Addr: strings.TrimPrefix(schedServer.URL, "http://")}}},
 	}, logr.Discard(), fakelog.New())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/gate/jobs.go
+++ b/internal/gate/jobs.go
@@ -41,8 +41,8 @@
 	if err := checkSubmit(cur.Set, org, req); err != nil {
 		return err
 	}
-	var reply wire.JobReply
-	if err := g.forward(ctx, wire.KindSubmit, newSubmit(req, org), &reply); err != nil {
+	reply, err := g.router.Submit(ctx, newSubmit(req, org))
+	if err != nil {
 		return err
 	}
 	if reply.Outcome != nil {
@@ -172,8 +172,8 @@
 	if err != nil {
 		return err
 	}
-	var reply wire.JobReply
-	if err := g.forward(ctx, wire.KindWait, wire.Wait{Job: job, Wait: seconds(wait)}, &reply); err != nil {
+	reply, err := g.router.Wait(ctx, wire.Wait{Job: job, Wait: seconds(wait)})
+	if err != nil {
 		return err
 	}
 	x.answerJob(reply)
@@ -202,8 +202,8 @@
 }
 
 func (g *Gate) answerCancel(ctx context.Context, x *exchange, job core.JobID) error {
-	var reply wire.JobReply
-	if err := g.forward(ctx, wire.KindCancel, wire.Cancel{Job: job}, &reply); err != nil {
+	reply, err := g.router.Cancel(ctx, wire.Cancel{Job: job})
+	if err != nil {
 		return err
 	}
 	x.answerJob(reply)
--- a/internal/gate/operators.go
+++ b/internal/gate/operators.go
@@ -105,8 +105,8 @@
 	if err != nil {
 		return err
 	}
-	var reply core.Explanation
-	if err := g.forward(ctx, wire.KindExplain, wire.Explain{Job: job}, &reply); err != nil {
+	reply, err := g.router.Explain(ctx, wire.Explain{Job: job})
+	if err != nil {
 		return err
 	}
 	x.answer(http.StatusOK, reply)
--- /dev/null
+++ b/internal/gate/peers.go
@@ -0,0 +1,120 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"agatewinch/internal/core"
+	"agatewinch/internal/errkind"
+	"agatewinch/internal/membership"
+	"agatewinch/internal/platform"
+	"agatewinch/internal/routing"
+	"agatewinch/internal/wire"
+)
+
+// PeerOptions tell how a gate finds the schedulers and how they find it.
+type PeerOptions struct {
+	// Schedulers are addresses from the settings.
+	Schedulers []membership.Seed
+	// Hosts is the platform's host list; nil leaves it out.
+	Hosts platform.HostList
+	// Interval and Timeout are membership.Options' own.
+	Interval, Timeout time.Duration
+	// Addr is where peers reach HandlePeer; empty when they cannot.
+	Addr string
+	// Client dials the schedulers; nil dials without TLS.
+	Client *http.Client
+}
+
+func (g *Gate) newMembership() *membership.Membership {
+	p := g.opts.Peers
+	return membership.New(membership.Options{
+		Seeds: p.Schedulers, Hosts: p.Hosts, Config: g.follow, Interval: p.Interval, Timeout: p.Timeout,
+		HTTPClient: p.Client, Logger: g.logger,
+	}, g.heartbeat)
+}
+
+func (g *Gate) newRouter() *routing.Router {
+	return routing.New(routing.Options{
+		Zone: g.opts.Zone, Directory: directory{g.members}, Zones: g.zones, Guaranteed: g.guaranteed, Logger: g.logger,
+	})
+}
+
+// heartbeat describes this gate to its peers.
+func (g *Gate) heartbeat() wire.Heartbeat {
+	return wire.Heartbeat{
+		Host: g.opts.Host, Role: wire.RoleGate, Zone: g.opts.Zone, Addr: g.opts.Peers.Addr,
+		Leaving: g.leaving.Load(), Generation: g.follow.Current().Generation,
+	}
+}
+
+// HandlePeer answers heartbeats, and peers that lack the configuration in force.
+func (g *Gate) HandlePeer(_ context.Context, kind wire.Kind, body cbor.RawMessage) (any, error) {
+	switch kind {
+	case wire.KindHeartbeat:
+		var hb wire.Heartbeat
+		if err := wire.DecodeBody(body, &hb); err != nil {
+			return nil, errkind.New(errkind.InvalidRequest, "malformed heartbeat")
+		}
+		return g.members.HandleHeartbeat(hb), nil
+	case wire.KindConfig:
+		cur := g.follow.Current()
+		return wire.ConfigReply{Generation: cur.Generation, Record: cur.Record}, nil
+	default:
+		return nil, errkind.New(errkind.InvalidRequest, "a gate does not answer %q", kind)
+	}
+}
+
+// zones returns the zones of the configuration in force.
+func (g *Gate) zones() []core.ZoneID {
+	var zones []core.ZoneID
+	if set := g.follow.Current().Set; set != nil {
+		for _, r := range set.Racks {
+			zones = append(zones, core.ZoneID(r.Zone))
+		}
+	}
+	return zones
+}
+
+// guaranteed reports whether an organisation has a guarantee in a zone.
+func (g *Gate) guaranteed(org core.OrgID, zone core.ZoneID) bool {
+	set := g.follow.Current().Set
+	if set == nil {
+		return false
+	}
+	o, ok := set.Organisation(string(org))
+	if !ok {
+		return false
+	}
+	for _, shape := range o.Guarantees {
+		if core.ZoneID(shape.Zone) == zone {
+			return true
+		}
+	}
+	return false
+}
+
+// directory shows the members to the router.
+type directory struct{ *membership.Membership }
+
+// Schedulers returns the heartbeats of the schedulers that are heard.
+func (d directory) Schedulers() []wire.Heartbeat {
+	var out []wire.Heartbeat
+	for _, hb := range d.All() {
+		if hb.Role == wire.RoleScheduler {
+			out = append(out, hb)
+		}
+	}
+	return out
+}
+
+// Caller returns the way to the scheduler on a host, or nil.
+func (d directory) Caller(host string) routing.Caller {
+	if c := d.Client(host); c != nil {
+		return c
+	}
+	return nil
+}
--- a/internal/membership/contact.go
+++ b/internal/membership/contact.go
@@ -33,12 +33,14 @@
 	listed bool
 	// self is true when the address turned out to be this process's own.
 	self bool
-	// role is the role that last answered here.
-	role     string
-	inFlight bool
-	due      time.Time
-	sentAt   time.Time
-	failures int
+	// role, host and incarnation are of the process that last answered here.
+	role        string
+	host        string
+	incarnation uint64
+	inFlight    bool
+	due         time.Time
+	sentAt      time.Time
+	failures    int
 	// usefulAt is when the contact last answered, was listed or was heard from.
 	usefulAt time.Time
 }
@@ -56,6 +58,20 @@
 	return c
 }
 
+// contactOf returns the contact for a heartbeat's sender: an address at which it
+// answers, else the one that it names. The caller holds the lock.
+func (m *Membership) contactOf(hb wire.Heartbeat) *contact {
+	for _, c := range m.contacts {
+		if c.incarnation == hb.Incarnation && c.host == hb.Host && c.role == hb.Role && c.failures == 0 && !c.self {
+			return c
+		}
+	}
+	if hb.Addr == "" {
+		return nil
+	}
+	return m.addContact(hb.Addr, hb.Zone)
+}
+
 // near reports whether two processes exchange heartbeats at the short interval: both
 // are schedulers of one zone. A role that is not known yet counts as a scheduler.
 func near(self wire.Heartbeat, zone core.ZoneID, role string) bool {
@@ -125,6 +141,8 @@
 		c.failures = 0
 		c.usefulAt = now
 		c.role = reply.Role
+		c.host = reply.Host
+		c.incarnation = reply.Incarnation
 		c.zone = reply.Zone
 		c.self = reply.Incarnation == m.incarnation
 	} else {
--- a/internal/membership/fetch.go
+++ b/internal/membership/fetch.go
@@ -43,7 +43,7 @@
 		return nil
 	}
 	m.mu.Lock()
-	client := m.addContact(hb.Addr, hb.Zone).client
+	client := m.contactOf(hb).client
 	m.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, m.opts.Timeout)
 	defer cancel()
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -6,7 +6,9 @@
 	"sync/atomic"
 	"time"
 
+	"agatewinch/internal/core"
 	"agatewinch/internal/event"
+	"agatewinch/internal/peer"
 	"agatewinch/internal/wire"
 )
 
@@ -64,8 +66,8 @@
 	if ok && hb.Incarnation != before.Incarnation {
 		event.Info(m.opts.Logger, event.PeerReplaced, "role", hb.Role, "peer", hb.Host, "addr", hb.Addr)
 	}
-	if hb.Role == wire.RoleScheduler && hb.Addr != "" {
-		m.postpone(self, m.addContact(hb.Addr, hb.Zone), mem, now)
+	if hb.Role == wire.RoleScheduler {
+		m.postpone(self, m.contactOf(hb), mem, now)
 	}
 	m.updateLive(self, now)
 	if notable(before) != notable(mem.beat) {
@@ -77,8 +79,10 @@
 // to it tells the peer all that the heartbeat would. It is not spared when the peer
 // does not hear this process.
 func (m *Membership) postpone(self wire.Heartbeat, c *contact, mem *member, now time.Time) {
+	if c == nil {
+		return
+	}
 	c.usefulAt = now
-	c.role = mem.beat.Role
 	if mem.beat.Hears && now.Sub(c.sentAt) < m.opts.Forget {
 		c.due = now.Add(m.interval(self, c))
 	}
@@ -151,3 +155,30 @@
 	})
 	return out
 }
+
+// Scheduler is an address at which a scheduler is or was known.
+type Scheduler struct {
+	Zone core.ZoneID
+	Addr string
+	// Client is the way to it.
+	Client *peer.Client
+}
+
+// Schedulers returns one address for each known scheduler, heard or not, ordered by
+// zone and address. An address that never answered may be any process's.
+func (m *Membership) Schedulers() []Scheduler {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Scheduler
+	for _, c := range m.contacts {
+		mem := m.members[memberKey{role: c.role, host: c.host}]
+		moved := mem != nil && m.contactOf(mem.beat) != c
+		if !c.self && c.role != wire.RoleGate && !moved {
+			out = append(out, Scheduler{Zone: c.zone, Addr: c.addr, Client: c.client})
+		}
+	}
+	slices.SortFunc(out, func(a, b Scheduler) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Addr, b.Addr))
+	})
+	return out
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -197,8 +197,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	mem, ok := m.members[memberKey{role: wire.RoleScheduler, host: host}]
-	if !ok || mem.beat.Addr == "" {
+	if !ok {
 		return nil
 	}
-	return m.addContact(mem.beat.Addr, mem.beat.Zone).client
+	c := m.contactOf(mem.beat)
+	if c == nil {
+		return nil
+	}
+	return c.client
 }
