core: clear several cells at once; avoid silent workers; take raised quotas at once

A claim marked its shape as not fitting, so an owner's second job waited for the first one's borrower to stop. A raised quota was not seen until a job of the organisation ended. A worker that leaves three calls in a row unanswered now gets nothing new for five seconds, before its health is known to have changed. Each has a test.

--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -134,6 +134,7 @@
 	switch e.Result {
 	case CallDone:
 		t.state = taskReserved
+		c.worker(t.Worker).record.silent = 0
 		if c.readyToStart(t.job) {
 			c.startAll(now, t.job)
 		}
@@ -141,6 +142,7 @@
 		t.state = taskReserved
 		c.refused(now, t, e.Reason)
 	case CallUnknown:
+		c.workerSilent(now, c.worker(t.Worker))
 		c.abort(now, t.job, stopRelease)
 	}
 }
@@ -206,6 +208,7 @@
 		t.began = beganNo
 		c.refused(now, t, e.Reason)
 	case CallUnknown:
+		c.workerSilent(now, c.worker(t.Worker))
 		c.abort(now, t.job, stopNow)
 	}
 }
--- a/internal/core/order.go
+++ b/internal/core/order.go
@@ -115,9 +115,15 @@
 	}
 	g := j.queued.queue.group
 	g.failedAt, g.overQuota = c.changes.version, false
-	if c.opts.Policy == PolicyGuaranteed && !c.reclaim(now, j) {
-		c.setHead(now, j)
+	if c.opts.Policy != PolicyGuaranteed {
+		return false
+	}
+	if c.reclaim(now, j) {
+		// The next job of the shape may clear cells of its own at the same time.
+		g.failedAt = 0
+		return false
 	}
+	c.setHead(now, j)
 	return false
 }
 
--- a/internal/core/parameters.go
+++ b/internal/core/parameters.go
@@ -33,6 +33,8 @@
 	quarantinePause = 30 * time.Second
 	// maxProbeDoublings bounds how often the pause doubles.
 	maxProbeDoublings = 4
+	// silencePause is the time for which a worker that does not answer gets nothing new.
+	silencePause = 5 * time.Second
 	// checkpointCost is the work that a checkpoint and resume are taken to cost.
 	checkpointCost = time.Second
 )
@@ -49,6 +51,8 @@
 	failuresPerJob = 3
 	// lossesPerJob is the number of attempts of a job that may be lost before it is ended.
 	lossesPerJob = 5
+	// silencesPerWorker is the number of calls in a row without an answer before a worker gets nothing new.
+	silencesPerWorker = 3
 	// failuresPerWorker is the number of jobs in a row that fail on a worker before it is quarantined.
 	failuresPerWorker = 3
 )
--- a/internal/core/policy_test.go
+++ b/internal/core/policy_test.go
@@ -392,3 +392,37 @@
 	}
 	assert.Equal(t, f.jobs["j"].outcome.Kind, errkind.OutcomeUnknown)
 }
+
+func TestOwnerClearsSeveralCellsAtTheSameTime(t *testing.T) {
+	owner := Organisation{ID: "owner", Guarantees: []Guarantee{{Zone: "a", Cells: 2, CellSize: 8}}}
+	f := newFake(t, smallOptions(), oneWorkerEach(2, owner, Organisation{ID: "guest"}), mutationNone)
+	f.run(testJob("b0", "guest", "reconcile", 1, 8), testJob("b1", "guest", "reconcile", 1, 8))
+	f.submit(testJob("m0", "owner", "bill", 1, 8))
+	f.submit(testJob("m1", "owner", "bill", 1, 8))
+	assert.Equal(t, len(f.notes(NoteReclaim)), 2)
+}
+
+func TestWorkerThatDoesNotAnswerGetsNothingNewForAWhile(t *testing.T) {
+	f := newFake(t, smallOptions(), oneWorkerEach(3, Organisation{ID: "a"}), mutationNone)
+	for i := range silencesPerWorker {
+		f.submit(testJob(JobID(fmt.Sprintf("j%d", i)), "a", "bill", 1, 1))
+		for range 2 {
+			f.drop(f.workers["w0"])
+			f.answer(0, false)
+		}
+	}
+	f.submit(testJob("next", "a", "bill", 1, 1))
+	assert.Assert(t, f.workerOf("next") != "w0")
+}
+
+func TestRaisedQuotaLetsWaitingJobsStart(t *testing.T) {
+	cfg := oneWorkerEach(1, Organisation{ID: "a", Quota: 4})
+	f := newFake(t, smallOptions(), cfg, mutationNone)
+	f.run(testJob("r", "a", "bill", 1, 4), testJob("q", "a", "bill", 1, 4))
+	assert.Equal(t, f.state("q"), Queued)
+	raised := *cfg
+	raised.Generation, raised.Organisations = 2, []Organisation{{ID: "a", Quota: 8}}
+	f.step(ConfigChanged{Config: &raised})
+	f.drain(false)
+	assert.Equal(t, f.state("q"), Running)
+}
--- a/internal/core/quarantine.go
+++ b/internal/core/quarantine.go
@@ -1,10 +1,14 @@
 package core
 
+import "time"
+
 // record is a worker's recent results.
 type record struct {
 	// failures counts jobs that failed in a row here.
 	failures    int
 	quarantined bool
+	// silent counts calls in a row without an answer.
+	silent int
 	// tries counts the quarantines since the last success.
 	tries int
 }
@@ -13,7 +17,7 @@
 // a row fail takes nothing more until a pause has passed.
 func (c *Core) workerResult(now Instant, w *worker, j *job, ok bool) {
 	if ok {
-		w.record = record{quarantined: w.record.quarantined, tries: 0}
+		w.record = record{quarantined: w.record.quarantined}
 		return
 	}
 	if j.hasFailedOn(w.def.ID) {
@@ -23,13 +27,29 @@
 	if w.record.quarantined || w.record.failures < c.failuresAllowed(w) || !c.spare(w) {
 		return
 	}
-	w.record.quarantined = true
 	w.record.tries++
+	c.quarantine(now, w, quarantinePause<<min(w.record.tries-1, maxProbeDoublings))
+}
+
+// quarantine gives the worker nothing new until the pause has passed.
+func (c *Core) quarantine(now Instant, w *worker, pause time.Duration) {
+	w.record.quarantined = true
 	c.emit(Note{Code: NoteQuarantined, Worker: w.def.ID})
-	c.after(timer{at: now.Add(quarantinePause << min(w.record.tries-1, maxProbeDoublings)), kind: timerProbe, worker: w})
+	c.after(timer{at: now.Add(pause), kind: timerProbe, worker: w})
 	c.rebind()
 }
 
+// workerSilent counts a reservation or start without an answer. A worker with several
+// in a row takes nothing new for a while, before its health is known to have changed.
+func (c *Core) workerSilent(now Instant, w *worker) {
+	w.record.silent++
+	if w.record.silent < silencesPerWorker || w.record.quarantined || !c.spare(w) {
+		return
+	}
+	w.record.silent = 0
+	c.quarantine(now, w, silencePause)
+}
+
 // failuresAllowed is smaller for a worker that was in quarantine and has not had a success since.
 func (c *Core) failuresAllowed(w *worker) int {
 	if w.record.tries > 0 {
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -118,6 +118,7 @@
 func (c *Core) configureOrgs(now Instant) {
 	for _, o := range c.orgOrder {
 		o.def = Organisation{ID: o.def.ID, Weight: 1}
+		o.released++
 	}
 	for _, def := range c.cfg.Organisations {
 		def.Weight = max(def.Weight, 1)
