core: place what is left of a preempted job on whole workers

Cells larger than a worker joined the random events. A preempted gang of whole workers of which one part had ended was never placed again, since the parts left did not fill a cell; and fifo never went back to a worker on which the job had failed.

--- a/internal/core/backfill.go
+++ b/internal/core/backfill.go
@@ -223,24 +223,26 @@
 }
 
 func (c *Core) earliestRacks(now Instant, j *job, need, per int) []opening {
-	var groups [][]opening
+	left := map[*rack][]opening{}
 	for _, r := range c.racks {
 		all := c.openings(now, j, r.workers)
 		sort.SliceStable(all, func(a, b int) bool { return all[a].at < all[b].at })
-		for len(all) >= per {
-			groups = append(groups, all[:per])
-			all = all[per:]
-		}
+		left[r] = all
 	}
-	sort.SliceStable(groups, func(a, b int) bool { return groups[a][per-1].at < groups[b][per-1].at })
 	var chosen []opening
-	for _, g := range groups {
-		if len(chosen) < need {
-			chosen = append(chosen, g...)
+	for len(chosen) < need {
+		n := nextInRack(need-len(chosen), per)
+		var best *rack
+		for _, r := range c.racks {
+			if len(left[r]) >= n && (best == nil || left[r][n-1].at < left[best][n-1].at) {
+				best = r
+			}
 		}
-	}
-	if len(chosen) < need {
-		return nil
+		if best == nil {
+			return nil
+		}
+		chosen = append(chosen, left[best][:n]...)
+		left[best] = left[best][n:]
 	}
 	return chosen
 }
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -231,11 +231,8 @@
 func (p *placing) wholeRacks() ([]spot, bool) {
 	per := p.core.partsPerCell(p.job.Shape)
 	p.limit = noLimit
-	if p.need%per != 0 {
-		return nil, false
-	}
 	for p.need > 0 {
-		workers := p.bestRack(per)
+		workers := p.bestRack(nextInRack(p.need, per))
 		if workers == nil {
 			return nil, false
 		}
@@ -246,6 +243,15 @@
 	return p.spots, true
 }
 
+// nextInRack is how many of need whole workers are taken from one rack next, for cells
+// of per workers. The odd ones, left when parts of a preempted job had ended, come first.
+func nextInRack(need, per int) int {
+	if odd := need % per; odd != 0 {
+		return odd
+	}
+	return per
+}
+
 func (p *placing) bestRack(per int) []*worker {
 	t := tierUnbound
 	if p.job.stoppable() {
@@ -274,7 +280,7 @@
 
 // placeFirstFit is the baseline's placement: the first free cells in worker order.
 func (c *Core) placeFirstFit(j *job) ([]spot, bool) {
-	p := placing{core: c, job: j, size: c.partSize(j.Shape), need: c.missingParts(j)}
+	p := placing{core: c, job: j, size: c.partSize(j.Shape), need: c.missingParts(j), anywhere: true}
 	defer p.restore()
 	if c.partsPerCell(j.Shape) > 1 {
 		return p.wholeRacks()
--- a/internal/core/reclaim.go
+++ b/internal/core/reclaim.go
@@ -237,7 +237,7 @@
 		var best []candidate
 		bestLoss := 0.0
 		for _, r := range cl.core.racks {
-			group, loss := cl.cheapestInRack(r, per)
+			group, loss := cl.cheapestInRack(r, nextInRack(need-len(chosen), per))
 			if group != nil && (best == nil || loss < bestLoss) {
 				best, bestLoss = group, loss
 			}
