--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -12,7 +12,6 @@
 	"github.com/go-logr/logr"
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/time/rate"
 
 	"agatewinch/internal/config"
 	"agatewinch/internal/core"
@@ -70,7 +69,7 @@
 	g := &Gate{
 		opts: opts, logger: logger, follow: config.NewFollower(log), metrics: opts.Metrics,
 		open:  openRequests{maxCallers: int64(opts.Limits.Requests), maxOperators: int64(opts.Limits.OperatorRequests)},
-		rates: rates{defaults: opts.Limits, buckets: map[string]*rate.Limiter{}},
+		rates: rates{defaults: opts.Limits, orgs: map[string]*orgRate{}},
 	}
 	if g.metrics == nil {
 		g.metrics = metrics.New(metrics.SourceGate)
--- a/internal/gate/jobs.go
+++ b/internal/gate/jobs.go
@@ -32,7 +32,7 @@
 	if err := x.decode(&req); err != nil {
 		return err
 	}
-	if err := g.rates.take(cur, org, began); err != nil {
+	if err := g.rates.take(cur, org, req.Caller, began); err != nil {
 		return err
 	}
 	if g.draining.Load() {
--- a/internal/gate/limit.go
+++ b/internal/gate/limit.go
@@ -8,10 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"agatewinch/internal/config"
-	"agatewinch/internal/core"
 	"agatewinch/internal/errkind"
 )
 
@@ -64,67 +61,6 @@
 	return &errkind.Error{Kind: kind, Message: message, RetryAfterSeconds: jittered(after)}
 }
 
-// rates holds a token bucket for each organisation of the configuration in force.
-type rates struct {
-	defaults Limits
-
-	mu      sync.Mutex
-	gen     core.Generation
-	buckets map[string]*rate.Limiter
-}
-
-// take uses one token of the organisation or refuses with the time until there is one.
-func (r *rates) take(cur config.Accepted, org config.Organisation, now time.Time) error {
-	bucket := r.bucket(cur, org)
-	reservation := bucket.ReserveN(now, 1)
-	wait := reservation.DelayFrom(now)
-	if wait == 0 {
-		return nil
-	}
-	reservation.CancelAt(now)
-	return retryError(errkind.RateLimited, "organisation "+org.Name+" is over its rate of requests", max(wait, overloadRetry))
-}
-
-func (r *rates) bucket(cur config.Accepted, org config.Organisation) *rate.Limiter {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if cur.Generation != r.gen {
-		r.follow(cur)
-	}
-	bucket, ok := r.buckets[org.Name]
-	if !ok {
-		bucket = rate.NewLimiter(r.limits(org))
-		r.buckets[org.Name] = bucket
-	}
-	return bucket
-}
-
-// follow drops organisations that are no longer configured and changes the rates of
-// the others, which keep their tokens.
-func (r *rates) follow(cur config.Accepted) {
-	kept := map[string]*rate.Limiter{}
-	for _, org := range cur.Set.Organisations {
-		if bucket, ok := r.buckets[org.Name]; ok {
-			limit, burst := r.limits(org)
-			bucket.SetLimit(limit)
-			bucket.SetBurst(burst)
-			kept[org.Name] = bucket
-		}
-	}
-	r.gen, r.buckets = cur.Generation, kept
-}
-
-func (r *rates) limits(org config.Organisation) (rate.Limit, int) {
-	limit, burst := r.defaults.RequestRate, r.defaults.RequestBurst
-	if org.RequestRate > 0 {
-		limit, burst = org.RequestRate, org.RequestRate
-	}
-	if org.RequestBurst > 0 {
-		burst = org.RequestBurst
-	}
-	return rate.Limit(limit), burst
-}
-
 // ConnLimit closes connections over a bound as they come; its method is a server's
 // ConnState hook.
 type ConnLimit struct {
--- /dev/null
+++ b/internal/gate/rates_test.go
@@ -0,0 +1,92 @@
+package gate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"agatewinch/internal/config"
+	"agatewinch/internal/errkind"
+)
+
+const (
+	floodRate    = 100
+	smallCallers = 20
+)
+
+// flood lets one caller send ten times the rate for ten seconds beside small callers
+// that send one request a second each, and returns what was let through of each.
+func flood(t *testing.T, nameOf func(i int) string) (large, small int) {
+	t.Helper()
+	o := newOrgRate(floodRate, floodRate)
+	start := time.Unix(0, 0)
+	const perSecond = 10 * floodRate
+	for i := range 10 * perSecond {
+		now := start.Add(time.Duration(i) * time.Second / perSecond)
+		if o.take("large", now) == 0 {
+			large++
+		}
+		if every := perSecond / smallCallers; i%every == 0 && o.take(nameOf(i/every), now) == 0 {
+			small++
+		}
+	}
+	return large, small
+}
+
+func TestSmallCallersGetThroughBesideAFlood(t *testing.T) {
+	large, small := flood(t, func(i int) string { return fmt.Sprint("small", i%smallCallers) })
+	assert.Equal(t, small, 10*smallCallers, "every request of the small callers")
+	assert.Assert(t, large+small <= floodRate*11, "%d requests are over the rate with its burst", large+small)
+	assert.Assert(t, large >= floodRate*10*6/10, "the flood got %d", large)
+}
+
+// TestCallerWithManyRequestsIsNotSmall gives the small callers' requests one name.
+func TestCallerWithManyRequestsIsNotSmall(t *testing.T) {
+	_, small := flood(t, func(int) string { return "large" })
+	assert.Assert(t, small < 10*smallCallers)
+}
+
+func TestCallersToldApartAreBounded(t *testing.T) {
+	o := newOrgRate(1e6, 1e6)
+	now := time.Unix(0, 0)
+	for i := range 2 * maxCallers {
+		o.take(fmt.Sprint(i), now)
+	}
+	assert.Equal(t, len(o.callers), maxCallers)
+	o.take("later", now.Add(time.Hour))
+	assert.Equal(t, len(o.callers), 1, "idle callers are forgotten for a new one")
+}
+
+func TestRatesFollowTheConfiguration(t *testing.T) {
+	r := rates{defaults: Limits{RequestRate: 1, RequestBurst: 1}, orgs: map[string]*orgRate{}}
+	now := time.Unix(0, 0)
+	org := config.Organisation{Name: "o"}
+	first := config.Accepted{Generation: 1, Set: &config.Set{Organisations: []config.Organisation{org}}}
+	refused := 0
+	for range 10 {
+		if errkind.Is(r.take(first, org, "c", now), errkind.RateLimited) {
+			refused++
+		}
+	}
+	assert.Equal(t, refused, 9, "the reserved token is not for a caller that has had its share")
+	org.RequestRate = 1000
+	second := config.Accepted{Generation: 2, Set: &config.Set{Organisations: []config.Organisation{org}}}
+	assert.NilError(t, r.take(second, org, "c", now))
+	third := config.Accepted{Generation: 3, Set: &config.Set{Organisations: []config.Organisation{{Name: "p"}}}}
+	assert.NilError(t, r.take(third, config.Organisation{Name: "p"}, "c", now))
+	assert.Equal(t, len(r.orgs), 1)
+}
+
+func BenchmarkTakeWithAFullListOfCallers(b *testing.B) {
+	o := newOrgRate(1e6, 1e6)
+	now := time.Unix(0, 0)
+	for i := range maxCallers {
+		o.take(fmt.Sprint(i), now)
+	}
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		o.take("unknown", now)
+	}
+}
