--- a/cmd/agatewinch-gate/main.go
+++ b/cmd/agatewinch-gate/main.go
@@ -31,8 +31,8 @@
 	dialTimeout       = 2 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 16 << 10
-	// stopTimeout is longer than the longest poll.
-	stopTimeout = (api.MaxWaitSeconds + 5) * time.Second
+	// stopTimeout is longer than the longest poll with the time to find a lost answer.
+	stopTimeout = (api.MaxWaitSeconds + 15) * time.Second
 	// peerStopTimeout bounds the orderly end of peers' connections.
 	peerStopTimeout = time.Second
 )
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -39,9 +39,34 @@
 	drains  []wire.Drain
 	cancels []wire.Cancel
 	refuse  error
+	// hold, if set, keeps submissions waiting until it is closed.
+	hold chan struct{}
+	// waiting counts the submissions that wait.
+	waiting int
 }
 
-func (f *fakeScheduler) handle(_ context.Context, kind wire.Kind, body cbor.RawMessage) (any, error) {
+func (f *fakeScheduler) held() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.waiting
+}
+
+// await waits for the release of held submissions; the caller holds the lock.
+func (f *fakeScheduler) await(ctx context.Context) {
+	if f.hold == nil {
+		return
+	}
+	hold := f.hold
+	f.waiting++
+	f.mu.Unlock()
+	select {
+	case <-hold:
+	case <-ctx.Done():
+	}
+	f.mu.Lock()
+}
+
+func (f *fakeScheduler) handle(ctx context.Context, kind wire.Kind, body cbor.RawMessage) (any, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.refuse != nil {
@@ -56,6 +81,7 @@
 			return nil, err
 		}
 		f.submits = append(f.submits, req)
+		f.await(ctx)
 		return wire.JobReply{Job: req.Job.ID, State: core.Succeeded, Outcome: &core.Outcome{State: core.Succeeded}}, nil
 	case wire.KindCancel:
 		var req wire.Cancel
--- a/internal/routing/submit.go
+++ b/internal/routing/submit.go
@@ -57,7 +57,7 @@
 	defer r.admission.leave(req.Job)
 	s := &submission{
 		router: r, req: req, began: now, zone: known, known: known != "", neverRunnable: map[core.ZoneID]bool{},
-		waitEnd: now.Add(req.Wait), giveUp: now.Add(max(req.Wait, admitTimeout)),
+		waitEnd: now.Add(req.Wait), giveUp: now.Add(max(req.Wait, admitTimeout) + callSlack),
 	}
 	r.retries.first()
 	return s.run(ctx)
@@ -189,7 +189,7 @@
 }
 
 func (s *submission) send(ctx context.Context, hb wire.Heartbeat, req wire.Submit, reply *wire.JobReply) (result, *errkind.Error) {
-	limit := max(req.Wait, admitCall) + callSlack
+	limit := min(max(req.Wait, admitCall)+callSlack, max(time.Until(s.giveUp), firstPause))
 	if s.ask {
 		return s.router.call(ctx, hb, wire.KindWait, wire.Wait{Job: req.Job.ID, Wait: req.Wait}, reply, limit)
 	}
@@ -257,13 +257,15 @@
 // that was tried.
 func (s *submission) lost(hb wire.Heartbeat) {
 	event.Info(s.router.opts.Logger, event.AnswerLost, "peer", hb.Host, "job", s.req.Job.ID)
+	if !s.mayHaveRun {
+		s.giveUp = later(s.waitEnd, time.Now()).Add(s.router.opts.ResolveTimeout)
+	}
 	s.mayHaveRun = true
 	if s.zone == "" {
 		s.zone = hb.Zone
 	}
 	s.router.owners.settle(s.req.Job.ID, s.zone)
 	s.ask = !s.req.Job.Idempotent
-	s.giveUp = later(s.giveUp, time.Now().Add(s.router.opts.ResolveTimeout))
 }
 
 func later(a, b time.Time) time.Time {
