--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -4,11 +4,11 @@
 
 // Stats summarises the core for heartbeats, status pages and metrics.
 type Stats struct {
-	Queued           int        `json:"queued"`
-	Running          int        `json:"running"`
-	FreeAccelerators int        `json:"free_accelerators"`
-	LargestFreeCell  int        `json:"largest_free_cell"`
-	Generation       Generation `json:"generation"`
+	Queued           int        `json:"queued" cbor:"1,keyasint,omitempty"`
+	Running          int        `json:"running" cbor:"2,keyasint,omitempty"`
+	FreeAccelerators int        `json:"free_accelerators" cbor:"3,keyasint,omitempty"`
+	LargestFreeCell  int        `json:"largest_free_cell" cbor:"4,keyasint,omitempty"`
+	Generation       Generation `json:"generation" cbor:"5,keyasint,omitempty"`
 }
 
 // Stats returns the core's present summary.
