--- a/internal/core/claim.go
+++ b/internal/core/claim.go
@@ -52,11 +52,23 @@
 		kind = stopPreempt
 	}
 	c.emit(Note{Code: note, Job: v.ID, Org: v.Org, Worker: v.tasks[0].Worker})
-	v.reason = "stopped so that an organisation has its guaranteed cells"
+	v.reason = stopReason(note)
 	v.evicted = true
 	c.abort(now, v, kind)
 }
 
+// stopReason explains a stop to the caller of the job that is stopped.
+func stopReason(note NoteCode) string {
+	switch note {
+	case NoteYielded:
+		return "stopped for a job of a heavier class"
+	case NoteMoved:
+		return "stopped to be moved, so that a larger job has whole cells"
+	default:
+		return "stopped so that an organisation has its guaranteed cells"
+	}
+}
+
 // completeClaims places the jobs whose claimed cells are clear.
 func (c *Core) completeClaims(now Instant) {
 	for _, j := range append([]*job(nil), c.claims...) {
@@ -84,7 +96,10 @@
 		if !w.usable() {
 			return false
 		}
-		if !j.stoppable() && p.cell&w.reclaimable(j.org) != 0 {
+		if j.stoppable() {
+			continue
+		}
+		if p.cell&w.reclaimable(j.org) != 0 || !w.protects(j.org, j.Shape, cellsOn(j.claim.parts, w)...) {
 			return false
 		}
 	}
--- a/internal/core/order.go
+++ b/internal/core/order.go
@@ -118,7 +118,7 @@
 	if c.opts.Policy != PolicyGuaranteed {
 		return false
 	}
-	if c.reclaim(now, j) {
+	if c.reclaim(now, j) || c.yieldTo(now, j) {
 		// The next job of the shape may clear cells of its own at the same time.
 		g.failedAt = 0
 		return false
--- a/internal/core/policy_test.go
+++ b/internal/core/policy_test.go
@@ -172,7 +172,7 @@
 	}
 	f.endTask("j0", true)
 	assert.Assert(t, f.workerOf("j1") != f.workerOf("j2"))
-	f.run(testJob("whole", "b", "bill", 1, 8))
+	f.run(testJob("whole", "b", "summary", 1, 8))
 	f.pass(time.Second)
 	assert.Equal(t, f.state("whole"), Running)
 	assert.Equal(t, len(f.notes(NoteMoved)), 1)
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -179,6 +179,7 @@
 	j.holding = n
 	j.charged = n.dominant(c.total) * c.expected(j).Seconds() / float64(j.class.Weight)
 	j.isCharged = true
+	c.placedByWeight[j.class.Weight]++
 	c.addCaller(j.caller, j.charged)
 }
 
@@ -188,6 +189,7 @@
 		return
 	}
 	j.isCharged = false
+	c.placedByWeight[j.class.Weight]--
 	j.org.running.sub(j.holding)
 	if j.units > 0 {
 		j.org.urgent -= j.units
