--- a/internal/core/claim.go
+++ b/internal/core/claim.go
@@ -96,7 +96,10 @@
 		if !w.usable() {
 			return false
 		}
-		if !j.stoppable() && p.cell&w.reclaimable(j.org) != 0 {
+		if j.stoppable() {
+			continue
+		}
+		if p.cell&w.reclaimable(j.org) != 0 || !w.protects(j.org, j.Shape, cellsOn(j.claim.parts, w)...) {
 			return false
 		}
 	}
--- a/internal/core/property_test.go
+++ b/internal/core/property_test.go
@@ -26,9 +26,9 @@
 // organisations with guarantees of different sizes.
 func smallConfig() *Config {
 	cfg := &Config{Generation: 1, Classes: []Class{
-		{Name: "check", Urgent: true, Weight: 1},
+		{Name: "check", Urgent: true, Weight: 3},
 		{Name: "reconcile", Checkpoint: true, Weight: 1},
-		{Name: "bill", Weight: 1},
+		{Name: "bill", Weight: 2},
 	}}
 	for i := range 6 {
 		cfg.Workers = append(cfg.Workers, Worker{
