Log operators' changes; agatewinchctl asks again for an apply whose answer was lost

Cause: a lost answer to an apply ended as unknown though the log knows the attempt by its ID, nobody could see who changed what, and lists were free of the organisation's rate. Change: apply sends an ID and asks up to three times; event 2004 names key, operation and result; a list counts as a request; Offer refuses a record that cannot stand for its generation; heartbeats have JSON names in status.

--- a/cmd/agatewinchctl/apply.go
+++ b/cmd/agatewinchctl/apply.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
 	"go.yaml.in/yaml/v3"
@@ -13,6 +14,9 @@
 	"agatewinch/internal/config"
 )
 
+// applyTries bounds how often a set is sent.
+const applyTries = 3
+
 // loadDir reads a directory of configuration; its faults are errors of usage.
 func loadDir(dir string) (*config.Set, error) {
 	if dir == "" {
@@ -74,8 +78,8 @@
 		}
 		req.Base = cur.Generation
 	}
-	var answer api.ApplyAnswer
-	if err := a.call(ctx, http.MethodPut, api.PathConfig, req, &answer); err != nil {
+	answer, err := a.put(ctx, req)
+	if err != nil {
 		return err
 	}
 	result := &table{header: []string{"RESULT", "BASE", "GENERATION"}}
@@ -87,6 +91,20 @@
 	return a.print(answer, result)
 }
 
+// put sends a set. When it stays unknown what became of it, put asks again by the
+// attempt's ID, which finds the first attempt's result if there is one.
+func (a *app) put(ctx context.Context, req api.ApplyRequest) (api.ApplyAnswer, error) {
+	req.ID = config.NewID()
+	return backoff.Retry(ctx, func() (api.ApplyAnswer, error) {
+		var answer api.ApplyAnswer
+		err := a.call(ctx, http.MethodPut, api.PathConfig, req, &answer)
+		if err != nil && exitCode(err) != exitUnknown {
+			return answer, backoff.Permanent(err)
+		}
+		return answer, err
+	}, backoff.WithMaxTries(applyTries))
+}
+
 func (a *app) diffCmd() *cobra.Command {
 	var dir string
 	cmd := &cobra.Command{
--- a/cmd/agatewinchctl/jobs.go
+++ b/cmd/agatewinchctl/jobs.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"strings"
 
+	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
 
 	"agatewinch/internal/api"
@@ -127,6 +128,9 @@
 		Example: "  agatewinchctl explain haneul:sheet-7",
 	}
 	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		if !strings.Contains(args[0], ":") {
+			return usageError{trace.BadParameter("%s: want ORGANISATION:REQUEST_ID", args[0])}
+		}
 		var answer core.Explanation
 		if err := a.call(cmd.Context(), http.MethodGet, jobPath(args[0])+"/explanation", nil, &answer); err != nil {
 			return err
--- a/cmd/agatewinchctl/main_test.go
+++ b/cmd/agatewinchctl/main_test.go
@@ -119,6 +119,24 @@
 	assert.Equal(t, len(s.asked), 3, "--base asks for no generation")
 }
 
+func TestApplyWhoseAnswerIsLostIsAskedForAgainByItsID(t *testing.T) {
+	var ids []string
+	gate := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var req api.ApplyRequest
+		_ = json.NewDecoder(r.Body).Decode(&req)
+		ids = append(ids, req.ID)
+		if len(ids) == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		_ = json.NewEncoder(w).Encode(api.ApplyAnswer{Generation: 8})
+	}))
+	defer gate.Close()
+	r := ctl("--gate", gate.URL, "--key", "k", "apply", "-f", examples, "--base", "7")
+	assert.Equal(t, r.code, exitOK, r.err)
+	assert.Equal(t, len(ids), 2)
+	assert.Assert(t, ids[0] != "" && ids[0] == ids[1])
+}
+
 func TestDiffNamesWhatDiffersAndExitsWithItsCode(t *testing.T) {
 	set, err := config.LoadDir(examples)
 	assert.NilError(t, err)
--- a/internal/config/follow.go
+++ b/internal/config/follow.go
@@ -157,7 +157,8 @@
 // Offer takes a configuration that a peer holds as accepted with generation gen, as
 // its Accepted has it. It reports whether it is newer and now in force.
 func (f *Follower) Offer(record []byte, gen core.Generation) bool {
-	if _, ok := decodeRecord(record); !ok {
+	rec, ok := decodeRecord(record)
+	if !ok || !rec.mayStandFor(gen) {
 		return false
 	}
 	var taken bool
@@ -202,7 +203,7 @@
 	current := r.current
 	complete := r.known && r.caught && r.unreadable == 0 && current.Set != nil && r.gen == current.Generation
 	due := time.Since(f.anchoredAt) >= interval || r.anchor < f.oldest
-	rec := Record{Kind: RecordSnapshot, ID: newID(), AsOf: r.next, Generation: r.gen}
+	rec := Record{Kind: RecordSnapshot, ID: NewID(), AsOf: r.next, Generation: r.gen}
 	f.mu.Unlock()
 	if !complete || !due {
 		return
--- a/internal/config/follow_test.go
+++ b/internal/config/follow_test.go
@@ -110,6 +110,7 @@
 	assert.Equal(t, f.Current().Generation, gen)
 	assert.Assert(t, !f.Offer(cur.Record, gen-1), "an older generation was taken")
 	assert.Assert(t, !f.Offer([]byte("junk"), gen+1))
+	assert.Assert(t, !f.Offer([]byte(`{"kind":"snapshot","generation":3}`), gen+9), "a record of another generation was taken")
 }
 
 func TestSnapshotLetsANewHostStartOnATrimmedLog(t *testing.T) {
--- a/internal/config/id.go
+++ b/internal/config/id.go
@@ -7,8 +7,8 @@
 
 const idBytes = 12
 
-// newID returns a random ID for an attempt to append.
-func newID() string {
+// NewID returns a random ID for an attempt to append.
+func NewID() string {
 	var id [idBytes]byte
 	_, _ = rand.Read(id[:]) // never fails, by its documentation
 	return hex.EncodeToString(id[:])
--- a/internal/config/propose.go
+++ b/internal/config/propose.go
@@ -32,7 +32,7 @@
 // when the log shows neither before ctx ends.
 func (f *Follower) Apply(ctx context.Context, p Proposal) (core.Generation, error) {
 	if p.ID == "" {
-		p.ID = newID()
+		p.ID = NewID()
 	}
 	if gen, done, err := f.resolved(p); done {
 		return gen, err
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -56,6 +56,15 @@
 	return rec, rec.Kind == RecordApply || rec.Kind == RecordSnapshot
 }
 
+// mayStandFor reports whether the record can be the one that carries gen: a proposal's
+// generation is above its base, a snapshot names its own.
+func (r Record) mayStandFor(gen core.Generation) bool {
+	if r.Kind == RecordSnapshot {
+		return r.Generation == gen
+	}
+	return gen > r.Base
+}
+
 // decodeSet reads a record's set as strictly as its files were read.
 func (r Record) decodeSet() (*Set, error) {
 	if r.Format < 1 || r.Format > RecordFormat {
--- a/internal/gate/jobs.go
+++ b/internal/gate/jobs.go
@@ -211,7 +211,16 @@
 }
 
 // listOwn lists the live jobs of the caller's organisation.
+// It costs a call to every scheduler, so it counts as a request.
 func (g *Gate) listOwn(ctx context.Context, x *exchange) error {
+	cur := g.follow.Current()
+	org, err := g.ownOrganisation(cur, x.key)
+	if err != nil {
+		return err
+	}
+	if err := g.rates.take(cur, org, x.key.Name, time.Now()); err != nil {
+		return err
+	}
 	return g.answerList(ctx, x, core.OrgID(x.key.Organisation))
 }
 
--- a/internal/gate/routes.go
+++ b/internal/gate/routes.go
@@ -8,6 +8,7 @@
 	"agatewinch/internal/api"
 	"agatewinch/internal/config"
 	"agatewinch/internal/errkind"
+	"agatewinch/internal/event"
 )
 
 // handler answers one authenticated request; a returned error becomes the answer.
@@ -73,6 +74,7 @@
 		x.key, err = g.authenticate(r, rt.role)
 		if err == nil {
 			err = rt.handle(r.Context(), x)
+			g.logAction(rt, x, err)
 		}
 		if err != nil {
 			x.fail(err)
@@ -80,6 +82,18 @@
 	})
 }
 
+// logAction logs what an operator changed.
+func (g *Gate) logAction(rt route, x *exchange, err error) {
+	if rt.role != config.RoleOperator || rt.method == http.MethodGet {
+		return
+	}
+	result := "done"
+	if err != nil {
+		result = string(errkind.Of(err).Kind)
+	}
+	event.Info(g.logger, event.OperatorAction, "key", x.key.Name, "operation", rt.method+" "+x.r.URL.Path, "result", result)
+}
+
 // serveReady tells the platform's balancer whether to send callers here.
 func (g *Gate) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !g.Ready() {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -120,21 +120,21 @@
 
 // Heartbeat tells a peer about the sender; it is answered by the receiver's own.
 type Heartbeat struct {
-	Host       string          `cbor:"1,keyasint"`
-	Role       string          `cbor:"2,keyasint"`
-	Zone       core.ZoneID     `cbor:"3,keyasint"`
-	Addr       string          `cbor:"4,keyasint,omitempty"`
-	Active     bool            `cbor:"5,keyasint,omitempty"`
-	Term       core.Term       `cbor:"6,keyasint,omitempty"`
-	Leaving    bool            `cbor:"7,keyasint,omitempty"`
-	Generation core.Generation `cbor:"8,keyasint,omitempty"`
-	Load       core.Stats      `cbor:"9,keyasint,omitempty"`
+	Host       string          `cbor:"1,keyasint" json:"host"`
+	Role       string          `cbor:"2,keyasint" json:"role"`
+	Zone       core.ZoneID     `cbor:"3,keyasint" json:"zone"`
+	Addr       string          `cbor:"4,keyasint,omitempty" json:"addr,omitempty"`
+	Active     bool            `cbor:"5,keyasint,omitempty" json:"active,omitempty"`
+	Term       core.Term       `cbor:"6,keyasint,omitempty" json:"term,omitempty"`
+	Leaving    bool            `cbor:"7,keyasint,omitempty" json:"leaving,omitempty"`
+	Generation core.Generation `cbor:"8,keyasint,omitempty" json:"generation,omitempty"`
+	Load       core.Stats      `cbor:"9,keyasint,omitempty" json:"load,omitempty"`
 	// Incarnation is drawn anew at each start of a process.
-	Incarnation uint64 `cbor:"10,keyasint,omitempty"`
+	Incarnation uint64 `cbor:"10,keyasint,omitempty" json:"incarnation,omitempty"`
 	// Seq grows with each heartbeat of an incarnation, so that a late one is told apart.
-	Seq uint64 `cbor:"11,keyasint,omitempty"`
+	Seq uint64 `cbor:"11,keyasint,omitempty" json:"seq,omitempty"`
 	// Hears is true when the sender has heard the receiver within its timeout.
-	Hears bool `cbor:"12,keyasint,omitempty"`
+	Hears bool `cbor:"12,keyasint,omitempty" json:"hears,omitempty"`
 }
 
 // StatusReply describes one process to operators, who get it as JSON too.
