scheduler: a job whose caller stops waiting is kept in the log before it counts as accepted

Change: when the wait of such a call is over, its admission is written first; without the log the answer is outcome unknown.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -271,9 +271,11 @@
 }
 
 func (s *Scheduler) watchConfig(ctx context.Context) error {
+	var known core.Generation
 	for {
 		changed := s.follow.Changed()
-		if cur := s.follow.Current(); cur.Set != nil {
+		if cur := s.follow.Current(); cur.Set != nil && cur.Generation != known {
+			known = cur.Generation
 			event.Info(s.logger, event.ConfigInForce, "generation", cur.Generation)
 			cfg := cur.Set.Core(cur.Generation)
 			s.post(ctx, func() {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -314,6 +314,25 @@
 	c.log.SetDown(false)
 }
 
+func TestJobWhoseCallerStopsWaitingIsKeptInTheLogBeforeItCountsAsAccepted(t *testing.T) {
+	c := newCluster(t)
+	n := c.start("h1")
+	c.serving(n)
+	req := job("r1", true, true)
+	req.Wait = 50 * time.Millisecond
+	reply, err := n.submit(t, req)
+	assert.NilError(t, err)
+	assert.Assert(t, reply.Outcome == nil)
+	e, ok := n.journal.Lookup(req.Job.ID)
+	assert.Assert(t, ok && e.Live())
+
+	c.log.SetDown(true)
+	req = job("r2", true, true)
+	req.Wait = 50 * time.Millisecond
+	_, err = n.submit(t, req)
+	assert.Assert(t, errkind.Is(err, errkind.OutcomeUnknown))
+}
+
 func TestOutcomeOfALoggedJobIsWrittenOnceTheLogIsBack(t *testing.T) {
 	c := newCluster(t)
 	n := c.start("h1")
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -8,6 +8,7 @@
 
 	"github.com/gravitational/trace"
 
+	"agatewinch/internal/core"
 	"agatewinch/internal/errkind"
 	"agatewinch/internal/journal"
 	"agatewinch/internal/platform"
@@ -29,7 +30,11 @@
 		if err != nil {
 			return wire.JobReply{}, err
 		}
-		return s.await(ctx, r, req.Wait)
+		reply, err := s.await(ctx, r, req.Wait)
+		if err != nil || reply.Outcome != nil || reply.Elsewhere {
+			return reply, err
+		}
+		return s.keep(ctx, r, req)
 	}
 	r, err := ask(ctx, s, func() (*record, error) { return s.expect(req) })
 	if err == nil && r == nil {
@@ -85,6 +90,32 @@
 	})
 }
 
+// keep writes a job to the log whose caller stops waiting before its end: from now on the
+// job is accepted, and has to outlive this process.
+func (s *Scheduler) keep(ctx context.Context, r *record, req wire.Submit) (wire.JobReply, error) {
+	_, term := s.election.Active()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), admitTimeout)
+	defer cancel()
+	job := req.Job
+	job.Logged = true
+	v, err := s.journal.Write(ctx, term, journal.Record{Admitted: &journal.Admitted{Job: job, Digest: req.Digest}})
+	if err != nil {
+		return wire.JobReply{}, errkind.New(errkind.OutcomeUnknown, "the wait is over, and the log did not take the job: it goes on while this scheduler lives")
+	}
+	if v.Entry.Zone != s.opts.Zone {
+		return wire.JobReply{Job: job.ID, State: core.Queued, Zone: v.Entry.Zone, Elsewhere: true}, nil
+	}
+	return ask(ctx, s, func() (wire.JobReply, error) {
+		if !r.job.Logged {
+			r.job.Logged = true
+			if r.outcome != nil && s.act != nil {
+				s.settle(s.act, r, *r.outcome, false)
+			}
+		}
+		return r.reply(), r.refusal
+	})
+}
+
 // admission is the result of writing a job's admission.
 type admission struct {
 	record *record
