--- a/cmd/agatewinch-gate/main.go
+++ b/cmd/agatewinch-gate/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -18,6 +19,7 @@
 	"agatewinch/internal/event"
 	"agatewinch/internal/gate"
 	"agatewinch/internal/metrics"
+	"agatewinch/internal/peer"
 	"agatewinch/internal/platform/httpadapter"
 	"agatewinch/internal/settings"
 	"agatewinch/internal/tlsconfig"
@@ -26,10 +28,13 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	readTimeout       = 30 * time.Second
+	dialTimeout       = 2 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 16 << 10
 	// stopTimeout is longer than the longest poll.
 	stopTimeout = (api.MaxWaitSeconds + 5) * time.Second
+	// peerStopTimeout bounds the orderly end of peers' connections.
+	peerStopTimeout = time.Second
 )
 
 func main() {
@@ -43,10 +48,20 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	peerCerts, err := tlsconfig.New(s.PeerTLS, logger)
+	if err != nil {
+		return trace.Wrap(err)
+	}
 	registry := metrics.New(metrics.SourceGate)
 	registry.Publish(api.VarsName)
-	log := &httpadapter.Log{Base: s.Platform, Client: httpadapter.NewClient(s.PlatformConns)}
-	g := gate.New(s.options(registry), logger, log)
+	platformClient := httpadapter.NewClient(s.PlatformConns)
+	log := &httpadapter.Log{Base: s.Platform, Client: platformClient}
+	opts := s.options(registry)
+	opts.Peers.Hosts = &httpadapter.Hosts{Base: s.Platform, Client: platformClient}
+	if peerCerts != nil {
+		opts.Peers.Client = peerClient(peerCerts)
+	}
+	g := gate.New(opts, logger, log)
 
 	stopping, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -65,6 +80,9 @@
 		}
 		return nil
 	})
+	if s.PeerListen != "" {
+		group.Go(func() error { return servePeers(running, g, peerCerts, s.PeerListen) })
+	}
 	group.Go(func() error {
 		defer finish()
 		select {
@@ -84,6 +102,37 @@
 	return nil
 }
 
+// servePeers answers peers, on a listener of their own so that callers never reach it,
+// until ctx ends.
+func servePeers(ctx context.Context, g *gate.Gate, certs *tlsconfig.Source, addr string) error {
+	listener, err := certs.Listen(addr)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	peers := peer.NewServer(g.HandlePeer)
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, peers)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	stop := context.AfterFunc(ctx, func() {
+		closing, cancel := context.WithTimeout(context.Background(), peerStopTimeout)
+		defer cancel()
+		_ = peers.Shutdown(closing)
+		_ = server.Close()
+	})
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return trace.Wrap(err)
+	}
+	return nil
+}
+
+// peerClient dials schedulers with TLS.
+func peerClient(certs *tlsconfig.Source) *http.Client {
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+	certs.Secure(transport)
+	return &http.Client{Transport: transport}
+}
+
 func newServer(h http.Handler, maxConnections int) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
--- a/internal/core/reclaim.go
+++ b/internal/core/reclaim.go
@@ -10,21 +10,6 @@
 // accelerator seconds.
 const ownPenalty = 3600
 
-// claim is cells that are being cleared for a waiting job. Nobody else may take them.
-type claim struct {
-	parts   []*claimPart
-	victims []*job
-	note    NoteCode
-	since   Instant
-}
-
-// claimPart is the cell of one task of the waiting job.
-type claimPart struct {
-	worker *worker
-	cell   uint64
-	shape  Shape
-}
-
 // candidate is a cell that could be cleared, with the jobs that would be stopped.
 type candidate struct {
 	part    *claimPart
@@ -38,7 +23,7 @@
 	if c.mutation == mutationNoReclaim || j.claim != nil || j.org.guaranteed == 0 || j.Shape.Accelerators() == 0 {
 		return false
 	}
-	chosen := c.chooseCells(now, j)
+	chosen := c.chooseCells(now, j, reclaiming)
 	if chosen == nil {
 		c.noteMissed(j)
 		return false
@@ -69,15 +54,15 @@
 }
 
 // chooseCells returns one cell for each task of j, of least loss, or nil.
-func (c *Core) chooseCells(now Instant, j *job) []candidate {
+func (c *Core) chooseCells(now Instant, j *job, purpose purpose) []candidate {
 	need, per := c.missingParts(j), c.partsPerCell(j.Shape)
-	cl := clearing{core: c, now: now, job: j, size: c.partSize(j.Shape), stopping: map[*job]bool{}, taken: map[*worker]uint64{}, extra: map[*worker]amount{}}
+	cl := clearing{core: c, now: now, job: j, purpose: purpose, size: c.partSize(j.Shape), stopping: map[*job]bool{}, taken: map[*worker]uint64{}, extra: map[*worker]amount{}}
 	if per > 1 {
 		return cl.chooseRacks(need, per)
 	}
 	var chosen []candidate
 	for len(chosen) < need {
-		best := cl.cheapest(j.org.boundWorkers)
+		best := cl.cheapest(cl.workers())
 		if best == nil {
 			return nil
 		}
@@ -87,19 +72,32 @@
 	return chosen
 }
 
+// purpose is why cells are cleared.
+type purpose int
+
+const (
+	// reclaiming clears an organisation's guaranteed cells for its own job.
+	reclaiming purpose = iota
+	// yielding clears cells of lighter work for a job of a heavier class.
+	yielding
+)
+
 // clearing is the choice of the cells for one claim.
 type clearing struct {
 	core     *Core
 	now      Instant
 	job      *job
+	purpose  purpose
 	size     int
 	stopping map[*job]bool
 	taken    map[*worker]uint64
+	accepted []*claimPart
 	extra    map[*worker]amount
 }
 
 func (cl *clearing) accept(k candidate) {
 	cl.taken[k.part.worker] |= k.part.cell
+	cl.accepted = append(cl.accepted, k.part)
 	sum := cl.extra[k.part.worker]
 	sum.add(amount{cl.job.Shape.CPU, cl.job.Shape.MemoryBytes, 1})
 	cl.extra[k.part.worker] = sum
@@ -108,10 +106,26 @@
 	}
 }
 
+// workers returns where the cells may be.
+func (cl *clearing) workers() []*worker {
+	if cl.purpose == yielding {
+		return cl.core.accelerated
+	}
+	return cl.job.org.boundWorkers
+}
+
+// allowed returns the accelerators of w that may be cleared.
+func (cl *clearing) allowed(w *worker) uint64 {
+	if cl.purpose == yielding {
+		return w.all() &^ w.reclaimable(cl.job.org)
+	}
+	return cl.job.org.bound[w.def.ID]
+}
+
 func (cl *clearing) cheapest(workers []*worker) *candidate {
 	var best *candidate
 	for _, w := range workers {
-		own := cl.job.org.bound[w.def.ID]
+		own := cl.allowed(w)
 		if own == 0 || !w.usable() {
 			continue
 		}
@@ -129,9 +143,26 @@
 	return best
 }
 
+// cellsOn returns the cells accepted on w, and m.
+func (cl *clearing) cellsOn(w *worker, m uint64) []uint64 { return append(cellsOn(cl.accepted, w), m) }
+
+// cellsOn returns the cells of the parts that are on w.
+func cellsOn(parts []*claimPart, w *worker) []uint64 {
+	var cells []uint64
+	for _, p := range parts {
+		if p.worker == w {
+			cells = append(cells, p.cell)
+		}
+	}
+	return cells
+}
+
 // consider returns what clearing m on w would cost.
 func (cl *clearing) consider(w *worker, m uint64) (candidate, bool) {
 	k := candidate{part: &claimPart{worker: w, cell: m, shape: cl.job.Shape}}
+	if !cl.job.stoppable() && !w.protects(cl.job.org, cl.job.Shape, cl.cellsOn(w, m)...) {
+		return k, false
+	}
 	for _, t := range w.held {
 		if uint64(t.Cell)&m == 0 {
 			continue
@@ -158,7 +189,7 @@
 	}
 	k.victims = append(k.victims, t.job)
 	k.loss += cl.core.loss(cl.now, t.job)
-	if t.job.Org == cl.job.Org {
+	if t.job.Org == cl.job.Org && cl.purpose == reclaiming {
 		k.loss += ownPenalty
 	}
 	return true
@@ -171,8 +202,11 @@
 	if t.detached || v.restoring || !v.stoppable() || !v.evictable() {
 		return false
 	}
+	if cl.purpose == yielding {
+		return cl.mayYield(v)
+	}
 	if v.Org == cl.job.Org {
-		return cl.job.class.Urgent && !v.class.Urgent
+		return cl.core.urgentNow(cl.job) && !v.class.Urgent
 	}
 	return true
 }
@@ -252,7 +286,7 @@
 		var best []candidate
 		bestLoss := 0.0
 		for _, r := range cl.core.racks {
-			group, loss := cl.cheapestInRack(r, per)
+			group, loss := cl.cheapestInRack(r, nextInRack(need-len(chosen), per))
 			if group != nil && (best == nil || loss < bestLoss) {
 				best, bestLoss = group, loss
 			}
@@ -285,133 +319,3 @@
 	}
 	return all[:per], loss
 }
-
-// loss is the work that stopping a job throws away, in accelerator seconds.
-func (c *Core) loss(now Instant, j *job) float64 {
-	size := float64(max(j.holding.accelerators, 1))
-	if j.class.Checkpoint || j.state != Running {
-		return size * checkpointCost.Seconds()
-	}
-	return size * (now.Sub(j.began).Seconds() + checkpointCost.Seconds())
-}
-
-// makeClaim books the cells and stops the jobs that are on them.
-func (c *Core) makeClaim(now Instant, j *job, chosen []candidate, note NoteCode) {
-	cl := &claim{since: now, note: note}
-	for _, k := range chosen {
-		cl.parts = append(cl.parts, k.part)
-		k.part.worker.claims = append(k.part.worker.claims, k.part)
-		k.part.worker.refresh()
-		cl.victims = append(cl.victims, k.victims...)
-	}
-	j.claim = cl
-	c.claims = append(c.claims, j)
-	c.dequeue(j)
-	for _, v := range cl.victims {
-		c.evict(now, v, note)
-	}
-	c.after(timer{at: now.Add(reclaimPatience), kind: timerClaim, job: j, stamp: j.attempt})
-}
-
-// evict stops a whole job to clear its cells.
-func (c *Core) evict(now Instant, v *job, note NoteCode) {
-	if !v.evictable() {
-		return
-	}
-	kind := stopNow
-	if v.class.Checkpoint {
-		kind = stopPreempt
-	}
-	c.emit(Note{Code: note, Job: v.ID, Org: v.Org, Worker: v.tasks[0].Worker})
-	v.reason = "stopped so that an organisation has its guaranteed cells"
-	c.abort(now, v, kind)
-}
-
-// completeClaims places the jobs whose claimed cells are clear.
-func (c *Core) completeClaims(now Instant) {
-	for _, j := range append([]*job(nil), c.claims...) {
-		if !c.claimHolds(j) {
-			c.dropClaim(j)
-			c.enqueue(now, j)
-			continue
-		}
-		if !j.claim.clear() || c.overQuota(j) != "" {
-			continue
-		}
-		var spots []spot
-		for _, p := range j.claim.parts {
-			spots = append(spots, spot{p.worker, p.cell})
-		}
-		c.take(now, j, spots)
-	}
-}
-
-// claimHolds reports whether the job may still take the claimed cells: the bindings may
-// have changed since.
-func (c *Core) claimHolds(j *job) bool {
-	for _, p := range j.claim.parts {
-		w := p.worker
-		if !w.usable() {
-			return false
-		}
-		if !j.stoppable() && p.cell&w.reclaimable(j.org) != 0 {
-			return false
-		}
-	}
-	return true
-}
-
-// clear reports whether all claimed cells are free, with the room beside them.
-func (cl *claim) clear() bool {
-	for _, p := range cl.parts {
-		w := p.worker
-		if !w.usable() || w.used&p.cell != 0 ||
-			w.slots+w.claimedSlots > w.def.Slots ||
-			w.cpu+w.claimedCPU > w.def.CPU ||
-			w.memory+w.claimedMemory > w.def.MemoryBytes {
-			return false
-		}
-	}
-	return true
-}
-
-// dropClaim gives the claimed cells up.
-func (c *Core) dropClaim(j *job) {
-	if j.claim == nil {
-		return
-	}
-	for _, p := range j.claim.parts {
-		for i, have := range p.worker.claims {
-			if have == p {
-				p.worker.claims = append(p.worker.claims[:i], p.worker.claims[i+1:]...)
-				break
-			}
-		}
-		p.worker.refresh()
-	}
-	parts := j.claim.parts
-	j.claim = nil
-	for i, have := range c.claims {
-		if have == j {
-			c.claims = append(c.claims[:i], c.claims[i+1:]...)
-			break
-		}
-	}
-	for _, p := range parts {
-		c.freedOn(p.worker)
-	}
-}
-
-// claimDue looks for other cells when claimed ones stay occupied: the tasks there do
-// not answer their stop.
-func (c *Core) claimDue(now Instant, j *job) {
-	if j.claim == nil || now.Sub(j.claim.since) < reclaimPatience {
-		return
-	}
-	for _, p := range j.claim.parts {
-		p.worker.slow |= p.worker.used & p.cell
-	}
-	c.dropClaim(j)
-	c.enqueue(now, j)
-	c.rebind()
-}
--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -81,7 +81,8 @@
 	def Organisation
 	// running is what its placed jobs hold.
 	running resources
-	urgent  int
+	// urgent is what its placed urgent jobs count against its urgent quota.
+	urgent  float64
 	usage   usage
 	callers map[CallerID]*caller
 	lanes   [laneCount]lane
@@ -117,6 +118,7 @@
 func (c *Core) configureOrgs(now Instant) {
 	for _, o := range c.orgOrder {
 		o.def = Organisation{ID: o.def.ID, Weight: 1}
+		o.released++
 	}
 	for _, def := range c.cfg.Organisations {
 		def.Weight = max(def.Weight, 1)
@@ -168,13 +170,16 @@
 func (c *Core) charge(now Instant, j *job) {
 	n := c.need(j.Shape)
 	j.org.running.add(n)
-	if j.class.Urgent {
-		j.org.urgent += n.accelerators
+	j.units = 0
+	if c.urgentNow(j) {
+		j.units = c.urgentUnits(j.Shape)
+		j.org.urgent += j.units
 	}
 	j.placedAt = now
 	j.holding = n
 	j.charged = n.dominant(c.total) * c.expected(j).Seconds() / float64(j.class.Weight)
 	j.isCharged = true
+	c.placedByWeight[j.class.Weight]++
 	c.addCaller(j.caller, j.charged)
 }
 
@@ -184,9 +189,10 @@
 		return
 	}
 	j.isCharged = false
+	c.placedByWeight[j.class.Weight]--
 	j.org.running.sub(j.holding)
-	if j.class.Urgent {
-		j.org.urgent -= j.holding.accelerators
+	if j.units > 0 {
+		j.org.urgent -= j.units
 	}
 	used := j.holding.dominant(c.total) * now.Sub(j.placedAt).Seconds()
 	j.org.usage.sum += used * c.growing
