Count what routing does, answer admissions at once, and test zones that are cut off

Cause: a submission that does not wait was held for 9 s when the zone that has the job could not be reached, though its admission was known; routing sorted all members for each submission. Run: go test -race ./internal/routing ./internal/gate, pass.

--- a/internal/gate/peers.go
+++ b/internal/gate/peers.go
@@ -101,15 +101,7 @@
 type directory struct{ *membership.Membership }
 
 // Schedulers returns the heartbeats of the schedulers that are heard.
-func (d directory) Schedulers() []wire.Heartbeat {
-	var out []wire.Heartbeat
-	for _, hb := range d.All() {
-		if hb.Role == wire.RoleScheduler {
-			out = append(out, hb)
-		}
-	}
-	return out
-}
+func (d directory) Schedulers() []wire.Heartbeat { return d.HeardSchedulers() }
 
 // Caller returns the way to the scheduler on a host, or nil.
 func (d directory) Caller(host string) routing.Caller {
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -156,6 +156,22 @@
 	return out
 }
 
+// HeardSchedulers returns the last heartbeats of the schedulers heard within the
+// timeout, in no particular order.
+func (m *Membership) HeardSchedulers() []wire.Heartbeat {
+	self := m.self()
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]wire.Heartbeat, 0, len(m.members))
+	for key, mem := range m.members {
+		if key.role == wire.RoleScheduler && m.within(self, mem, mem.heardAt, now) {
+			out = append(out, mem.beat)
+		}
+	}
+	return out
+}
+
 // Scheduler is an address at which a scheduler is or was known.
 type Scheduler struct {
 	Zone core.ZoneID
--- a/internal/routing/breaker.go
+++ b/internal/routing/breaker.go
@@ -84,6 +84,7 @@
 	p.failures++
 	p.heard = beatOf(hb)
 	if p.failures == openAfter {
+		count(countCircuitsOpened)
 		event.Info(b.logger, event.CircuitOpen, "peer", hb.Host)
 		p.openUntil = now.Add(p.wait.NextBackOff())
 	}
--- /dev/null
+++ b/internal/routing/cutoff_test.go
@@ -0,0 +1,86 @@
+package routing
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"agatewinch/internal/core"
+	"agatewinch/internal/errkind"
+	"agatewinch/internal/wire"
+)
+
+// TestCutOffZoneServesWhatItCan follows the table of docs/operators/zone-cut-off.md.
+// Zone a is the gate's own; each zone has a job that is known there.
+func TestCutOffZoneServesWhatItCan(t *testing.T) {
+	logDown := &errkind.Error{Kind: errkind.LogUnavailable}
+	cases := []struct {
+		name       string
+		cut        func(a, b *fake)
+		idempotent errkind.Kind
+		logged     errkind.Kind
+		ownPoll    errkind.Kind
+		otherPoll  errkind.Kind
+	}{
+		{
+			name: "platform only, for all zones",
+			cut: func(a, b *fake) {
+				a.refuseLogged, b.refuseLogged = logDown, logDown
+			},
+			logged: errkind.LogUnavailable,
+		},
+		{name: "platform only, for this zone", cut: func(a, _ *fake) { a.refuseLogged = logDown }},
+		{name: "other zones", cut: func(_, b *fake) { b.script = always(unreachable) }, otherPoll: errkind.OutcomeUnknown},
+		{
+			name: "platform and other zones",
+			cut: func(a, b *fake) {
+				a.refuseLogged = logDown
+				b.script = always(unreachable)
+			},
+			logged: errkind.LogUnavailable, otherPoll: errkind.OutcomeUnknown,
+		},
+		{name: "own schedulers", cut: func(a, _ *fake) { a.script = always(unreachable) }, ownPoll: errkind.OutcomeUnknown},
+		{
+			name: "everything",
+			cut: func(a, b *fake) {
+				a.script, b.script = always(unreachable), always(unreachable)
+			},
+			idempotent: errkind.NoScheduler, logged: errkind.NoScheduler,
+			ownPoll: errkind.OutcomeUnknown, otherPoll: errkind.OutcomeUnknown,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld("a", "b")
+			a, b := w.schedulers["s-a"], w.schedulers["s-b"]
+			a.jobs["own"], b.jobs["other"] = 1, 1
+			c.cut(a, b)
+			r := w.router(func(o *Options) { o.ResolveTimeout = 50 * time.Millisecond })
+			assert.Equal(t, submitKind(t, r, idempotentJob("new")), c.idempotent)
+			assert.Equal(t, submitKind(t, r, onceOnlyJob("new once")), c.logged)
+			assert.Equal(t, pollKind(t, r, "own"), c.ownPoll)
+			assert.Equal(t, pollKind(t, r, "other"), c.otherPoll)
+		})
+	}
+}
+
+func submitKind(t *testing.T, r *Router, req wire.Submit) errkind.Kind {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	_, err := r.Submit(ctx, req)
+	return kindOf(err)
+}
+
+func pollKind(t *testing.T, r *Router, job core.JobID) errkind.Kind {
+	_, err := r.Wait(t.Context(), wire.Wait{Job: job})
+	return kindOf(err)
+}
+
+func kindOf(err error) errkind.Kind {
+	if err == nil {
+		return errkind.None
+	}
+	return errkind.Of(err).Kind
+}
--- a/internal/routing/submit.go
+++ b/internal/routing/submit.go
@@ -60,6 +60,7 @@
 		waitEnd: now.Add(req.Wait), giveUp: now.Add(max(req.Wait, admitTimeout) + callSlack),
 	}
 	r.retries.first()
+	count(countFirstTries)
 	return s.run(ctx)
 }
 
@@ -101,7 +102,15 @@
 // mayTryAgain takes a token for a retry. Asking after a lost answer, and going where a
 // scheduler said, are not retries.
 func (s *submission) mayTryAgain() bool {
-	return s.mayHaveRun || s.follow || s.router.retries.take()
+	if s.mayHaveRun || s.follow {
+		return true
+	}
+	if !s.router.retries.take() {
+		count(countRetriesRefused)
+		return false
+	}
+	count(countRetries)
+	return true
 }
 
 // candidates returns the schedulers to try, in order.
@@ -195,6 +204,9 @@
 	}
 	s.router.owners.claim(req.Job.ID, hb.Zone)
 	s.router.loads.add(hb, req.Job.Shape)
+	if hb.Zone != s.router.opts.Zone {
+		count(countSpilled)
+	}
 	return s.router.call(ctx, hb, wire.KindSubmit, req, reply, limit)
 }
 
@@ -204,6 +216,10 @@
 		zone = reply.Zone
 	}
 	s.router.owners.settle(s.req.Job.ID, zone)
+	if reply.Elsewhere && s.req.Job.Logged && !time.Now().Before(s.waitEnd) {
+		// The caller does not wait for more than the admission.
+		return verdict{done: true, reply: stated(reply)}, false
+	}
 	if reply.Elsewhere {
 		s.zone, s.admitted, s.stuckSince = zone, &reply, time.Time{}
 		s.ask = !s.req.Job.Idempotent
@@ -257,6 +273,7 @@
 // that was tried.
 func (s *submission) lost(hb wire.Heartbeat) {
 	event.Info(s.router.opts.Logger, event.AnswerLost, "peer", hb.Host, "job", s.req.Job.ID)
+	count(countAnswersLost)
 	if !s.mayHaveRun {
 		s.giveUp = later(s.waitEnd, time.Now()).Add(s.router.opts.ResolveTimeout)
 	}
@@ -323,6 +340,7 @@
 func (s *submission) finalError() error {
 	switch {
 	case s.mayHaveRun || s.known || s.admitted != nil:
+		count(countOutcomeUnknown)
 		return errkind.New(errkind.OutcomeUnknown, "the scheduler's answer was lost and could not be had again")
 	case s.refusal != nil && s.refusal.Kind != errkind.NeverRunnable:
 		return s.refusal
--- a/internal/routing/world_test.go
+++ b/internal/routing/world_test.go
@@ -53,6 +53,8 @@
 	beat  wire.Heartbeat
 	// refuse, if set, is the answer to all submissions of unknown jobs.
 	refuse *errkind.Error
+	// refuseLogged, if set, is the answer to submissions that need the log.
+	refuseLogged *errkind.Error
 	// script returns the fault of the next call.
 	script func(kind wire.Kind) fault
 	jobs   map[core.JobID]uint64
@@ -255,6 +257,9 @@
 	if f.refuse != nil {
 		return wire.JobReply{}, f.refuse
 	}
+	if f.refuseLogged != nil && req.Job.Logged {
+		return wire.JobReply{}, f.refuseLogged
+	}
 	f.jobs[id] = req.Digest
 	if req.Job.Logged {
 		f.world.log[id] = logged{zone: f.beat.Zone, digest: req.Digest}
