scheduler: times for each organisation and class, TLS to peers, drain marks on standbys

Cause: top had no times from the schedulers, peers talked in the clear, a drain mark died with the active scheduler, and each read of the log repeated event 2001. Change: the scheduler keeps wait, start and completion in internal/metrics and answers status with them; peer_tls secures listener and dials; standbys keep drain marks; the configuration is told once for each generation, an unreadable one is logged. Known: TestPlannedStopHandsOverAndWaitersAreSentOn fails now and then, also without this change (go test -race -count=12 -run TestPlannedStopHandsOver ./internal/scheduler).

--- a/cmd/agatewinch-scheduler/run.go
+++ b/cmd/agatewinch-scheduler/run.go
@@ -20,6 +20,7 @@
 	"agatewinch/internal/peer"
 	"agatewinch/internal/platform/httpadapter"
 	"agatewinch/internal/scheduler"
+	"agatewinch/internal/tlsconfig"
 	"agatewinch/internal/traffic"
 )
 
@@ -44,11 +45,16 @@
 	peers   *peer.Server
 	server  *http.Server
 	counted *traffic.Counters
+	certs   *tlsconfig.Source
 }
 
-func newProcess(s schedulerSettings) *process {
+func newProcess(s schedulerSettings) (*process, error) {
 	out, format := s.logger()
 	p := &process{logger: event.NewLogger(out, format).WithValues("host", s.Host.Host, "zone", s.Zone), counted: traffic.New()}
+	var err error
+	if p.certs, err = tlsconfig.New(s.PeerTLS, p.logger); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	platformClient := p.client(traffic.Platform, s.PlatformConns)
 	hosts := &httpadapter.Hosts{Base: s.Platform, Client: platformClient}
 	zone := core.ZoneID(s.Zone)
@@ -59,9 +65,10 @@
 	opts.Journal.SnapshotInterval, opts.Journal.EndedKept = s.SnapshotInterval, s.EndedKept
 	p.sched = scheduler.New(opts, p.logger, &httpadapter.Log{Base: s.Platform, Client: platformClient}, hosts,
 		&httpadapter.Backend{Client: p.client(traffic.Workers, s.WorkerConns)})
+	p.sched.Config().SnapshotInterval = s.ConfigSnapshotInterval
 	memberOpts := membership.Options{
 		Hosts: hosts, Config: p.sched.Config(), Interval: heartbeatInterval, Timeout: heartbeatTimeout, Logger: p.logger,
-		HTTPClient: p.client(traffic.Peers, 0),
+		HTTPClient: p.peerClient(),
 	}
 	for _, a := range s.Schedulers {
 		memberOpts.Seeds = append(memberOpts.Seeds, membership.Seed{Zone: core.ZoneID(a.Zone), Addr: a.Addr})
@@ -73,7 +80,16 @@
 	mux.Handle(peer.Path, p.peers)
 	mux.Handle(metricsPath, expvar.Handler())
 	p.server = &http.Server{Addr: s.Listen, Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
-	return p
+	return p, nil
+}
+
+// peerClient dials other schedulers, with TLS when peer_tls is set.
+func (p *process) peerClient() *http.Client {
+	client := p.client(traffic.Peers, 0)
+	if t, ok := client.Transport.(*http.Transport); ok {
+		p.certs.Secure(t)
+	}
+	return client
 }
 
 // client returns an HTTP client whose connections are bounded and counted.
@@ -86,10 +102,17 @@
 }
 
 func run(s schedulerSettings) error {
-	p := newProcess(s)
+	p, err := newProcess(s)
+	if err != nil {
+		return trace.Wrap(err)
+	}
 	p.sched.Publish()
 	p.counted.Publish()
-	listener, err := net.Listen("tcp", s.Listen)
+	plain, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	listener, err := p.certs.Wrap(p.counted.Listen(traffic.Peers, plain))
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -102,7 +125,7 @@
 	group.Go(func() error { return trace.Wrap(p.sched.Run(ctx)) })
 	group.Go(func() error { return ignoreCancel(p.members.Run(ctx)) })
 	group.Go(func() error {
-		if err := p.server.Serve(p.counted.Listen(traffic.Peers, listener)); !errors.Is(err, http.ErrServerClosed) {
+		if err := p.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return trace.Wrap(err)
 		}
 		return nil
--- a/internal/gate/fanout.go
+++ b/internal/gate/fanout.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
+	"agatewinch/internal/errkind"
 	"agatewinch/internal/wire"
 )
 
@@ -12,7 +14,8 @@
 const fanOutTimeout = 3 * time.Second
 
 // fanOut asks every scheduler at once. It returns the answers in the schedulers' order
-// and the addresses of those that did not answer.
+// and the addresses of those that did not answer. A scheduler that answers with an error
+// of its own was reached but adds nothing.
 func fanOut[Reply any](ctx context.Context, g *Gate, kind wire.Kind, body any) (replies []Reply, unreachable []string) {
 	ctx, cancel := context.WithTimeout(ctx, fanOutTimeout)
 	defer cancel()
@@ -25,6 +28,10 @@
 	}
 	calls.Wait()
 	for i, p := range peers {
+		var refused *errkind.Error
+		if errors.As(errs[i], &refused) {
+			continue
+		}
 		if errs[i] != nil {
 			unreachable = append(unreachable, p.Addr)
 			continue
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -7,6 +7,7 @@
 	"agatewinch/internal/core"
 	"agatewinch/internal/errkind"
 	"agatewinch/internal/journal"
+	"agatewinch/internal/metrics"
 	"agatewinch/internal/wire"
 )
 
@@ -27,6 +28,10 @@
 	elsewhere bool
 	// unwritten is true while the outcome is not yet in the log.
 	unwritten bool
+	// admittedAt is when this process admitted the job; zero for one that it took over.
+	admittedAt time.Time
+	// waited and ran are true once the job's wait and its start were measured.
+	waited, ran bool
 }
 
 func newRecord(job core.Job, digest uint64, zone core.ZoneID) *record {
@@ -97,6 +102,7 @@
 // submit brings a new job into the core.
 func (s *Scheduler) submit(job core.Job, digest uint64) (*record, error) {
 	r := newRecord(job, digest, s.opts.Zone)
+	r.admittedAt = time.Now()
 	s.jobs[job.ID] = r
 	s.step(s.act, core.JobSubmitted{Job: job})
 	return r, r.refusal
@@ -109,6 +115,7 @@
 	if !ok || r.outcome != nil {
 		return
 	}
+	s.metrics.times.Error(a.Kind)
 	r.refusal = &errkind.Error{Kind: a.Kind, Message: a.Message, RetryAfterSeconds: a.RetryAfterSeconds}
 	close(r.ended)
 	if !r.job.Logged {
@@ -120,10 +127,18 @@
 	s.settle(act, r, outcome, true)
 }
 
+// starting notes that a job's tasks are being started.
+func (s *Scheduler) starting(id core.JobID) {
+	if r, ok := s.jobs[id]; ok {
+		s.observeFirst(r, metrics.Wait, &r.waited)
+	}
+}
+
 func (s *Scheduler) started(a core.JobStarted) {
 	if r, ok := s.jobs[a.Job]; ok && r.outcome == nil {
 		r.state = core.Running
 		r.workers = a.Workers
+		s.observeFirst(r, metrics.Start, &r.ran)
 	}
 }
 
@@ -138,6 +153,7 @@
 		return
 	}
 	r.state, r.outcome, r.endedAt = outcome.State, &outcome, time.Now()
+	s.observe(r, metrics.Completion)
 	close(r.ended)
 	if r.job.Logged {
 		s.settle(act, r, outcome, false)
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -3,12 +3,16 @@
 import (
 	"expvar"
 	"sync/atomic"
+	"time"
 
 	"agatewinch/internal/core"
+	"agatewinch/internal/metrics"
 )
 
-// metrics are the counters of one scheduler.
-type metrics struct {
+// counters are the metrics of one scheduler.
+type counters struct {
+	// times are the histograms for each organisation and class.
+	times *metrics.Registry
 	// messages and messageBytes count requests from peers by kind.
 	messages     *expvar.Map
 	messageBytes *expvar.Map
@@ -18,8 +22,8 @@
 	outcomesDropped atomic.Int64
 }
 
-func newMetrics() *metrics {
-	return &metrics{messages: new(expvar.Map).Init(), messageBytes: new(expvar.Map).Init(), workerCalls: new(expvar.Map).Init()}
+func newCounters() *counters {
+	return &counters{times: metrics.New(metrics.SourceScheduler), messages: new(expvar.Map).Init(), messageBytes: new(expvar.Map).Init(), workerCalls: new(expvar.Map).Init()}
 }
 
 // Metrics is a summary of a scheduler at one moment.
@@ -56,8 +60,26 @@
 
 // Publish adds the scheduler's metrics to the process's expvar page. It is called once.
 func (s *Scheduler) Publish() {
+	s.metrics.times.Publish("agatewinch")
 	expvar.Publish("scheduler", expvar.Func(func() any { return s.Metrics() }))
 	expvar.Publish("peer_messages", s.metrics.messages)
 	expvar.Publish("peer_message_bytes", s.metrics.messageBytes)
 	expvar.Publish("worker_calls", s.metrics.workerCalls)
 }
+
+// observe adds the time since a job's admission by this process to a histogram. Jobs
+// that were taken over from another process are not measured.
+func (s *Scheduler) observe(r *record, measure metrics.Measure) {
+	if !r.admittedAt.IsZero() {
+		s.metrics.times.Observe(string(r.job.Org), string(r.job.Class), measure, time.Since(r.admittedAt))
+	}
+}
+
+// observeFirst is observe for a measure that counts once for a job, however often it is
+// placed.
+func (s *Scheduler) observeFirst(r *record, measure metrics.Measure, seen *bool) {
+	if !*seen {
+		*seen = true
+		s.observe(r, measure)
+	}
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -78,7 +78,7 @@
 	began    time.Time
 	inbox    chan func()
 	outcomes chan settled
-	metrics  *metrics
+	metrics  *counters
 	stats    atomic.Pointer[core.Stats]
 	// loopDone is closed when the loop has ended.
 	loopDone chan struct{}
@@ -117,7 +117,7 @@
 		opts: opts, logger: logger, hosts: hosts, backend: backend,
 		follow: config.NewFollower(log), journal: journal.New(opts.Journal, logger, log), peers: alone{},
 		began: time.Now(), inbox: make(chan func(), inboxSize), outcomes: make(chan settled, outcomesQueued),
-		metrics: newMetrics(), loopDone: make(chan struct{}), stopping: make(chan struct{}),
+		metrics: newCounters(), loopDone: make(chan struct{}), stopping: make(chan struct{}),
 		jobs: map[core.JobID]*record{}, expected: map[core.JobID]int{}, drained: map[core.WorkerID]bool{},
 	}
 	s.stats.Store(&core.Stats{})
@@ -252,6 +252,7 @@
 			Kind: platform.OpReserve, Task: a.Placement.Task, Cell: a.Placement.Cell, Job: &job, TTL: s.opts.Core.ReserveTTL,
 		})
 	case core.Start:
+		s.starting(a.Task.Job)
 		s.send(act, a.Worker, platform.Op{Kind: platform.OpStart, Task: a.Task, Resume: a.Resume})
 	case core.Release:
 		s.send(act, a.Worker, platform.Op{Kind: platform.OpRelease, Task: a.Task})
@@ -271,9 +272,11 @@
 }
 
 func (s *Scheduler) watchConfig(ctx context.Context) error {
+	var told, unreadable core.Generation
 	for {
 		changed := s.follow.Changed()
-		if cur := s.follow.Current(); cur.Set != nil {
+		if cur := s.follow.Current(); cur.Generation > told {
+			told = cur.Generation
 			event.Info(s.logger, event.ConfigInForce, "generation", cur.Generation)
 			cfg := cur.Set.Core(cur.Generation)
 			s.post(ctx, func() {
@@ -281,6 +284,10 @@
 				s.updateSessions()
 			})
 		}
+		if gen, err := s.follow.Unreadable(); gen > unreadable {
+			unreadable = gen
+			event.Error(s.logger, err, event.ConfigUnreadable, "generation", gen)
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/internal/scheduler/serve.go
+++ b/internal/scheduler/serve.go
@@ -154,6 +154,7 @@
 		reply := wire.StatusReply{
 			Host: s.opts.Host, Zone: s.opts.Zone, Active: s.act != nil, Term: term, LogUp: s.election.LogUp(),
 			Generation: s.follow.Current().Generation, Peers: s.peers.LivePeers(s.opts.Zone),
+			Metrics: s.metrics.times.Snapshot().Series,
 		}
 		if s.act == nil {
 			return reply, nil
@@ -166,19 +167,21 @@
 	})
 }
 
-// handleDrain marks a worker as leaving. The mark lives in this process: a new holder
-// learns of it from the operators again.
+// handleDrain marks a worker as leaving. Every scheduler keeps the mark, so that it
+// outlives a change of the active one; gates send it to all.
 func (s *Scheduler) handleDrain(ctx context.Context, req wire.Drain) (wire.Empty, error) {
 	return ask(ctx, s, func() (wire.Empty, error) {
+		if req.Undo {
+			delete(s.drained, req.Worker)
+		} else {
+			s.drained[req.Worker] = true
+		}
 		if s.act == nil {
-			return wire.Empty{}, errNotActive()
+			return wire.Empty{}, nil
 		}
-		ses, ok := s.act.sessions[req.Worker]
-		if !ok {
-			return wire.Empty{}, errkind.New(errkind.NotFound, "worker %s is not known", req.Worker)
+		if ses, ok := s.act.sessions[req.Worker]; ok {
+			s.healthChanged(s.act, ses)
 		}
-		s.drained[req.Worker] = !req.Undo
-		s.healthChanged(s.act, ses)
 		return wire.Empty{}, nil
 	})
 }
