--- a/cmd/agatewinch-gate/main_test.go
+++ b/cmd/agatewinch-gate/main_test.go
@@ -20,6 +20,7 @@
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
+	"agatewinch/internal/docsync"
 	"agatewinch/internal/event"
 	"agatewinch/internal/gate"
 	"agatewinch/internal/platform/fakelog"
@@ -143,3 +144,7 @@
 	assert.Equal(t, <-answers, "whole")
 	assert.NilError(t, <-stopped)
 }
+
+func TestEverySettingIsDocumented(t *testing.T) {
+	docsync.Mentions(t, "../../docs/operators/settings.md", settings.Names(gateSettings{}))
+}
--- a/internal/docsync/docsync.go
+++ b/internal/docsync/docsync.go
@@ -1,5 +1,5 @@
-// Package docsync holds the generated sections of the documentation equal to the code,
-// from the tests of the packages that own them.
+// Package docsync holds the documentation equal to the code, from the tests of the
+// packages that own it.
 package docsync
 
 import (
@@ -32,3 +32,13 @@
 	}
 	assert.Equal(t, got, want, "run the test of this package with -update")
 }
+
+// Mentions fails t unless the file at path names each of names in code style.
+func Mentions(t *testing.T, path string, names []string) {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	for _, name := range names {
+		assert.Check(t, strings.Contains(string(data), "`"+name+"`"), "%s does not name %s", path, name)
+	}
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -21,6 +21,7 @@
 	"oneof":         "is none of: %s",
 	"min":           "is below %s",
 	"max":           "is above %s",
+	"gtfield":       "is not above %s",
 	"sha256":        "is not a SHA-256 in hexadecimal",
 }
 
@@ -93,3 +94,26 @@
 	}
 	return strings.Join(lines, "\n")
 }
+
+// Names returns the names of all settings of a struct, in the order of its fields, those
+// inside another as a.b.
+func Names(settings any) []string {
+	return namesOf(reflect.TypeOf(settings), "")
+}
+
+func namesOf(typ reflect.Type, prefix string) []string {
+	var names []string
+	for i := range typ.NumField() {
+		field := typ.Field(i)
+		name, options, _ := strings.Cut(field.Tag.Get("yaml"), ",")
+		switch {
+		case strings.Contains(options, "inline"):
+			names = append(names, namesOf(field.Type, prefix)...)
+		case field.Type.Kind() == reflect.Struct:
+			names = append(names, namesOf(field.Type, prefix+name+".")...)
+		default:
+			names = append(names, prefix+name)
+		}
+	}
+	return names
+}
--- a/internal/tlsconfig/tlsconfig_test.go
+++ b/internal/tlsconfig/tlsconfig_test.go
@@ -1,16 +1,9 @@
-package tlsconfig
+package tlsconfig_test
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"io"
-	"math/big"
 	"net"
 	"net/http"
 	"os"
@@ -23,63 +16,19 @@
 	"gotest.tools/v3/assert"
 
 	"agatewinch/internal/peer"
+	"agatewinch/internal/tlsconfig"
+	"agatewinch/internal/tlsconfig/tlstest"
 	"agatewinch/internal/wire"
 )
 
-// authority signs certificates for 127.0.0.1.
-type authority struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-	pem  []byte
-}
-
-func template(name string, serial int64) *x509.Certificate {
-	return &x509.Certificate{
-		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: name},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-	}
-}
-
-func newAuthority(t *testing.T, name string) *authority {
+func newSource(t *testing.T, f tlsconfig.Files) *tlsconfig.Source {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	assert.NilError(t, err)
-	tmpl := template(name, 1)
-	tmpl.IsCA, tmpl.BasicConstraintsValid, tmpl.KeyUsage = true, true, x509.KeyUsageCertSign
-	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
-	assert.NilError(t, err)
-	cert, err := x509.ParseCertificate(der)
-	assert.NilError(t, err)
-	return &authority{cert: cert, key: key, pem: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})}
-}
-
-// write issues a certificate and writes it, its key and the authority into dir.
-func (a *authority) write(t *testing.T, dir, name string, serial int64) Files {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	assert.NilError(t, err)
-	tmpl := template(name, serial)
-	tmpl.IPAddresses = []net.IP{net.IPv4(127, 0, 0, 1)}
-	tmpl.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
-	der, err := x509.CreateCertificate(rand.Reader, tmpl, a.cert, &key.PublicKey, a.key)
-	assert.NilError(t, err)
-	keyDER, err := x509.MarshalECPrivateKey(key)
-	assert.NilError(t, err)
-	f := Files{Cert: filepath.Join(dir, name+".crt"), Key: filepath.Join(dir, name+".key"), CA: filepath.Join(dir, name+".ca")}
-	assert.NilError(t, os.WriteFile(f.Cert, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600))
-	assert.NilError(t, os.WriteFile(f.Key, pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: keyDER}), 0o600))
-	assert.NilError(t, os.WriteFile(f.CA, a.pem, 0o600))
-	return f
-}
-
-func newSource(t *testing.T, f Files) *Source {
-	t.Helper()
-	s, err := New(f, logr.Discard())
+	s, err := tlsconfig.New(f, logr.Discard())
 	assert.NilError(t, err)
 	return s
 }
 
-func serve(t *testing.T, s *Source) string {
+func serve(t *testing.T, s *tlsconfig.Source) string {
 	t.Helper()
 	ln, err := s.Listen("127.0.0.1:0")
 	assert.NilError(t, err)
@@ -92,7 +41,7 @@
 }
 
 // get returns the body and the serial number of the server's certificate.
-func get(addr string, client *Source) (string, int64, error) {
+func get(addr string, client *tlsconfig.Source) (string, int64, error) {
 	transport := &http.Transport{DisableKeepAlives: true}
 	client.Secure(transport)
 	resp, err := (&http.Client{Transport: transport, Timeout: 10 * time.Second}).Get("https://" + addr)
@@ -110,61 +59,61 @@
 }
 
 func TestMutualTLSNamesTheClient(t *testing.T) {
-	ca := newAuthority(t, "ca")
+	ca := tlstest.New(t, "ca")
 	dir := t.TempDir()
-	addr := serve(t, newSource(t, ca.write(t, dir, "server", 2)))
-	name, _, err := get(addr, newSource(t, ca.write(t, dir, "gate-1", 3)))
+	addr := serve(t, newSource(t, ca.Write(t, dir, "server", 2)))
+	name, _, err := get(addr, newSource(t, ca.Write(t, dir, "gate-1", 3)))
 	assert.NilError(t, err)
 	assert.Equal(t, name, "gate-1")
 }
 
 func TestClientOfAnotherAuthorityIsRefused(t *testing.T) {
-	ca, other := newAuthority(t, "ca"), newAuthority(t, "other")
+	ca, other := tlstest.New(t, "ca"), tlstest.New(t, "other")
 	dir := t.TempDir()
-	addr := serve(t, newSource(t, ca.write(t, dir, "server", 2)))
-	files := other.write(t, dir, "stranger", 3)
+	addr := serve(t, newSource(t, ca.Write(t, dir, "server", 2)))
+	files := other.Write(t, dir, "stranger", 3)
 	files.CA = filepath.Join(dir, "server.ca")
 	_, _, err := get(addr, newSource(t, files))
 	assert.Assert(t, err != nil)
 }
 
 func TestServerOfAnotherAuthorityIsRefused(t *testing.T) {
-	ca, other := newAuthority(t, "ca"), newAuthority(t, "other")
+	ca, other := tlstest.New(t, "ca"), tlstest.New(t, "other")
 	dir := t.TempDir()
-	addr := serve(t, newSource(t, other.write(t, dir, "server", 2)))
-	_, _, err := get(addr, newSource(t, ca.write(t, dir, "gate", 3)))
+	addr := serve(t, newSource(t, other.Write(t, dir, "server", 2)))
+	_, _, err := get(addr, newSource(t, ca.Write(t, dir, "gate", 3)))
 	assert.ErrorContains(t, err, "unknown authority")
 }
 
 func TestChangedFilesAreReadAtTheNextHandshake(t *testing.T) {
-	ca := newAuthority(t, "ca")
+	ca := tlstest.New(t, "ca")
 	dir := t.TempDir()
-	server := newSource(t, ca.write(t, dir, "server", 2))
+	server := newSource(t, ca.Write(t, dir, "server", 2))
 	addr := serve(t, server)
-	client := newSource(t, ca.write(t, dir, "client", 3))
+	client := newSource(t, ca.Write(t, dir, "client", 3))
 	_, before, err := get(addr, client)
 	assert.NilError(t, err)
 	assert.Equal(t, before, int64(2))
 
-	files := ca.write(t, dir, "server", 42)
+	files := ca.Write(t, dir, "server", 42)
 	later := time.Now().Add(time.Minute)
 	assert.NilError(t, os.Chtimes(files.Cert, later, later))
-	server.recheck()
+	server.Recheck()
 	_, after, err := get(addr, client)
 	assert.NilError(t, err)
 	assert.Equal(t, after, int64(42))
 
 	assert.NilError(t, os.WriteFile(files.Cert, []byte("broken"), 0o600))
-	server.recheck()
+	server.Recheck()
 	_, kept, err := get(addr, client)
 	assert.NilError(t, err)
 	assert.Equal(t, kept, int64(42), "a broken file must leave the certificate before it in use")
 }
 
 func TestPeersTalkOverMutualTLSOnly(t *testing.T) {
-	ca := newAuthority(t, "ca")
+	ca := tlstest.New(t, "ca")
 	dir := t.TempDir()
-	ln, err := newSource(t, ca.write(t, dir, "scheduler", 2)).Listen("127.0.0.1:0")
+	ln, err := newSource(t, ca.Write(t, dir, "scheduler", 2)).Listen("127.0.0.1:0")
 	assert.NilError(t, err)
 	server := &http.Server{Handler: peer.Serve(func(context.Context, wire.Kind, cbor.RawMessage) (any, error) {
 		return wire.StatusReply{Host: "h"}, nil
@@ -173,7 +122,7 @@
 	t.Cleanup(func() { _ = server.Close() })
 
 	transport := &http.Transport{}
-	newSource(t, ca.write(t, dir, "gate", 3)).Secure(transport)
+	newSource(t, ca.Write(t, dir, "gate", 3)).Secure(transport)
 	secure := peer.NewClient(ln.Addr().String(), peer.WithHTTPClient(&http.Client{Transport: transport}))
 	defer secure.Close()
 	var reply wire.StatusReply
@@ -186,23 +135,16 @@
 }
 
 func TestNoFilesMeanNoTLS(t *testing.T) {
-	s, err := New(Files{}, logr.Discard())
+	s, err := tlsconfig.New(tlsconfig.Files{}, logr.Discard())
 	assert.NilError(t, err)
 	assert.Assert(t, s == nil && s.Server() == nil && s.Client("x") == nil)
 }
 
 func TestMissingFileIsNamedAtStart(t *testing.T) {
-	_, err := New(Files{Cert: "/none.crt", Key: "/none.key"}, logr.Discard())
+	_, err := tlsconfig.New(tlsconfig.Files{Cert: "/none.crt", Key: "/none.key"}, logr.Discard())
 	assert.ErrorContains(t, err, "/none.crt")
 }
 
-// recheck lets the next handshake look at the files again at once.
-func (s *Source) recheck() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.checked = time.Time{}
-}
-
 func serial(conn net.Conn) int64 {
 	return conn.(*tls.Conn).ConnectionState().PeerCertificates[0].SerialNumber.Int64()
 }
