Count control traffic at the daemons' connections, and move the bench's ports

Cause: reading a daemon's counters was counted by them, and ports above 32768 met those that the system hands out. Change: one reading's cost is taken off; ports from 12000 and 14000 on; schedulers of the bench know each other.

--- a/cmd/agatewinch-bench/capacity.go
+++ b/cmd/agatewinch-bench/capacity.go
@@ -22,12 +22,12 @@
 }
 
 func capacityCmd() *cobra.Command {
-	var o capacityOptions
+	o := &capacityOptions{}
 	cmd := &cobra.Command{Use: "capacity", Short: "Measure what each role costs against the size of the system"}
 	flags := cmd.PersistentFlags()
 	flags.StringVar(&o.dir, "dir", "build/capacity", "where settings and results are")
 	flags.StringVar(&o.step, "step", "", "name of the measurement")
-	flags.IntVar(&o.firstPort, "first-port", 34000, "first port on loopback")
+	flags.IntVar(&o.firstPort, "first-port", 14000, "first port on loopback")
 	flags.DurationVar(&o.window, "window", 12*time.Second, "how long costs are counted")
 	cmd.AddCommand(
 		&cobra.Command{Use: "steps", Short: "List the measurements", Args: cobra.NoArgs, Run: func(*cobra.Command, []string) { printSteps() }},
@@ -44,7 +44,7 @@
 	}
 }
 
-func (o capacityOptions) run() (*capacity.Run, error) {
+func (o *capacityOptions) run() (*capacity.Run, error) {
 	step, ok := capacity.FindStep(o.step)
 	if !ok {
 		return nil, trace.NotFound("no step %q", o.step)
@@ -52,7 +52,7 @@
 	return capacity.NewRun(filepath.Join(o.dir, o.step), step, o.firstPort, o.window), nil
 }
 
-func (o capacityOptions) prepare() error {
+func (o *capacityOptions) prepare() error {
 	run, err := o.run()
 	if err != nil {
 		return trace.Wrap(err)
@@ -60,7 +60,7 @@
 	return trace.Wrap(run.Write())
 }
 
-func (o capacityOptions) sample(cmd *cobra.Command, _ []string) error {
+func (o *capacityOptions) sample(cmd *cobra.Command, _ []string) error {
 	run, err := o.run()
 	if err != nil {
 		return trace.Wrap(err)
@@ -77,7 +77,7 @@
 	return nil
 }
 
-func (o capacityOptions) report() error {
+func (o *capacityOptions) report() error {
 	data, err := os.ReadFile(filepath.Join(o.dir, "points.jsonl"))
 	if err != nil {
 		return trace.ConvertSystemError(err)
--- a/cmd/agatewinch-bench/main.go
+++ b/cmd/agatewinch-bench/main.go
@@ -30,7 +30,7 @@
 	flags.StringVar(&dir, "dir", "build/bench", "where to write")
 	flags.StringVar(&size, "size", "haneul", "fleet: haneul or vatuwaqa")
 	flags.StringSliceVar(&policies, "policy", []string{"fifo", "guaranteed"}, "policies, a cluster for each")
-	flags.IntVar(&firstPort, "first-port", 32000, "first port on loopback")
+	flags.IntVar(&firstPort, "first-port", 12000, "first port on loopback")
 	cmd.RunE = func(*cobra.Command, []string) error {
 		for _, s := range bench.Sizes() {
 			if s.Name == size {
--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -124,6 +124,8 @@
 	hostSettings `yaml:",inline"`
 	Policy       string        `yaml:"policy"`
 	LeaseTTL     time.Duration `yaml:"lease_ttl,omitempty"`
+	// Schedulers are the schedulers of all entry hosts.
+	Schedulers []schedulerAddr `yaml:"schedulers"`
 }
 
 type schedulerAddr struct {
@@ -161,7 +163,7 @@
 func (c Cluster) writeHost(i int, zone string, schedulers []schedulerAddr) error {
 	host := hostSettings{Host: hostName(i), Region: "region-1", Zone: zone, Platform: "http://" + c.addr(0)}
 	host.Listen = c.SchedulerAddr(i)
-	sched := schedulerSettings{hostSettings: host, Policy: c.Policy, LeaseTTL: c.LeaseTTL}
+	sched := schedulerSettings{hostSettings: host, Policy: c.Policy, LeaseTTL: c.LeaseTTL, Schedulers: schedulers}
 	if err := writeYAML(filepath.Join(c.Dir, fmt.Sprintf("scheduler-%d.yaml", i+1)), sched); err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -33,7 +33,8 @@
 	u, err := ReadUsage(context.Background(), os.Getpid(), "")
 	assert.NilError(t, err)
 	assert.Assert(t, u.Resident > 1<<20)
-	rates := Between(Usage{}, Usage{CPU: time.Second, Bytes: map[string]float64{"a": 10}}, 2*time.Second)
+	overhead := Overhead(Usage{Bytes: map[string]float64{"a": 1}}, Usage{Bytes: map[string]float64{"a": 3}})
+	rates := Between(Usage{}, Usage{CPU: time.Second, Bytes: map[string]float64{"a": 12}}, overhead, 2*time.Second)
 	assert.Equal(t, rates.CPU, 0.5)
 	assert.Equal(t, rates.BytesPerSecond, 5.0)
 }
--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -81,6 +81,10 @@
 		return nil, trace.Wrap(err)
 	}
 	sleep(ctx, settleTime)
+	first, err := r.usages(ctx, active)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
 	before, err := r.usages(ctx, active)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -97,7 +101,8 @@
 	}
 	var points []Point
 	for role, u := range after {
-		points = append(points, Point{Factor: r.Step.Factor, Sizes: r.Step.Sizes, Role: role, Rates: Between(before[role], u, window)})
+		rates := Between(before[role], u, Overhead(first[role], before[role]), window)
+		points = append(points, Point{Factor: r.Step.Factor, Sizes: r.Step.Sizes, Role: role, Rates: rates})
 	}
 	return points, nil
 }
--- a/internal/capacity/sample.go
+++ b/internal/capacity/sample.go
@@ -81,7 +81,13 @@
 	return 0, trace.NotFound("%s has no resident size", path)
 }
 
-// readVars adds up every counter map whose name ends in "_bytes".
+// The counters of bytes at a daemon's connections, by purpose.
+const (
+	varSent     = "bytes_sent"
+	varReceived = "bytes_received"
+)
+
+// readVars adds up the daemon's counters of bytes.
 func readVars(ctx context.Context, url string, into map[string]float64) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -96,8 +102,9 @@
 	if err := json.NewDecoder(resp.Body).Decode(&vars); err != nil {
 		return trace.Wrap(err)
 	}
-	for name, raw := range vars {
-		if !strings.HasSuffix(name, "_bytes") {
+	for _, name := range []string{varSent, varReceived} {
+		raw, ok := vars[name]
+		if !ok {
 			continue
 		}
 		var byKind map[string]float64
@@ -111,6 +118,15 @@
 	return nil
 }
 
+// Overhead returns what one reading adds to the counters, from two readings in a row.
+func Overhead(first, second Usage) map[string]float64 {
+	added := map[string]float64{}
+	for name, n := range second.Bytes {
+		added[name] = n - first.Bytes[name]
+	}
+	return added
+}
+
 // Rates is what a process cost over a window.
 type Rates struct {
 	// CPU is the share of one core.
@@ -123,12 +139,13 @@
 	ByKind map[string]float64 `json:"by_kind"`
 }
 
-// Between returns the rates from one usage to a later one.
-func Between(before, after Usage, window time.Duration) Rates {
+// Between returns the rates from one usage to a later one. Reading a daemon's counters
+// is counted by them too: overhead is what one reading adds, and is taken off.
+func Between(before, after Usage, overhead map[string]float64, window time.Duration) Rates {
 	s := window.Seconds()
 	r := Rates{CPU: (after.CPU - before.CPU).Seconds() / s, Resident: float64(after.Resident), ByKind: map[string]float64{}}
 	for name, n := range after.Bytes {
-		rate := (n - before.Bytes[name]) / s
+		rate := (n - before.Bytes[name] - overhead[name]) / s
 		r.ByKind[name] = rate
 		r.BytesPerSecond += rate
 	}
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -10,7 +10,7 @@
 sizes=${3:-"haneul vatuwaqa"}
 policies=${4:-"fifo guaranteed"}
 out=${BENCH_OUT:-build/bench}
-first_port=${BENCH_PORT:-32000}
+first_port=${BENCH_PORT:-12000}
 mkdir -p "$out"
 : >"$out/results.jsonl"
 trap cluster_stop EXIT
