--- a/internal/core/protect.go
+++ b/internal/core/protect.go
@@ -40,12 +40,14 @@
 	}
 }
 
-// protects reports whether a task that cannot be stopped leaves every organisation
-// the share of the worker that goes with its guaranteed cells.
-func (w *worker) protects(o *org, s Shape, cells uint64) bool {
+// protects reports whether tasks of shape s on these cells, which cannot be stopped,
+// leave every organisation the share of the worker that goes with its guaranteed cells.
+func (w *worker) protects(o *org, s Shape, cells ...uint64) bool {
 	kept := w.shareOf(cell.Count(w.bound))
 	sum := w.hard
-	sum.add(w.excess(o, s, cells))
+	for _, m := range cells {
+		sum.add(w.excess(o, s, m))
+	}
 	return sum.cpu <= w.def.CPU-kept.cpu &&
 		sum.memory <= w.def.MemoryBytes-kept.memory &&
 		sum.slots <= w.def.Slots-kept.slots
--- a/internal/core/reclaim.go
+++ b/internal/core/reclaim.go
@@ -91,11 +91,13 @@
 	size     int
 	stopping map[*job]bool
 	taken    map[*worker]uint64
+	accepted []*claimPart
 	extra    map[*worker]amount
 }
 
 func (cl *clearing) accept(k candidate) {
 	cl.taken[k.part.worker] |= k.part.cell
+	cl.accepted = append(cl.accepted, k.part)
 	sum := cl.extra[k.part.worker]
 	sum.add(amount{cl.job.Shape.CPU, cl.job.Shape.MemoryBytes, 1})
 	cl.extra[k.part.worker] = sum
@@ -141,9 +143,26 @@
 	return best
 }
 
+// cellsOn returns the cells accepted on w, and m.
+func (cl *clearing) cellsOn(w *worker, m uint64) []uint64 { return append(cellsOn(cl.accepted, w), m) }
+
+// cellsOn returns the cells of the parts that are on w.
+func cellsOn(parts []*claimPart, w *worker) []uint64 {
+	var cells []uint64
+	for _, p := range parts {
+		if p.worker == w {
+			cells = append(cells, p.cell)
+		}
+	}
+	return cells
+}
+
 // consider returns what clearing m on w would cost.
 func (cl *clearing) consider(w *worker, m uint64) (candidate, bool) {
 	k := candidate{part: &claimPart{worker: w, cell: m, shape: cl.job.Shape}}
+	if !cl.job.stoppable() && !w.protects(cl.job.org, cl.job.Shape, cl.cellsOn(w, m)...) {
+		return k, false
+	}
 	for _, t := range w.held {
 		if uint64(t.Cell)&m == 0 {
 			continue
