--- /dev/null
+++ b/test/failover/failover_test.go
@@ -0,0 +1,106 @@
+// Package failover measures how soon a zone serves again after its active scheduler was
+// killed, with real processes.
+package failover
+
+import (
+	"context"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"agatewinch/internal/core"
+	"agatewinch/internal/standin"
+	"agatewinch/test/harness"
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	harness.RemoveBinaries()
+	os.Exit(code)
+}
+
+const (
+	zone = "nabua"
+	// blockTime is how long the running gang keeps the waiting one from its start.
+	blockTime = time.Second
+	giveUp    = 30 * time.Second
+	pollEvery = 10 * time.Millisecond
+)
+
+func gang(name string, run time.Duration) harness.Work {
+	return harness.Work{
+		Name: name, Org: harness.OrgSurvey, Class: harness.ClassGang, Run: run,
+		Shape: core.Shape{Cells: 2, CellSize: 8, CPU: 1, MemoryBytes: 1 << 30},
+	}
+}
+
+// BenchmarkFailover kills the active scheduler while one gang runs and another waits for
+// its workers. It reports the time from the kill to the standby's service and to the start
+// of the waiting gang, which cannot start before the running one ends.
+func BenchmarkFailover(b *testing.B) {
+	opts := harness.Options{Zones: []string{zone}, HostsPerZone: 2, WorkersPerZone: 2, Lease: 2 * time.Second, Reserve: time.Second}
+	c := harness.Start(b, opts)
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	load := harness.NewLoad(harness.NewBalancer(ctx, c, 1))
+	var serving, started time.Duration
+	n := 0
+	for b.Loop() {
+		n++
+		running := load.Submit(ctx, gang("running", blockTime), n)
+		awaitStart(b, c, running.ID())
+		waiting := load.Submit(ctx, gang("waiting", pollEvery), n)
+		await(b, "accepted", func() bool { return accepted(waiting) })
+		active := c.Active(ctx, zone)
+		assert.Assert(b, active != nil)
+		killed := time.Now()
+		active.Scheduler.Kill()
+		await(b, "a standby serves", func() bool {
+			next := c.Active(ctx, zone)
+			return next != nil && next != active
+		})
+		serving += time.Since(killed)
+		started += awaitStart(b, c, waiting.ID()).Sub(killed)
+		assert.NilError(b, active.Scheduler.Start())
+	}
+	cancel()
+	load.Wait()
+	b.ReportMetric(serving.Seconds()/float64(n), "s/serving")
+	b.ReportMetric(started.Seconds()/float64(n), "s/gang_started")
+}
+
+func accepted(r *harness.Request) bool {
+	for _, call := range r.Calls() {
+		if call.Accepted() {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitStart returns when the job's first task started, by the ledger.
+func awaitStart(b *testing.B, c *harness.Cluster, id core.JobID) time.Time {
+	b.Helper()
+	var at time.Time
+	await(b, "started", func() bool {
+		ledger, err := c.Admin.Ledger(b.Context(), 0)
+		assert.NilError(b, err)
+		for _, e := range ledger {
+			if e.Kind == standin.EntryStarted && e.Task.Job == id {
+				at = time.Unix(0, e.Unix)
+				return true
+			}
+		}
+		return false
+	})
+	return at
+}
+
+func await(b *testing.B, what string, cond func() bool) {
+	b.Helper()
+	for end := time.Now().Add(giveUp); !cond(); time.Sleep(pollEvery) {
+		assert.Assert(b, time.Now().Before(end), "not yet: %s", what)
+	}
+}
