scheduler: bound the outcomes in memory by number, and list only live jobs

Cause: a flood of small jobs would fill the memory of a small host for ten minutes, and each tick walked over all jobs. Figures: go test -race ./internal/scheduler passes.

--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -20,7 +20,6 @@
 	state   core.JobState
 	workers []core.WorkerID
 	outcome *core.Outcome
-	endedAt time.Time
 	// ended is closed when nothing more comes from this process for the job.
 	ended   chan struct{}
 	refusal error
@@ -117,13 +116,13 @@
 	}
 	s.metrics.times.Error(a.Kind)
 	r.refusal = &errkind.Error{Kind: a.Kind, Message: a.Message, RetryAfterSeconds: a.RetryAfterSeconds}
-	close(r.ended)
 	if !r.job.Logged {
+		close(r.ended)
 		delete(s.jobs, a.Job)
 		return
 	}
 	outcome := core.Outcome{State: core.Failed, Kind: a.Kind, Ran: errkind.RanNo, Message: a.Message}
-	r.state, r.outcome, r.endedAt = core.Failed, &outcome, time.Now()
+	s.setOutcome(r, outcome)
 	s.settle(act, r, outcome, true)
 }
 
@@ -152,9 +151,8 @@
 	if r.outcome != nil {
 		return
 	}
-	r.state, r.outcome, r.endedAt = outcome.State, &outcome, time.Now()
+	s.setOutcome(r, outcome)
 	s.observe(r, metrics.Completion)
-	close(r.ended)
 	if r.job.Logged {
 		s.settle(act, r, outcome, false)
 	}
@@ -167,19 +165,10 @@
 	if !ok || r.outcome != nil || !known || e.Live() {
 		return
 	}
-	r.state, r.outcome, r.endedAt = e.Outcome.State, e.Outcome, time.Now()
-	close(r.ended)
+	s.setOutcome(r, *e.Outcome)
 	s.step(s.act, core.JobCancelled{Job: id})
 }
 
-func (s *Scheduler) forgetEnded() {
-	for id, r := range s.jobs {
-		if r.outcome != nil && !r.unwritten && time.Since(r.endedAt) > endedKept {
-			delete(s.jobs, id)
-		}
-	}
-}
-
 // journalChanged follows what other processes write for this zone. It runs on the
 // journal's reading goroutine.
 func (s *Scheduler) journalChanged(c journal.Change) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -28,8 +28,6 @@
 	tickInterval  = 250 * time.Millisecond
 	hostsInterval = time.Second
 	inboxSize     = 4096
-	// endedKept is how long the outcome of a job that is not in the log stays known.
-	endedKept = 10 * time.Minute
 )
 
 // Options are a scheduler's fixed parameters.
@@ -94,6 +92,8 @@
 	// The fields below belong to the loop.
 	act  *activation
 	jobs map[core.JobID]*record
+	// endedJobs are the jobs of that map that have ended.
+	endedJobs endedQueue
 	// expected counts the admissions that this process is writing, by job.
 	expected map[core.JobID]int
 	listed   []platform.Host
--- a/internal/scheduler/serve.go
+++ b/internal/scheduler/serve.go
@@ -1,7 +1,9 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -124,13 +126,15 @@
 	return ask(ctx, s, func() (wire.ListReply, error) {
 		var reply wire.ListReply
 		for _, r := range s.jobs {
-			if req.Org != "" && r.job.Org != req.Org || len(reply.Jobs) >= req.Limit {
+			if r.outcome != nil || req.Org != "" && r.job.Org != req.Org {
 				continue
 			}
 			reply.Jobs = append(reply.Jobs, wire.JobSummary{
 				Job: r.job.ID, Org: r.job.Org, Caller: r.job.Caller, Class: r.job.Class, State: r.state, Shape: r.job.Shape,
 			})
 		}
+		slices.SortFunc(reply.Jobs, func(a, b wire.JobSummary) int { return cmp.Compare(a.Job, b.Job) })
+		reply.Jobs = reply.Jobs[:min(len(reply.Jobs), req.Limit)]
 		return reply, nil
 	})
 }
