--- a/internal/config/follow.go
+++ b/internal/config/follow.go
@@ -136,6 +136,14 @@
 	return f.reader.unreadable, f.reader.reason
 }
 
+// Gap reports whether records were trimmed before they were read, and no snapshot has
+// told yet what is in force.
+func (f *Follower) Gap() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reader.scanned && !f.reader.known
+}
+
 // Ready reports whether the host may serve: it has read to the stream's end or, with
 // the log away, has taken the highest generation that its peers hold.
 func (f *Follower) Ready() bool {
--- a/internal/config/propose.go
+++ b/internal/config/propose.go
@@ -22,7 +22,7 @@
 	// Base is the generation that the set builds on.
 	Base core.Generation
 	// Force puts the set in force over any other. It is for a log that has lost the
-	// configuration, and refused while one is in force.
+	// configuration, and refused while the log shows which one is in force.
 	Force bool
 	Set   *Set
 }
@@ -106,10 +106,10 @@
 	r := f.reader
 	newest := max(r.gen, r.current.Generation, r.unreadable)
 	switch {
-	case p.Force && newest > 0:
-		return errkind.New(errkind.Conflict, "forced, but generation %d is in force", newest)
 	case !r.scanned:
 		return errkind.New(errkind.LogUnavailable, "the log cannot be read")
+	case p.Force && r.known && newest > 0:
+		return errkind.New(errkind.Conflict, "forced, but generation %d is in force", newest)
 	case p.Force:
 		return nil
 	case !r.known:
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -30,6 +30,7 @@
 	ConfigUnreadable = Event{2002, "configuration unreadable", "A generation was accepted that this build cannot use. The host keeps the one before it and is not ready: bring it to the newest build, or apply a set that it can read."}
 	TLSReloadFailed  = Event{2003, "certificate not reloaded", "A changed certificate, key or authority file could not be read; the ones read before stay in use."}
 	OperatorAction   = Event{2004, "operator's action", "An operator changed something through the HTTP interface; the key's name, the operation and its result are shown."}
+	ConfigGap        = Event{2005, "configuration gap", "Records of the configuration were trimmed before this host read them. It goes on by the next snapshot or a peer's configuration; if no host knows one, apply the files with --force."}
 
 	SchedulerActive  = Event{3001, "scheduler active", "This host now holds the zone's active role."}
 	SchedulerStandby = Event{3002, "scheduler standby", "This host gave up the zone's active role."}
@@ -51,7 +52,7 @@
 func Catalogue() []Event {
 	return []Event{
 		ProcessStarted, ProcessStopping, ProcessStopped, ProcessFailed,
-		ConfigInForce, ConfigUnreadable, TLSReloadFailed, OperatorAction,
+		ConfigInForce, ConfigUnreadable, TLSReloadFailed, OperatorAction, ConfigGap,
 		SchedulerActive, SchedulerStandby, RolePaused, RoleSuperseded, PlacementVoid, OutcomeDropped,
 		WorkerHealth, CoreNote, LeaseRefused,
 		LogWriteError, JournalLoaded, JournalGap,
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -82,8 +82,13 @@
 // logConfig logs each change of the configuration in force.
 func (g *Gate) logConfig(ctx context.Context) error {
 	var logged, unreadable core.Generation
+	gap := false
 	for {
 		changed := g.follow.Changed()
+		if now := g.follow.Gap(); now != gap {
+			gap = now
+			event.Info(g.logger, event.ConfigGap, "open", gap)
+		}
 		if gen := g.follow.Current().Generation; gen > logged {
 			logged = gen
 			event.Info(g.logger, event.ConfigInForce, "generation", gen)
