--- /dev/null
+++ b/test/faults/focused_test.go
@@ -0,0 +1,217 @@
+package faults
+
+import (
+	"context"
+	"flag"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"agatewinch/internal/core"
+	"agatewinch/internal/errkind"
+	"agatewinch/internal/standin"
+	"agatewinch/test/harness"
+	"agatewinch/test/knownred"
+)
+
+var outageFlag = flag.Duration("outage", 6*time.Second, "how long the log is down in TestIdempotentWaitingWorkGoesOnWhileTheLogIsDown; the target's figure is 1m")
+
+const (
+	// failoverTime is within what time a waiting gang starts after the active scheduler
+	// was killed.
+	failoverTime = 5 * time.Second
+	// keptRate is the part of the rate that stays while the log is down.
+	keptRate = 0.9
+	jobTime  = 2 * time.Minute
+)
+
+func zones(n int) harness.Options {
+	opts := harness.FullSet()
+	opts.Zones = opts.Zones[:n]
+	return opts
+}
+
+// wholeZone is a gang that takes every accelerator of a zone.
+func wholeZone(opts harness.Options, name string, run time.Duration) harness.Work {
+	return harness.Work{
+		Name: name, Org: harness.OrgSurvey, Class: harness.ClassGang, Run: run, Idempotent: true,
+		Shape: core.Shape{Cells: opts.WorkersPerZone, CellSize: 8, CPU: 1, MemoryBytes: 1 << 30},
+	}
+}
+
+// awaitEntry waits for the first ledger entry of a kind and job.
+func awaitEntry(t *testing.T, c *harness.Cluster, kind standin.EntryKind, job core.JobID) standin.Entry {
+	t.Helper()
+	deadline := time.Now().Add(jobTime)
+	for time.Now().Before(deadline) {
+		ledger, err := c.Admin.Ledger(t.Context(), 0)
+		assert.NilError(t, err)
+		for _, e := range ledger {
+			if e.Kind == kind && e.Task.Job == job {
+				return e
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Fatalf("job %s: no %s within %v", job, kind, jobTime)
+	return standin.Entry{}
+}
+
+func TestWaitingGangStartsInTimeAfterTheActiveSchedulersKill(t *testing.T) {
+	knownred.PassOver(t)
+	t.Parallel()
+	opts := zones(1)
+	c := harness.Start(t, opts)
+	ctx, cancel := context.WithTimeout(t.Context(), jobTime)
+	defer cancel()
+	load := harness.NewLoad(harness.NewBalancer(ctx, c, 1))
+	first := load.Submit(ctx, wholeZone(opts, "first", 2*time.Second), 0)
+	awaitEntry(t, c, standin.EntryStarted, first.ID())
+	waiting := load.Submit(ctx, wholeZone(opts, "waiting", 100*time.Millisecond), 0)
+	for len(waiting.Calls()) == 0 || !waiting.Calls()[0].Accepted() {
+		assert.NilError(t, ctx.Err())
+		time.Sleep(10 * time.Millisecond)
+	}
+	active := c.Active(ctx, opts.Zones[0])
+	assert.Assert(t, active != nil)
+	active.Scheduler.Kill()
+	killed := time.Now()
+	started := awaitEntry(t, c, standin.EntryStarted, waiting.ID())
+	took := time.Unix(0, started.Unix).Sub(killed)
+	t.Logf("the waiting gang started %v after the kill", took)
+	load.Wait()
+	e := gather(t, c, load)
+	report(t, e)
+	if took > failoverTime {
+		t.Errorf("the waiting gang started %v after the kill, want at most %v", took, failoverTime)
+	}
+}
+
+func TestIdempotentWaitingWorkGoesOnWhileTheLogIsDown(t *testing.T) {
+	knownred.PassOver(t)
+	c := harness.Start(t, zones(1))
+	ctx, cancel := context.WithTimeout(t.Context(), 3**outageFlag+jobTime)
+	defer cancel()
+	load := harness.NewLoad(harness.NewBalancer(ctx, c, 1))
+	var done atomic.Int64
+	running, stop := context.WithCancel(ctx)
+	work := harness.Mix()[0]
+	var callers sync.WaitGroup
+	for caller := range 8 {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			for n := 0; running.Err() == nil; n++ {
+				load.Do(ctx, work, caller<<20+n)
+				done.Add(1)
+			}
+		}()
+	}
+	count := func() int64 {
+		before := done.Load()
+		pause(ctx, *outageFlag)
+		return done.Load() - before
+	}
+	pause(ctx, warmUp)
+	before := count()
+	assert.NilError(t, c.Admin.SetLog(ctx, standin.LogFaults{Mode: standin.LogRefusing}))
+	during := count()
+	assert.NilError(t, c.Admin.SetLog(ctx, harness.BaseLog()))
+	stop()
+	callers.Wait()
+	t.Logf("in %v: %d jobs before the outage, %d during it", *outageFlag, before, during)
+	report(t, gather(t, c, load))
+	if float64(during) < keptRate*float64(before) {
+		t.Errorf("%d jobs while the log was down, %d before", during, before)
+	}
+}
+
+func TestRollingRestartFailsNoRequest(t *testing.T) {
+	knownred.PassOver(t)
+	t.Parallel()
+	c := harness.Start(t, zones(2))
+	ctx, cancel := context.WithTimeout(t.Context(), 2*jobTime)
+	defer cancel()
+	load := harness.NewLoad(harness.NewBalancer(ctx, c, 1))
+	submitting, stop := context.WithCancel(ctx)
+	for _, w := range harness.Mix() {
+		load.Repeat(submitting, ctx, w)
+	}
+	pause(ctx, warmUp)
+	for _, h := range c.Hosts {
+		for _, p := range []*harness.Process{h.Gate, h.Scheduler} {
+			p.Terminate()
+			assert.NilError(t, p.AwaitEnd(stopTimeout))
+			assert.NilError(t, p.EnsureRunning())
+		}
+		c.AwaitReady(h)
+	}
+	pause(ctx, warmUp)
+	stop()
+	load.Wait()
+	e := gather(t, c, load)
+	report(t, e)
+	failed := 0
+	for _, r := range e.Requests {
+		for _, call := range r.Calls() {
+			if call.Status >= http.StatusBadRequest || call.Lost && call.Dialled {
+				failed++
+				if failed <= 10 {
+					t.Logf("job %s: %s at %s: status %d, lost %v, %+v", r.ID(), call.Kind, call.Gate, call.Status, call.Lost, call.Answer.Error)
+				}
+			}
+		}
+	}
+	t.Logf("%s; %d failed calls", e.summary(), failed)
+	if failed > 0 {
+		t.Errorf("%d calls failed during the rolling restart", failed)
+	}
+}
+
+// TestTwoActiveSchedulersAreSafe pauses the active scheduler past its lease, so that
+// the standby takes over, and lets the former one go on beside it.
+func TestTwoActiveSchedulersAreSafe(t *testing.T) {
+	knownred.PassOver(t)
+	t.Parallel()
+	opts := zones(1)
+	c := harness.Start(t, opts)
+	zone := opts.Zones[0]
+	schedule := []Fault{
+		{Kind: PauseActive, Zone: zone, At: 0, For: 2 * opts.Lease},
+		{Kind: PauseActive, Zone: zone, At: 4 * opts.Lease, For: 2 * opts.Lease},
+	}
+	e := Run(t, c, schedule, 1, harness.Mix())
+	t.Log(e.summary())
+	report(t, e)
+}
+
+func TestOneOfTwoRacingAppliesWinsAndTheOtherIsToldOfTheConflict(t *testing.T) {
+	knownred.PassOver(t)
+	t.Parallel()
+	c := harness.Start(t, zones(2))
+	ctx, cancel := context.WithTimeout(t.Context(), jobTime)
+	defer cancel()
+	base, err := c.Config(ctx, c.Hosts[0])
+	assert.NilError(t, err)
+	won := 0
+	results := make(chan error, len(c.Hosts))
+	for _, h := range c.Hosts {
+		go func() {
+			_, err := c.Apply(ctx, h, base.Generation, c.Set)
+			results <- err
+		}()
+	}
+	for range c.Hosts {
+		switch err := <-results; {
+		case err == nil:
+			won++
+		default:
+			assert.Assert(t, errkind.Is(err, errkind.Conflict), "%v", err)
+		}
+	}
+	assert.Equal(t, won, 1)
+}
--- a/test/faults/run.go
+++ b/test/faults/run.go
@@ -20,7 +20,7 @@
 func Run(t testing.TB, c *harness.Cluster, schedule []Fault, seed uint64, mix []harness.Work) Evidence {
 	t.Helper()
 	ctx := context.Background()
-	driving, stopDriving := context.WithTimeout(ctx, warmUp+Length()+stopTimeout+settleTime)
+	driving, stopDriving := context.WithTimeout(ctx, warmUp+lengthOf(schedule)+stopTimeout+settleTime)
 	defer stopDriving()
 	submitting, stopSubmitting := context.WithCancel(driving)
 	defer stopSubmitting()
@@ -44,14 +44,20 @@
 	settled.Stop()
 	stopDriving()
 	<-watching
-	ledger, err := c.Admin.Ledger(ctx, 0)
-	assert.NilError(t, err)
-	e := Evidence{Requests: load.Requests(), Ledger: ledger, Lease: c.Opts.Lease}
+	e := gather(t, c, load)
 	e.Applies, e.Samples = operators.Record()
 	e.Outages, e.Stops = injector.Record()
 	return e
 }
 
+// gather collects what callers were told and what ran.
+func gather(t testing.TB, c *harness.Cluster, load *harness.Load) Evidence {
+	t.Helper()
+	ledger, err := c.Admin.Ledger(context.Background(), 0)
+	assert.NilError(t, err)
+	return Evidence{Requests: load.Requests(), Ledger: ledger, Lease: c.Opts.Lease}
+}
+
 // RunSeed draws a seed's schedule, runs it and fails the test for every finding.
 func RunSeed(t *testing.T, seed uint64) {
 	t.Helper()
@@ -74,3 +80,12 @@
 		t.Error(f)
 	}
 }
+
+// lengthOf is the time until the last fault of a schedule ends.
+func lengthOf(schedule []Fault) time.Duration {
+	var end time.Duration
+	for _, f := range schedule {
+		end = max(end, f.At+f.For)
+	}
+	return end
+}
--- a/test/harness/cluster.go
+++ b/test/harness/cluster.go
@@ -197,6 +197,17 @@
 	})
 }
 
+// AwaitReady waits until a host's gate is ready.
+func (c *Cluster) AwaitReady(h *EntryHost) {
+	c.T.Helper()
+	c.eventually("gate "+h.Name+" is ready", func(ctx context.Context) error {
+		if !c.ready(ctx, h) {
+			return fmt.Errorf("not ready")
+		}
+		return nil
+	})
+}
+
 // freeAccelerators is what the zone's active scheduler counts as free, as the host's
 // gate tells it; -1 when it tells nothing.
 func (c *Cluster) freeAccelerators(ctx context.Context, h *EntryHost) int {
--- a/test/harness/load.go
+++ b/test/harness/load.go
@@ -75,12 +75,25 @@
 	}()
 }
 
-// Submit drives one request in the background.
-func (l *Load) Submit(ctx context.Context, w Work, n int) *Request {
+// add makes the n-th request of a kind of work.
+func (l *Load) add(w Work, n int) *Request {
 	r := newRequest(w, n)
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.requests = append(l.requests, r)
-	l.mu.Unlock()
+	return r
+}
+
+// Do drives one request to its end.
+func (l *Load) Do(ctx context.Context, w Work, n int) *Request {
+	r := l.add(w, n)
+	l.balancer.Drive(ctx, r)
+	return r
+}
+
+// Submit drives one request in the background.
+func (l *Load) Submit(ctx context.Context, w Work, n int) *Request {
+	r := l.add(w, n)
 	l.wait.Add(1)
 	go func() {
 		defer l.wait.Done()
