Tell the links of the fault suite apart by the process that connects

Cause: processes find each other by host list and heartbeats, so an address for each pair of processes would be bypassed. Change: one proxy before each target, advertised everywhere; the source of each connection is looked up among the harness's own processes; faults are kept by source. Figures: a refused link of one gate leaves the other gate's link whole (new test). Conclusion: one-way and pairwise cuts work however a peer was found.

--- a/test/harness/cluster.go
+++ b/test/harness/cluster.go
@@ -41,14 +41,19 @@
 	SchedulerAddr string
 	// CallerURL leads to the gate through the callers' proxy.
 	CallerURL string
+
+	gateAddr, advertised string
 }
 
-// Link is one proxied connection path.
+// Link is the path of all connections from one process to another.
 type Link struct {
 	From, To string
-	*proxy.Proxy
+	proxy    *proxy.Proxy
 }
 
+// Set replaces the link's faults; the zero value heals it.
+func (l *Link) Set(f proxy.LinkFaults) { l.proxy.Set(l.From, f) }
+
 // Cluster is a running system with its stand-in platform.
 type Cluster struct {
 	T     testing.TB
@@ -60,6 +65,7 @@
 	// Direct is an HTTP client for calls without faults.
 	Direct *http.Client
 
+	proxies  []*proxy.Proxy
 	platform *Process
 	dir      string
 	ports    *ports
@@ -88,21 +94,47 @@
 	return c
 }
 
-// plan names the hosts and gives every process its own address.
+// plan names the hosts and gives every process its addresses: the one that it listens
+// on, and the proxied one that all others are told.
 func (c *Cluster) plan() {
 	for _, zone := range c.Opts.Zones {
 		for i := range c.Opts.HostsPerZone {
 			name := zone + "-" + strconv.Itoa(i+1)
-			h := &EntryHost{Name: name, Zone: zone}
-			gateAddr := c.ports.addr(c.T, 1)
-			h.SchedulerAddr = c.ports.addr(c.T, 1)
-			h.GateURL = "http://" + gateAddr
-			h.CallerURL = "http://" + c.link(Callers, "gate/"+name, gateAddr)
+			h := &EntryHost{Name: name, Zone: zone, gateAddr: c.ports.addr(c.T, 1), SchedulerAddr: c.ports.addr(c.T, 1)}
+			h.GateURL = "http://" + h.gateAddr
 			h.Gate = c.process("gate/"+name, binaryGate)
 			h.Scheduler = c.process("scheduler/"+name, binaryScheduler)
 			c.Hosts = append(c.Hosts, h)
 		}
 	}
+	for _, h := range c.Hosts {
+		h.CallerURL = "http://" + c.proxyTo(h.Gate.Name, h.gateAddr, Callers)
+		h.advertised = c.proxyTo(h.Scheduler.Name, h.SchedulerAddr, c.processNames(h.Scheduler.Name)...)
+	}
+}
+
+// processNames names the processes of all entry hosts but one.
+func (c *Cluster) processNames(but string) []string {
+	var names []string
+	for _, h := range c.Hosts {
+		for _, p := range []*Process{h.Gate, h.Scheduler} {
+			if p.Name != but {
+				names = append(names, p.Name)
+			}
+		}
+	}
+	return names
+}
+
+// schedulersOf names the schedulers of a zone.
+func (c *Cluster) schedulersOf(zone string) []string {
+	var names []string
+	for _, h := range c.Hosts {
+		if h.Zone == zone {
+			names = append(names, h.Scheduler.Name)
+		}
+	}
+	return names
 }
 
 func (c *Cluster) process(name, binary string) *Process {
@@ -110,11 +142,19 @@
 	return &Process{Name: name, binary: binary, settings: base + ".yaml", log: base + ".log"}
 }
 
-// link adds a proxied path and returns the address of its beginning.
-func (c *Cluster) link(from, to, target string) string {
-	p, err := proxy.New(c.ports.addr(c.T, 1), target)
+// proxyTo puts a proxy before a target, with a link from each source, and returns its
+// address.
+func (c *Cluster) proxyTo(to, target string, sources ...string) string {
+	sourceOf := c.sourceOf
+	if len(sources) == 1 {
+		sourceOf = func(net.Conn) string { return sources[0] }
+	}
+	p, err := proxy.New(c.ports.addr(c.T, 1), target, sourceOf)
 	assert.NilError(c.T, err)
-	c.Links = append(c.Links, &Link{From: from, To: to, Proxy: p})
+	c.proxies = append(c.proxies, p)
+	for _, from := range sources {
+		c.Links = append(c.Links, &Link{From: from, To: to, proxy: p})
+	}
 	return p.Addr()
 }
 
@@ -128,7 +168,7 @@
 	c.platform = c.process("platform", binaryStandin)
 	file := standinFile{Listen: listen, WorkerBase: workerBase, ConfigDir: configDir, Log: BaseLog(), Worker: BaseWorker()}
 	for _, h := range c.Hosts {
-		file.EntryHosts = append(file.EntryHosts, entryHostLine{ID: h.Name, Zone: h.Zone, Addr: h.SchedulerAddr})
+		file.EntryHosts = append(file.EntryHosts, entryHostLine{ID: h.Name, Zone: h.Zone, Addr: h.advertised})
 	}
 	writeYAML(c.T, c.platform.settings, file)
 	assert.NilError(c.T, c.platform.Start())
@@ -147,33 +187,29 @@
 		if h.Kind != platform.BackendHost {
 			continue
 		}
-		h.Addr = c.link("schedulers/"+string(h.Zone), "worker/"+h.ID, h.Addr)
+		h.Addr = c.proxyTo("worker/"+h.ID, h.Addr, c.schedulersOf(string(h.Zone))...)
 		assert.NilError(c.T, c.Admin.PutHost(ctx, h))
 	}
 }
 
-// writeSettings writes the settings of all hosts; every link has its own proxy.
+// writeSettings writes the settings of all hosts; every address in them is a proxy's.
 func (c *Cluster) writeSettings() {
+	platform := "http://" + c.proxyTo(Platform, c.base[len("http://"):], c.processNames("")...)
+	var schedulers []schedulerLine
 	for _, h := range c.Hosts {
-		gate := gateFile{hostFile: c.hostFile(h, h.Gate.Name, h.GateURL[len("http://"):])}
-		for _, other := range c.Hosts {
-			addr := c.link(h.Gate.Name, other.Scheduler.Name, other.SchedulerAddr)
-			gate.Schedulers = append(gate.Schedulers, schedulerLine{Zone: other.Zone, Addr: addr})
-		}
+		schedulers = append(schedulers, schedulerLine{Zone: h.Zone, Addr: h.advertised})
+	}
+	for _, h := range c.Hosts {
+		host := hostFile{Host: h.Name, Region: region, Zone: h.Zone, Platform: platform}
+		gate := gateFile{hostFile: host, Schedulers: schedulers, OperatorKeys: []string{config.HashKey(operatorKey)}}
+		gate.Listen = h.gateAddr
 		writeYAML(c.T, h.Gate.settings, gate)
-		writeYAML(c.T, h.Scheduler.settings, schedulerFile{
-			hostFile: c.hostFile(h, h.Scheduler.Name, h.SchedulerAddr), LeaseTTL: c.Opts.Lease, ReserveTTL: c.Opts.Reserve,
-		})
+		scheduler := schedulerFile{hostFile: host, LeaseTTL: c.Opts.Lease, ReserveTTL: c.Opts.Reserve}
+		scheduler.Listen = h.SchedulerAddr
+		writeYAML(c.T, h.Scheduler.settings, scheduler)
 	}
 }
 
-func (c *Cluster) hostFile(h *EntryHost, process, listen string) hostFile {
-	_, port, err := net.SplitHostPort(c.base[len("http://"):])
-	assert.NilError(c.T, err)
-	base := "http://" + c.link(process, Platform, net.JoinHostPort(loopback, port))
-	return hostFile{Host: h.Name, Region: region, Zone: h.Zone, Listen: listen, Platform: base}
-}
-
 func (c *Cluster) apply() {
 	c.eventually("the first configuration is accepted", func(ctx context.Context) error {
 		_, err := c.Apply(ctx, c.Hosts[0], 0, c.Set)
@@ -250,8 +286,8 @@
 	for _, p := range processes {
 		p.Kill()
 	}
-	for _, l := range c.Links {
-		l.Close()
+	for _, p := range c.proxies {
+		p.Close()
 	}
 	c.Direct.CloseIdleConnections()
 	if c.T.Failed() {
--- a/test/harness/harness_test.go
+++ b/test/harness/harness_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"agatewinch/internal/audit"
+	"agatewinch/test/proxy"
 )
 
 func TestMain(m *testing.M) {
@@ -42,3 +43,21 @@
 	report := audit.Compare(told, ledger, opts.Lease)
 	assert.DeepEqual(t, report.Findings, []string(nil))
 }
+
+func TestFaultsOfALinkHitOnlyTheProcessItComesFrom(t *testing.T) {
+	opts := FullSet()
+	opts.Zones = opts.Zones[:2]
+	opts.HostsPerZone = 1
+	c := Start(t, opts)
+	for _, l := range c.Links {
+		if l.From == c.Hosts[0].Gate.Name && l.To == c.Hosts[0].Scheduler.Name {
+			l.Set(proxy.LinkFaults{Refuse: true})
+		}
+	}
+	cut, err := c.Status(t.Context(), c.Hosts[0])
+	assert.NilError(t, err)
+	assert.Equal(t, len(cut.Schedulers), 1)
+	whole, err := c.Status(t.Context(), c.Hosts[1])
+	assert.NilError(t, err)
+	assert.Equal(t, len(whole.Schedulers), 2)
+}
--- a/test/harness/settings.go
+++ b/test/harness/settings.go
@@ -44,8 +44,9 @@
 }
 
 type gateFile struct {
-	hostFile   `yaml:",inline"`
-	Schedulers []schedulerLine `yaml:"schedulers"`
+	hostFile     `yaml:",inline"`
+	Schedulers   []schedulerLine `yaml:"schedulers"`
+	OperatorKeys []string        `yaml:"operator_keys"`
 }
 
 type schedulerFile struct {
--- a/test/proxy/proxy.go
+++ b/test/proxy/proxy.go
@@ -43,26 +43,35 @@
 	return LinkFaults{Request: Faults{Drop: true}, Answer: Faults{Drop: true}}
 }
 
-// Proxy carries connections from its own address to a target.
+// Proxy carries connections from its own address to a target. Each source of
+// connections has its own faults.
 type Proxy struct {
 	target   string
+	sourceOf func(net.Conn) string
 	listener net.Listener
 	done     sync.WaitGroup
 
 	mu      sync.Mutex
-	faults  LinkFaults
+	faults  map[string]LinkFaults
 	changed chan struct{}
 	conns   map[*link]bool
 	closed  bool
 }
 
-// New starts a proxy on listen, an IP and port, towards target.
-func New(listen, target string) (*Proxy, error) {
+// New starts a proxy on listen, an IP and port, towards target. sourceOf names the
+// source of a connection; nil names all of them "".
+func New(listen, target string, sourceOf func(net.Conn) string) (*Proxy, error) {
 	listener, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	p := &Proxy{target: target, listener: listener, changed: make(chan struct{}), conns: map[*link]bool{}}
+	if sourceOf == nil {
+		sourceOf = func(net.Conn) string { return "" }
+	}
+	p := &Proxy{
+		target: target, sourceOf: sourceOf, listener: listener, faults: map[string]LinkFaults{},
+		changed: make(chan struct{}), conns: map[*link]bool{},
+	}
 	p.done.Add(1)
 	go p.acceptLoop()
 	return p, nil
@@ -71,28 +80,23 @@
 // Addr returns the proxy's own address.
 func (p *Proxy) Addr() string { return p.listener.Addr().String() }
 
-// Set replaces the faults; the zero value heals the link.
-func (p *Proxy) Set(f LinkFaults) {
+// Set replaces the faults of connections from source; the zero value heals them.
+func (p *Proxy) Set(source string, f LinkFaults) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.faults = f
+	p.faults[source] = f
 	close(p.changed)
 	p.changed = make(chan struct{})
 	if f.Refuse {
-		p.resetAll()
+		p.resetFrom(source)
 	}
 }
 
-// Reset breaks every connection that the proxy carries.
-func (p *Proxy) Reset() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.resetAll()
-}
-
-func (p *Proxy) resetAll() {
+func (p *Proxy) resetFrom(source string) {
 	for l := range p.conns {
-		l.reset()
+		if l.source == source {
+			l.reset()
+		}
 	}
 }
 
@@ -103,15 +107,17 @@
 	_ = p.listener.Close()
 	close(p.changed)
 	p.changed = make(chan struct{})
-	p.resetAll()
+	for l := range p.conns {
+		l.reset()
+	}
 	p.mu.Unlock()
 	p.done.Wait()
 }
 
-func (p *Proxy) state() (LinkFaults, chan struct{}, bool) {
+func (p *Proxy) state(source string) (LinkFaults, chan struct{}, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.faults, p.changed, p.closed
+	return p.faults[source], p.changed, p.closed
 }
 
 func (p *Proxy) acceptLoop() {
@@ -131,7 +137,8 @@
 
 func (p *Proxy) serve(client net.Conn) {
 	defer p.done.Done()
-	if faults, _, closed := p.state(); faults.Refuse || closed {
+	source := p.sourceOf(client)
+	if faults, _, closed := p.state(source); faults.Refuse || closed {
 		reset(client)
 		return
 	}
@@ -142,7 +149,7 @@
 		reset(client)
 		return
 	}
-	l := &link{proxy: p, client: client, server: server, ended: make(chan struct{})}
+	l := &link{proxy: p, source: source, client: client, server: server, ended: make(chan struct{})}
 	if !p.add(l) {
 		l.reset()
 		return
@@ -160,7 +167,7 @@
 func (p *Proxy) add(l *link) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || p.faults.Refuse {
+	if p.closed || p.faults[l.source].Refuse {
 		return false
 	}
 	p.conns[l] = true
@@ -176,6 +183,7 @@
 // link is one carried connection.
 type link struct {
 	proxy          *Proxy
+	source         string
 	client, server net.Conn
 	once           sync.Once
 	ended          chan struct{}
@@ -235,7 +243,7 @@
 // pass delivers data to a connection; false means that the link must be reset.
 func (l *link) pass(to net.Conn, data []byte, passed *int64, direction func(LinkFaults) Faults) bool {
 	for {
-		all, changed, closed := l.proxy.state()
+		all, changed, closed := l.proxy.state(l.source)
 		if closed || all.Refuse {
 			return false
 		}
--- a/test/proxy/proxy_test.go
+++ b/test/proxy/proxy_test.go
@@ -32,7 +32,7 @@
 			}()
 		}
 	}()
-	p, err := New("127.0.0.1:0", listener.Addr().String())
+	p, err := New("127.0.0.1:0", listener.Addr().String(), nil)
 	assert.NilError(t, err)
 	t.Cleanup(func() {
 		p.Close()
@@ -77,12 +77,12 @@
 func TestHeldAnswerArrivesAfterwards(t *testing.T) {
 	p := echo(t)
 	conn := dial(t, p)
-	p.Set(LinkFaults{Answer: Faults{Hold: true}})
+	p.Set("", LinkFaults{Answer: Faults{Hold: true}})
 	send(t, conn, "late")
 	text, ended := receive(conn, 4)
 	assert.Equal(t, text, "")
 	assert.Assert(t, !ended)
-	p.Set(LinkFaults{})
+	p.Set("", LinkFaults{})
 	text, _ = receive(conn, 4)
 	assert.Equal(t, text, "late")
 }
@@ -94,12 +94,12 @@
 		t.Run(name, func(t *testing.T) {
 			p := echo(t)
 			conn := dial(t, p)
-			p.Set(f)
+			p.Set("", f)
 			send(t, conn, "gone")
 			text, ended := receive(conn, 4)
 			assert.Equal(t, text, "")
 			assert.Assert(t, !ended)
-			p.Set(LinkFaults{})
+			p.Set("", LinkFaults{})
 			text, ended = receive(conn, 4)
 			assert.Equal(t, text, "")
 			assert.Assert(t, ended)
@@ -110,7 +110,7 @@
 func TestConnectionIsCutAfterExactlySoManyBytes(t *testing.T) {
 	p := echo(t)
 	conn := dial(t, p)
-	p.Set(LinkFaults{Answer: Faults{CutAfter: 3}})
+	p.Set("", LinkFaults{Answer: Faults{CutAfter: 3}})
 	send(t, conn, "abcdef")
 	text, ended := receive(conn, 6)
 	// A reset may overtake bytes that the receiver has not read yet.
@@ -121,7 +121,7 @@
 func TestDelayHoldsDataBackAndDeliversIt(t *testing.T) {
 	p := echo(t)
 	conn := dial(t, p)
-	p.Set(LinkFaults{Request: Faults{Delay: 2 * patience}})
+	p.Set("", LinkFaults{Request: Faults{Delay: 2 * patience}})
 	send(t, conn, "slow")
 	text, _ := receive(conn, 4)
 	assert.Equal(t, text, "")
@@ -136,14 +136,31 @@
 	old := dial(t, p)
 	send(t, old, "x")
 	receive(old, 1)
-	p.Set(LinkFaults{Refuse: true})
+	p.Set("", LinkFaults{Refuse: true})
 	_, ended := receive(old, 1)
 	assert.Assert(t, ended)
 	_, ended = receive(dial(t, p), 1)
 	assert.Assert(t, ended)
-	p.Set(LinkFaults{})
+	p.Set("", LinkFaults{})
 	again := dial(t, p)
 	send(t, again, "y")
 	text, _ := receive(again, 1)
 	assert.Equal(t, text, "y")
 }
+
+func TestSourcesHaveFaultsOfTheirOwn(t *testing.T) {
+	healthy := echo(t)
+	names := make(chan string, 2)
+	names <- "a"
+	names <- "b"
+	p, err := New("127.0.0.1:0", healthy.Addr(), func(net.Conn) string { return <-names })
+	assert.NilError(t, err)
+	defer p.Close()
+	p.Set("a", CutBothWays())
+	first, second := dial(t, p), dial(t, p)
+	send(t, first, "x")
+	send(t, second, "x")
+	one, _ := receive(first, 1)
+	other, _ := receive(second, 1)
+	assert.Equal(t, one+other, "x")
+}
