--- a/test/faults/run.go
+++ b/test/faults/run.go
@@ -70,14 +70,14 @@
 
 // report fails the test for every finding, and prints a bounded number of them.
 func report(t testing.TB, e Evidence) {
-	const shown = 20
+	const shown = 8
 	findings := e.Findings()
 	for n, f := range findings {
 		if n == shown {
 			t.Errorf("and %d more", len(findings)-shown)
 			return
 		}
-		t.Error(f)
+		t.Errorf("%s\n%s", f, e.trace(f))
 	}
 }
 
