--- a/internal/core/reclaim.go
+++ b/internal/core/reclaim.go
@@ -77,7 +77,7 @@
 	}
 	var chosen []candidate
 	for len(chosen) < need {
-		best := cl.cheapest(c.ordered)
+		best := cl.cheapest(j.org.boundWorkers)
 		if best == nil {
 			return nil
 		}
@@ -330,6 +330,11 @@
 // completeClaims places the jobs whose claimed cells are clear.
 func (c *Core) completeClaims(now Instant) {
 	for _, j := range append([]*job(nil), c.claims...) {
+		if !c.claimHolds(j) {
+			c.dropClaim(j)
+			c.enqueue(now, j)
+			continue
+		}
 		if !j.claim.clear() || c.overQuota(j) != "" {
 			continue
 		}
@@ -341,6 +346,21 @@
 	}
 }
 
+// claimHolds reports whether the job may still take the claimed cells: the bindings may
+// have changed since.
+func (c *Core) claimHolds(j *job) bool {
+	for _, p := range j.claim.parts {
+		w := p.worker
+		if !w.usable() {
+			return false
+		}
+		if !j.stoppable() && p.cell&w.reclaimable(j.org) != 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // clear reports whether all claimed cells are free, with the room beside them.
 func (cl *claim) clear() bool {
 	for _, p := range cl.parts {
@@ -369,6 +389,7 @@
 		}
 		p.worker.refresh()
 	}
+	parts := j.claim.parts
 	j.claim = nil
 	for i, have := range c.claims {
 		if have == j {
@@ -376,7 +397,9 @@
 			break
 		}
 	}
-	c.freed()
+	for _, p := range parts {
+		c.freedOn(p.worker)
+	}
 }
 
 // claimDue looks for other cells when claimed ones stay occupied: the tasks there do
