--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -32,6 +32,10 @@
 
 	SchedulerActive  = Event{3001, "scheduler active", "This host now holds the zone's active role."}
 	SchedulerStandby = Event{3002, "scheduler standby", "This host gave up the zone's active role."}
+	RolePaused       = Event{3003, "holder was paused", "The process was stopped for longer than its claim lives; it sends nothing to workers before it has read the claims again."}
+	RoleSuperseded   = Event{3004, "role superseded", "Another process holds the zone's active role, or the role could not be taken up; the higher term goes on."}
+	PlacementVoid    = Event{3005, "placement void", "A placement was refused by the order of the log: another holder's term came first."}
+	OutcomeDropped   = Event{3006, "outcome not recorded", "The buffer of outcomes that wait for the log is full; the job is settled again at the next recovery."}
 
 	WorkerHealth = Event{4001, "worker health changed", "A worker became live, leaving, unreachable or gone."}
 	CoreNote     = Event{4002, "scheduling decision", "The core reports a decision; the code says which."}
@@ -47,7 +51,7 @@
 	return []Event{
 		ProcessStarted, ProcessStopping, ProcessStopped, ProcessFailed,
 		ConfigInForce, ConfigUnreadable, TLSReloadFailed,
-		SchedulerActive, SchedulerStandby,
+		SchedulerActive, SchedulerStandby, RolePaused, RoleSuperseded, PlacementVoid, OutcomeDropped,
 		WorkerHealth, CoreNote, LeaseRefused,
 		LogWriteError, JournalLoaded, JournalGap,
 		PeerLive, PeerSilent, PeerReplaced, PeerForgotten, PeerConfigFailed,
