--- a/test/faults/focused_test.go
+++ b/test/faults/focused_test.go
@@ -152,6 +152,8 @@
 	}
 	pause(ctx, warmUp)
 	stop()
+	settled := time.AfterFunc(settleTime, cancel)
+	defer settled.Stop()
 	load.Wait()
 	e := gather(t, c, load)
 	report(t, e)
--- a/test/harness/settings.go
+++ b/test/harness/settings.go
@@ -53,6 +53,9 @@
 	hostFile   `yaml:",inline"`
 	LeaseTTL   time.Duration `yaml:"lease_ttl"`
 	ReserveTTL time.Duration `yaml:"reserve_ttl"`
+	// Advertise is the proxy's address, so that peers go through the proxy.
+	Advertise  string          `yaml:"advertise"`
+	Schedulers []schedulerLine `yaml:"schedulers"`
 }
 
 func writeYAML(t testing.TB, path string, body any) {
