faults: replace a zone's entry hosts by new ones with other names and addresses

Cause: hosts of the product are replaced, not restarted; starting the new processes at the old addresses never proved that peers are found. Change: hosts of a cluster may come and go; balancer, operators and links follow.

--- a/test/faults/focused_test.go
+++ b/test/faults/focused_test.go
@@ -142,7 +142,7 @@
 		load.Repeat(submitting, ctx, w)
 	}
 	pause(ctx, warmUp)
-	for _, h := range c.Hosts {
+	for _, h := range c.Hosts() {
 		for _, p := range []*harness.Process{h.Gate, h.Scheduler} {
 			p.Terminate()
 			assert.NilError(t, p.AwaitEnd(stopTimeout))
@@ -197,17 +197,17 @@
 	c := harness.Start(t, zones(2))
 	ctx, cancel := context.WithTimeout(t.Context(), jobTime)
 	defer cancel()
-	base, err := c.Config(ctx, c.Hosts[0])
+	base, err := c.Config(ctx, c.Hosts()[0])
 	assert.NilError(t, err)
 	won := 0
-	results := make(chan error, len(c.Hosts))
-	for _, h := range c.Hosts {
+	results := make(chan error, len(c.Hosts()))
+	for _, h := range c.Hosts() {
 		go func() {
 			_, err := c.Apply(ctx, h, base.Generation, c.Set)
 			results <- err
 		}()
 	}
-	for range c.Hosts {
+	for range c.Hosts() {
 		switch err := <-results; {
 		case err == nil:
 			won++
--- a/test/faults/inject.go
+++ b/test/faults/inject.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
@@ -113,9 +112,10 @@
 	case StopGate:
 		return i.terminate(h, h.Gate), []string{h.Name}
 	case ZoneHostsReplaced:
-		return i.replaceZone(f.Zone)
+		return i.replaceZone(ctx, f.Zone)
 	case CutRequests, CutAnswers, CutBoth, CutAfterBytes, HoldAnswers, SlowLink:
-		link := i.cluster.Links[f.Link%len(i.cluster.Links)]
+		links := i.cluster.Links()
+		link := links[f.Link%len(links)]
 		i.cluster.T.Logf("link from %s to %s", link.From, link.To)
 		link.Set(linkFaults(f))
 		return func() { link.Set(proxy.LinkFaults{}) }, nil
@@ -198,8 +198,19 @@
 	return nil
 }
 
+// host returns the f.Host-th of the zone's present hosts.
 func (i *Injector) host(f Fault) *harness.EntryHost {
-	return i.cluster.Host(fmt.Sprintf("%s-%d", f.Zone, f.Host+1))
+	var zone []*harness.EntryHost
+	for _, h := range i.cluster.Hosts() {
+		if h.Zone == f.Zone {
+			zone = append(zone, h)
+		}
+	}
+	if len(zone) == 0 {
+		// Another fault is replacing the zone's hosts.
+		return i.cluster.Hosts()[0]
+	}
+	return zone[f.Host%len(zone)]
 }
 
 // active returns the host of the zone's active scheduler, or h when none is known.
@@ -242,25 +253,18 @@
 	}
 }
 
-func (i *Injector) replaceZone(zone string) (heal func(), hosts []string) {
-	var heals []func()
-	for _, h := range i.cluster.Hosts {
-		if h.Zone == zone {
-			heals = append(heals, i.kill(h.Scheduler), i.kill(h.Gate))
-			hosts = append(hosts, h.Name)
-		}
-	}
-	return func() {
-		for _, f := range heals {
-			f()
-		}
-	}, hosts
+// replaceZone kills every entry host of a zone for good. New ones, with other names and
+// addresses, come at the fault's end.
+func (i *Injector) replaceZone(ctx context.Context, zone string) (heal func(), hosts []string) {
+	hosts, err := i.cluster.RetireZone(ctx, zone)
+	i.must(err)
+	return func() { i.must(i.cluster.AddHosts(ctx, zone, len(hosts))) }, hosts
 }
 
 // cutLinks cuts every link that match selects, both ways.
 func (i *Injector) cutLinks(match func(*harness.Link) bool) func() {
 	var cut []*harness.Link
-	for _, l := range i.cluster.Links {
+	for _, l := range i.cluster.Links() {
 		if match(l) {
 			l.Set(proxy.CutBothWays())
 			cut = append(cut, l)
@@ -275,7 +279,7 @@
 
 // healAll ends every fault that may still be open.
 func (i *Injector) healAll(ctx context.Context) {
-	for _, l := range i.cluster.Links {
+	for _, l := range i.cluster.Links() {
 		l.Set(proxy.LinkFaults{})
 	}
 	i.must(i.cluster.Admin.SetLog(ctx, harness.BaseLog()))
@@ -285,7 +289,7 @@
 			i.must(i.cluster.Admin.SetWorker(ctx, core.WorkerID(w.Name), harness.BaseWorker()))
 		}
 	}
-	for _, h := range i.cluster.Hosts {
+	for _, h := range i.cluster.Hosts() {
 		for _, p := range []*harness.Process{h.Gate, h.Scheduler} {
 			p.Resume()
 			i.must(p.EnsureRunning())
--- a/test/faults/operators.go
+++ b/test/faults/operators.go
@@ -48,19 +48,13 @@
 // Run applies and watches until the contexts end.
 func (o *Operators) Run(applying, watching context.Context) {
 	var wait sync.WaitGroup
-	for _, h := range o.cluster.Hosts {
-		wait.Add(2)
-		go func() {
-			defer wait.Done()
-			o.watchGate(watching, h)
-		}()
-		go func() {
-			defer wait.Done()
-			o.watchScheduler(watching, h)
-		}()
-	}
+	o.cluster.EachHost(func(h *harness.EntryHost) {
+		wait.Go(func() { o.watchGate(watching, h) })
+		wait.Go(func() { o.watchScheduler(watching, h) })
+	})
 	for n := 0; applying.Err() == nil; n++ {
-		o.apply(applying, o.cluster.Hosts[n%len(o.cluster.Hosts)])
+		hosts := o.cluster.Hosts()
+		o.apply(applying, hosts[n%len(hosts)])
 		pause(applying, applyEvery)
 	}
 	wait.Wait()
@@ -135,7 +129,7 @@
 
 // raceApplies has operators at every gate apply at once.
 func (i *Injector) raceApplies(ctx context.Context) {
-	for _, h := range i.cluster.Hosts {
+	for _, h := range i.cluster.Hosts() {
 		go i.operators.apply(ctx, h)
 	}
 }
@@ -168,7 +162,7 @@
 	case ZoneOffPeers:
 		return i.cutLinks(offPeers), nil
 	}
-	for _, h := range i.cluster.Hosts {
+	for _, h := range i.cluster.Hosts() {
 		if h.Zone == f.Zone {
 			hosts = append(hosts, h.Name)
 		}
--- a/test/harness/caller.go
+++ b/test/harness/caller.go
@@ -30,12 +30,10 @@
 // NewBalancer returns a balancer that looks at the gates' readiness until ctx ends.
 func NewBalancer(ctx context.Context, c *Cluster, seed uint64) *Balancer {
 	b := &Balancer{
-		cluster: c, rng: rand.New(rand.NewPCG(seed, 1)), ready: c.Hosts,
+		cluster: c, rng: rand.New(rand.NewPCG(seed, 1)), ready: c.Hosts(),
 		client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: directConns}},
 	}
-	for _, h := range c.Hosts {
-		go b.watch(ctx, h)
-	}
+	c.EachHost(func(h *EntryHost) { go b.watch(ctx, h) })
 	return b
 }
 
@@ -72,7 +70,7 @@
 	defer b.mu.Unlock()
 	hosts := b.ready
 	if len(hosts) == 0 {
-		hosts = b.cluster.Hosts
+		hosts = b.cluster.Hosts()
 	}
 	return hosts[b.rng.IntN(len(hosts))]
 }
--- a/test/harness/cluster.go
+++ b/test/harness/cluster.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"path/filepath"
-	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -32,44 +32,36 @@
 	Platform = "platform"
 )
 
-// EntryHost is an entry host with its two processes.
-type EntryHost struct {
-	Name, Zone      string
-	Gate, Scheduler *Process
-	// GateURL and SchedulerAddr lead to the processes without a proxy.
-	GateURL       string
-	SchedulerAddr string
-	// CallerURL leads to the gate through the callers' proxy.
-	CallerURL string
-
-	gateAddr, advertised string
-}
-
-// Link is the path of all connections from one process to another.
-type Link struct {
-	From, To string
-	proxy    *proxy.Proxy
-}
-
-// Set replaces the link's faults; the zero value heals it.
-func (l *Link) Set(f proxy.LinkFaults) { l.proxy.Set(l.From, f) }
-
 // Cluster is a running system with its stand-in platform.
 type Cluster struct {
 	T     testing.TB
 	Opts  Options
 	Set   config.Set
-	Hosts []*EntryHost
-	Links []*Link
 	Admin *standin.Admin
 	// Direct is an HTTP client for calls without faults.
 	Direct *http.Client
 
-	proxies  []*proxy.Proxy
 	platform *Process
 	dir      string
 	ports    *ports
 	base     string
+	// platformAddr is where the platform listens, and platformProxy leads to it.
+	platformAddr, platformProxy string
+
+	mu      sync.Mutex
+	hosts   []*EntryHost
+	retired []*EntryHost
+	links   []*Link
+	paths   []*path
+	onHost  []func(*EntryHost)
+	named   map[string]int
+}
+
+// path is a proxy before one process, with the sources that may connect through it.
+type path struct {
+	to    string
+	proxy *proxy.Proxy
+	from  func(process string) bool
 }
 
 // Start starts a cluster, applies the fleet's configuration and waits until every zone
@@ -77,64 +69,31 @@
 func Start(t testing.TB, opts Options) *Cluster {
 	t.Helper()
 	c := &Cluster{
-		T: t, Opts: opts, Set: fleet(opts), dir: t.TempDir(), ports: takePorts(t),
+		T: t, Opts: opts, Set: fleet(opts), named: map[string]int{}, dir: t.TempDir(), ports: takePorts(t),
 		Direct: &http.Client{Timeout: 40 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: directConns}},
 	}
 	t.Cleanup(c.stop)
 	c.plan()
 	c.startPlatform()
 	c.addWorkerLinks()
-	c.writeSettings()
-	for _, h := range c.Hosts {
-		assert.NilError(t, h.Scheduler.Start())
-		assert.NilError(t, h.Gate.Start())
+	for _, h := range c.Hosts() {
+		c.writeSettings(h)
+		assert.NilError(t, h.start())
 	}
 	c.apply()
 	c.awaitServing()
 	return c
 }
 
-// plan names the hosts and gives every process its addresses: the one that it listens
-// on, and the proxied one that all others are told.
+// plan names the hosts of all zones and gives them their addresses.
 func (c *Cluster) plan() {
+	c.platformAddr = c.ports.addr(c.T, 1)
+	c.platformProxy = c.proxyTo(Platform, c.platformAddr, func(process string) bool { return process != Callers })
 	for _, zone := range c.Opts.Zones {
-		for i := range c.Opts.HostsPerZone {
-			name := zone + "-" + strconv.Itoa(i+1)
-			h := &EntryHost{Name: name, Zone: zone, gateAddr: c.ports.addr(c.T, 1), SchedulerAddr: c.ports.addr(c.T, 1)}
-			h.GateURL = "http://" + h.gateAddr
-			h.Gate = c.process("gate/"+name, binaryGate)
-			h.Scheduler = c.process("scheduler/"+name, binaryScheduler)
-			c.Hosts = append(c.Hosts, h)
-		}
-	}
-	for _, h := range c.Hosts {
-		h.CallerURL = "http://" + c.proxyTo(h.Gate.Name, h.gateAddr, Callers)
-		h.advertised = c.proxyTo(h.Scheduler.Name, h.SchedulerAddr, c.processNames(h.Scheduler.Name)...)
-	}
-}
-
-// processNames names the processes of all entry hosts but one.
-func (c *Cluster) processNames(but string) []string {
-	var names []string
-	for _, h := range c.Hosts {
-		for _, p := range []*Process{h.Gate, h.Scheduler} {
-			if p.Name != but {
-				names = append(names, p.Name)
-			}
+		for range c.Opts.HostsPerZone {
+			c.addHost(c.planHost(zone))
 		}
 	}
-	return names
-}
-
-// schedulersOf names the schedulers of a zone.
-func (c *Cluster) schedulersOf(zone string) []string {
-	var names []string
-	for _, h := range c.Hosts {
-		if h.Zone == zone {
-			names = append(names, h.Scheduler.Name)
-		}
-	}
-	return names
 }
 
 func (c *Cluster) process(name, binary string) *Process {
@@ -142,24 +101,8 @@
 	return &Process{Name: name, binary: binary, settings: base + ".yaml", log: base + ".log"}
 }
 
-// proxyTo puts a proxy before a target, with a link from each source, and returns its
-// address.
-func (c *Cluster) proxyTo(to, target string, sources ...string) string {
-	sourceOf := c.sourceOf
-	if len(sources) == 1 {
-		sourceOf = func(net.Conn) string { return sources[0] }
-	}
-	p, err := proxy.New(c.ports.addr(c.T, 1), target, sourceOf)
-	assert.NilError(c.T, err)
-	c.proxies = append(c.proxies, p)
-	for _, from := range sources {
-		c.Links = append(c.Links, &Link{From: from, To: to, proxy: p})
-	}
-	return p.Addr()
-}
-
 func (c *Cluster) startPlatform() {
-	listen := c.ports.addr(c.T, 1)
+	listen := c.platformAddr
 	workerBase := c.ports.addr(c.T, len(workerIDs(c.Set)))
 	c.base = "http://" + listen
 	c.Admin = &standin.Admin{Base: c.base, Client: c.Direct}
@@ -167,7 +110,7 @@
 	writeYAML(c.T, filepath.Join(configDir, "fleet.yaml"), c.Set)
 	c.platform = c.process("platform", binaryStandin)
 	file := standinFile{Listen: listen, WorkerBase: workerBase, ConfigDir: configDir, Log: BaseLog(), Worker: BaseWorker()}
-	for _, h := range c.Hosts {
+	for _, h := range c.Hosts() {
 		file.EntryHosts = append(file.EntryHosts, entryHostLine{ID: h.Name, Zone: h.Zone, Addr: h.advertised})
 	}
 	writeYAML(c.T, c.platform.settings, file)
@@ -187,32 +130,16 @@
 		if h.Kind != platform.BackendHost {
 			continue
 		}
-		h.Addr = c.proxyTo("worker/"+h.ID, h.Addr, c.schedulersOf(string(h.Zone))...)
+		h.Addr = c.proxyTo("worker/"+h.ID, h.Addr, func(process string) bool {
+			return strings.HasPrefix(process, "scheduler/"+string(h.Zone)+"-")
+		})
 		assert.NilError(c.T, c.Admin.PutHost(ctx, h))
 	}
 }
 
-// writeSettings writes the settings of all hosts; every address in them is a proxy's.
-func (c *Cluster) writeSettings() {
-	platform := "http://" + c.proxyTo(Platform, c.base[len("http://"):], c.processNames("")...)
-	var schedulers []schedulerLine
-	for _, h := range c.Hosts {
-		schedulers = append(schedulers, schedulerLine{Zone: h.Zone, Addr: h.advertised})
-	}
-	for _, h := range c.Hosts {
-		host := hostFile{Host: h.Name, Region: region, Zone: h.Zone, Platform: platform}
-		gate := gateFile{hostFile: host, Schedulers: schedulers, OperatorKeys: []string{config.HashKey(operatorKey)}}
-		gate.Listen = h.gateAddr
-		writeYAML(c.T, h.Gate.settings, gate)
-		scheduler := schedulerFile{hostFile: host, LeaseTTL: c.Opts.Lease, ReserveTTL: c.Opts.Reserve, Advertise: h.advertised, Schedulers: schedulers}
-		scheduler.Listen = h.SchedulerAddr
-		writeYAML(c.T, h.Scheduler.settings, scheduler)
-	}
-}
-
 func (c *Cluster) apply() {
 	c.eventually("the first configuration is accepted", func(ctx context.Context) error {
-		_, err := c.Apply(ctx, c.Hosts[0], 0, c.Set)
+		_, err := c.Apply(ctx, c.Hosts()[0], 0, c.Set)
 		return err
 	})
 }
@@ -221,7 +148,7 @@
 func (c *Cluster) awaitServing() {
 	want := c.Opts.WorkersPerZone * workerAccelerators
 	c.eventually("every zone serves", func(ctx context.Context) error {
-		for _, h := range c.Hosts {
+		for _, h := range c.Hosts() {
 			if !c.ready(ctx, h) {
 				return fmt.Errorf("gate %s is not ready", h.Name)
 			}
@@ -277,7 +204,7 @@
 
 func (c *Cluster) stop() {
 	processes := []*Process{}
-	for _, h := range c.Hosts {
+	for _, h := range append(c.Hosts(), c.retired...) {
 		processes = append(processes, h.Gate, h.Scheduler)
 	}
 	if c.platform != nil {
@@ -286,8 +213,8 @@
 	for _, p := range processes {
 		p.Kill()
 	}
-	for _, p := range c.proxies {
-		p.Close()
+	for _, p := range c.paths {
+		p.proxy.Close()
 	}
 	c.Direct.CloseIdleConnections()
 	if c.T.Failed() {
--- a/test/harness/harness_test.go
+++ b/test/harness/harness_test.go
@@ -49,15 +49,15 @@
 	opts.Zones = opts.Zones[:2]
 	opts.HostsPerZone = 1
 	c := Start(t, opts)
-	for _, l := range c.Links {
-		if l.From == c.Hosts[0].Gate.Name && l.To == c.Hosts[0].Scheduler.Name {
+	for _, l := range c.Links() {
+		if l.From == c.Hosts()[0].Gate.Name && l.To == c.Hosts()[0].Scheduler.Name {
 			l.Set(proxy.LinkFaults{Refuse: true})
 		}
 	}
-	cut, err := c.Status(t.Context(), c.Hosts[0])
+	cut, err := c.Status(t.Context(), c.Hosts()[0])
 	assert.NilError(t, err)
 	assert.Equal(t, len(cut.Schedulers), 1)
-	whole, err := c.Status(t.Context(), c.Hosts[1])
+	whole, err := c.Status(t.Context(), c.Hosts()[1])
 	assert.NilError(t, err)
 	assert.Equal(t, len(whole.Schedulers), 2)
 }
--- a/test/harness/operator.go
+++ b/test/harness/operator.go
@@ -53,7 +53,7 @@
 func (c *Cluster) Active(ctx context.Context, zone string) *EntryHost {
 	var best *EntryHost
 	var term core.Term
-	for _, h := range c.Hosts {
+	for _, h := range c.Hosts() {
 		status, err := c.Status(ctx, h)
 		if err != nil {
 			continue
@@ -69,7 +69,7 @@
 
 // Host returns the entry host of a name.
 func (c *Cluster) Host(name string) *EntryHost {
-	for _, h := range c.Hosts {
+	for _, h := range c.Hosts() {
 		if h.Name == name {
 			return h
 		}
--- a/test/harness/ports.go
+++ b/test/harness/ports.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"sync"
 	"testing"
 	"time"
 )
@@ -19,7 +20,10 @@
 )
 
 // ports hands out the ports of one block.
-type ports struct{ next, end int }
+type ports struct {
+	mu        sync.Mutex
+	next, end int
+}
 
 func takePorts(t testing.TB) *ports {
 	t.Helper()
@@ -42,6 +46,8 @@
 // addr returns the next address, and the next n-1 ports after it are taken too.
 func (p *ports) addr(t testing.TB, n int) string {
 	t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.next+n > p.end {
 		t.Fatalf("a cluster needs more than %d ports", portsBlock)
 	}
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -91,6 +91,7 @@
 	binary, settings, log string
 
 	starting sync.Mutex
+	retired  bool
 
 	mu    sync.Mutex
 	cmd   *exec.Cmd
@@ -131,12 +132,20 @@
 func (p *Process) EnsureRunning() error {
 	p.starting.Lock()
 	defer p.starting.Unlock()
-	if p.Running() {
+	if p.retired || p.Running() {
 		return nil
 	}
 	return p.Start()
 }
 
+// Retire kills the process for good.
+func (p *Process) Retire() {
+	p.starting.Lock()
+	defer p.starting.Unlock()
+	p.retired = true
+	p.Kill()
+}
+
 func (p *Process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/test/harness/source.go
+++ b/test/harness/source.go
@@ -24,7 +24,7 @@
 	if !ok {
 		return ""
 	}
-	for _, h := range c.Hosts {
+	for _, h := range c.Hosts() {
 		for _, p := range []*Process{h.Gate, h.Scheduler} {
 			if p.owns(inode) {
 				return p.Name
