--- a/test/harness/load.go
+++ b/test/harness/load.go
@@ -32,15 +32,19 @@
 	return core.Shape{Cells: n, CellSize: size, CPU: 1, MemoryBytes: taskMemory}
 }
 
-// Mix is the load of the fault suite: small checks, gangs, non-idempotent bills, and
-// jobs that are accepted and asked after later.
+// Mix is the load of the fault suite: small checks, gangs, non-idempotent bills, long
+// tasks, and jobs that are accepted and asked after later.
 func Mix() []Work {
 	const callWait = 5 * time.Second
+	// A long task outlives a change of the active scheduler.
+	const longRun = 2500 * time.Millisecond
 	return []Work{
 		{Name: "check", Org: OrgTesting, Every: 50 * time.Millisecond, Class: ClassCheck, Shape: cells(1, 1), Run: 60 * time.Millisecond, Idempotent: true, Wait: callWait},
 		{Name: "gang", Org: OrgSurvey, Every: 600 * time.Millisecond, Class: ClassGang, Shape: cells(2, 8), Run: 400 * time.Millisecond, Idempotent: true, Wait: callWait},
 		{Name: "bill", Org: OrgTesting, Every: 250 * time.Millisecond, Class: ClassBill, Shape: cells(1, 1), Run: 200 * time.Millisecond, Wait: callWait},
 		{Name: "pair", Org: OrgSurvey, Every: 900 * time.Millisecond, Class: ClassBill, Shape: cells(2, 2), Run: 300 * time.Millisecond, Wait: callWait},
+		{Name: "long", Org: OrgTesting, Every: 700 * time.Millisecond, Class: ClassGang, Shape: cells(1, 8), Run: longRun, Idempotent: true, Wait: callWait},
+		{Name: "long-bill", Org: OrgSurvey, Every: 1200 * time.Millisecond, Class: ClassBill, Shape: cells(1, 2), Run: longRun, Wait: callWait},
 		{Name: "later", Org: OrgSurvey, Every: 400 * time.Millisecond, Class: ClassGang, Shape: cells(1, 2), Run: 500 * time.Millisecond, Idempotent: true},
 	}
 }
