--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -20,6 +20,7 @@
 	"agatewinch/internal/config"
 	"agatewinch/internal/core"
 	"agatewinch/internal/errkind"
+	"agatewinch/internal/membership"
 	"agatewinch/internal/peer"
 	"agatewinch/internal/platform/fakelog"
 	"agatewinch/internal/wire"
@@ -38,21 +39,49 @@
 	drains  []wire.Drain
 	cancels []wire.Cancel
 	refuse  error
+	// hold, if set, keeps submissions waiting until it is closed.
+	hold chan struct{}
+	// waiting counts the submissions that wait.
+	waiting int
 }
 
-func (f *fakeScheduler) handle(_ context.Context, kind wire.Kind, body cbor.RawMessage) (any, error) {
+func (f *fakeScheduler) held() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.waiting
+}
+
+// await waits for the release of held submissions; the caller holds the lock.
+func (f *fakeScheduler) await(ctx context.Context) {
+	if f.hold == nil {
+		return
+	}
+	hold := f.hold
+	f.waiting++
+	f.mu.Unlock()
+	select {
+	case <-hold:
+	case <-ctx.Done():
+	}
+	f.mu.Lock()
+}
+
+func (f *fakeScheduler) handle(ctx context.Context, kind wire.Kind, body cbor.RawMessage) (any, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.refuse != nil {
 		return nil, f.refuse
 	}
 	switch kind {
+	case wire.KindHeartbeat:
+		return wire.Heartbeat{Host: "h", Role: wire.RoleScheduler, Zone: "a", Active: true, Term: 1, Incarnation: 1}, nil
 	case wire.KindSubmit:
 		var req wire.Submit
 		if err := cbor.Unmarshal(body, &req); err != nil {
 			return nil, err
 		}
 		f.submits = append(f.submits, req)
+		f.await(ctx)
 		return wire.JobReply{Job: req.Job.ID, State: core.Succeeded, Outcome: &core.Outcome{State: core.Succeeded}}, nil
 	case wire.KindCancel:
 		var req wire.Cancel
@@ -112,7 +141,7 @@
 	t.Cleanup(schedServer.Close)
 	g := New(Options{
 		Host: "gate-1", Zone: "a", Limits: limits, OperatorKeys: OperatorKeys([]string{config.HashKey(operatorKey)}),
-		Schedulers: []Scheduler{{Zone: "a", Addr: strings.TrimPrefix(schedServer.URL, "http://")}},
+		Peers: PeerOptions{Schedulers: []membership.Seed{{Zone: "a", Addr: strings.TrimPrefix(schedServer.URL, "http://")}}},
 	}, logr.Discard(), fakelog.New())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
