audit: tell placements by two holders apart

Cause: attempts are counted by each holder, so that a job that a new holder places anew can repeat attempt 1. Change: runs are told apart by job, attempt and holder; two cases more.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -8,6 +8,7 @@
 
 	"agatewinch/internal/core"
 	"agatewinch/internal/errkind"
+	"agatewinch/internal/platform"
 	"agatewinch/internal/standin"
 )
 
@@ -139,9 +140,12 @@
 	OK    bool
 }
 
+// runKey tells apart the placements of a job. Attempts are counted by each holder of a
+// zone's active role, so that two holders may use the same number.
 type runKey struct {
 	job     core.JobID
 	attempt int
+	holder  platform.Holder
 }
 
 // Runs gathers the ledger's entries by attempt, oldest first.
@@ -154,7 +158,7 @@
 		if !e.Kind.Starts() && !e.Kind.Stops() {
 			continue
 		}
-		key := runKey{e.Task.Job, e.Task.Attempt}
+		key := runKey{e.Task.Job, e.Task.Attempt, e.Holder}
 		r, ok := byKey[key]
 		if !ok {
 			r = &Run{Job: key.job, Attempt: key.attempt}
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -21,6 +21,14 @@
 	return standin.Entry{Kind: kind, OK: kind == standin.EntryEnded, At: at, Worker: "w", Task: core.TaskRef{Job: job, Attempt: attempt, Index: index}}
 }
 
+// by names the holder that ordered the starts of entries.
+func by(holder string, entries []standin.Entry) []standin.Entry {
+	for i := range entries {
+		entries[i].Holder.ID = holder
+	}
+	return entries
+}
+
 func TestCompareFindsEachKindOfWrongBehaviour(t *testing.T) {
 	whole := []standin.Entry{
 		start("j", 1, 0, 2, 1), start("j", 1, 1, 2, 2),
@@ -34,6 +42,13 @@
 		end(standin.EntryStopped, "j", 1, 0, lease), end(standin.EntryEnded, "j", 1, 1, 3*lease),
 	}
 	halfStarted := []standin.Entry{start("j", 1, 0, 2, 1), end(standin.EntryStopped, "j", 1, 0, 2*lease)}
+	again := by("second", []standin.Entry{start("j", 1, 0, 2, 4*lease), start("j", 1, 1, 2, 4*lease), end(standin.EntryEnded, "j", 1, 0, 7*lease), end(standin.EntryEnded, "j", 1, 1, 7*lease)})
+	bothLost := []standin.Entry{
+		start("j", 1, 0, 2, 1), start("j", 1, 1, 2, 2),
+		end(standin.EntryLapsed, "j", 1, 0, lease), end(standin.EntryLapsed, "j", 1, 1, lease),
+	}
+	repeatable := good
+	repeatable.Idempotent = true
 	for _, tc := range []struct {
 		name   string
 		told   Told
@@ -42,6 +57,8 @@
 	}{
 		{"a sound run has no finding", good, whole, Counts{}},
 		{"second start of a non-idempotent job", good, twice, Counts{DuplicateRuns: 1}},
+		{"second start by another holder under the same attempt", good, append(append([]standin.Entry{}, whole...), again...), Counts{DuplicateRuns: 1}},
+		{"another holder places a lost gang anew under the same attempt", repeatable, append(append([]standin.Entry{}, bothLost...), again...), Counts{}},
 		{"accepted job without an end", Told{Job: "j", Cells: 2, Accepted: true}, nil, Counts{LostJobs: 1}},
 		{"told not run although it ran", refused, whole, Counts{FalseNotRun: 1}},
 		{"another job's output", Told{Job: "j", Cells: 2, Nonce: "m", Ended: true, Succeeded: true, Outputs: []string{"n", "n"}}, whole, Counts{WrongAnswers: 1}},
