faults: two actives on purpose; a zone's schedulers apart, the active off its workers

Cause: a paused former active soon hears of its successor; two that stay active need the log away and the link between them cut. Links told apart by source make both cuts possible.

--- a/test/faults/focused_test.go
+++ b/test/faults/focused_test.go
@@ -174,21 +174,59 @@
 	}
 }
 
-// TestTwoActiveSchedulersAreSafe pauses the active scheduler past its lease, so that
-// the standby takes over, and lets the former one go on beside it.
-func TestTwoActiveSchedulersAreSafe(t *testing.T) {
+// TestFormerActiveSchedulerIsSafeBesideItsSuccessor pauses the active scheduler past its
+// lease, so that the standby takes over, and lets the former one go on beside it.
+func TestFormerActiveSchedulerIsSafeBesideItsSuccessor(t *testing.T) {
 	knownred.PassOver(t)
 	t.Parallel()
 	opts := zones(1)
-	c := harness.Start(t, opts)
 	zone := opts.Zones[0]
-	schedule := []Fault{
+	runSchedule(t, opts, []Fault{
 		{Kind: PauseActive, Zone: zone, At: 0, For: 2 * opts.Lease},
 		{Kind: PauseActive, Zone: zone, At: 4 * opts.Lease, For: 2 * opts.Lease},
+	})
+}
+
+// TestTwoActiveSchedulersAreSafe cuts a zone's schedulers off from each other while the
+// log is down: nothing tells either of them that the other is active too.
+func TestTwoActiveSchedulersAreSafe(t *testing.T) {
+	knownred.PassOver(t)
+	t.Parallel()
+	opts := zones(1)
+	zone := opts.Zones[0]
+	e := runSchedule(t, opts, []Fault{
+		{Kind: LogDown, Zone: zone, At: 0, For: 5 * opts.Lease},
+		{Kind: SchedulersApart, Zone: zone, At: opts.Lease, For: 3 * opts.Lease},
+	})
+	assert.Assert(t, twoActive(e.Samples), "the two were never active at the same time")
+}
+
+// twoActive reports whether two processes said to be active with no sample between that
+// says otherwise.
+func twoActive(samples []Sample) bool {
+	active := map[string]bool{}
+	for _, s := range samples {
+		active[s.Process] = s.Active
+		n := 0
+		for _, yes := range active {
+			if yes {
+				n++
+			}
+		}
+		if n > 1 {
+			return true
+		}
 	}
-	e := Run(t, c, schedule, 1, harness.Mix())
+	return false
+}
+
+// runSchedule runs a schedule under the mixed load and fails for every finding.
+func runSchedule(t *testing.T, opts harness.Options, schedule []Fault) Evidence {
+	t.Helper()
+	e := Run(t, harness.Start(t, opts), schedule, 1, harness.Mix())
 	t.Log(e.summary())
 	report(t, e)
+	return e
 }
 
 func TestOneOfTwoRacingAppliesWinsAndTheOtherIsToldOfTheConflict(t *testing.T) {
--- a/test/faults/inject.go
+++ b/test/faults/inject.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -121,6 +122,12 @@
 		return func() { link.Set(proxy.LinkFaults{}) }, nil
 	case ZoneOffPlatform, ZoneOffPeers, ZoneOffBoth:
 		return i.cutZone(f)
+	case SchedulersApart:
+		between := func(name string) bool { return strings.HasPrefix(name, "scheduler/"+f.Zone+"-") }
+		return i.cutLinks(func(l *harness.Link) bool { return between(l.From) && between(l.To) }), nil
+	case ActiveOffWorkers:
+		from := i.active(ctx, f, h).Scheduler.Name
+		return i.cutLinks(func(l *harness.Link) bool { return l.From == from && strings.HasPrefix(l.To, "worker/") }), nil
 	case CancelWave:
 		i.cancelWave(f)
 		return nil, nil
--- a/test/faults/operators.go
+++ b/test/faults/operators.go
@@ -25,10 +25,12 @@
 	At               time.Time
 }
 
-// Sample is the generation that one process said to have in force.
+// Sample is what one process said of itself: the generation in force, and whether it is
+// its zone's active scheduler.
 type Sample struct {
 	Process, Host string
 	Generation    core.Generation
+	Active        bool
 	At            time.Time
 }
 
@@ -94,7 +96,7 @@
 		answer, err := o.cluster.Config(one, h)
 		cancel()
 		if err == nil && answer.Set != nil {
-			o.sample(h.Gate.Name, h.Name, answer.Generation)
+			o.sample(Sample{Process: h.Gate.Name, Host: h.Name, Generation: answer.Generation})
 		}
 		pause(ctx, sampleEvery)
 	}
@@ -108,16 +110,17 @@
 		err := client.Call(one, wire.KindStatus, wire.Empty{}, &status)
 		cancel()
 		if err == nil && status.Generation > 0 {
-			o.sample(h.Scheduler.Name, h.Name, status.Generation)
+			o.sample(Sample{Process: h.Scheduler.Name, Host: h.Name, Generation: status.Generation, Active: status.Active})
 		}
 		pause(ctx, sampleEvery)
 	}
 }
 
-func (o *Operators) sample(process, host string, generation core.Generation) {
+func (o *Operators) sample(s Sample) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.samples = append(o.samples, Sample{Process: process, Host: host, Generation: generation, At: time.Now()})
+	s.At = time.Now()
+	o.samples = append(o.samples, s)
 }
 
 // Record returns what was accepted and seen.
--- a/test/faults/schedule.go
+++ b/test/faults/schedule.go
@@ -47,6 +47,8 @@
 	WorkerRestarts    Kind = "worker restarts"
 	WorkerFreezes     Kind = "worker gives no answers"
 	ZoneHostsReplaced Kind = "all entry hosts of a zone replaced"
+	SchedulersApart   Kind = "schedulers of a zone cut off from each other"
+	ActiveOffWorkers  Kind = "the zone's active scheduler cut off from its workers"
 )
 
 // Kinds lists every kind of fault.
@@ -56,7 +58,7 @@
 		CutRequests, CutAnswers, CutBoth, CutAfterBytes, HoldAnswers, SlowLink, CutWorker, DoubleReports,
 		LogDown, LogHangs, LogSlow, LogLosesAnswers, HostListLags, HostListDown, RacingApplies,
 		ZoneOffPlatform, ZoneOffPeers, ZoneOffBoth, CancelWave, WorkerFailsAll, WorkerLeaves, WorkerRestarts,
-		WorkerFreezes, ZoneHostsReplaced,
+		WorkerFreezes, ZoneHostsReplaced, SchedulersApart, ActiveOffWorkers,
 	}
 }
 
