Give each zone's claims a stream of their own

Cause: every scheduler read the claims of all zones, 2.5 records a second for each. Change: the stream of claims is named by its zone.

--- a/internal/election/claims.go
+++ b/internal/election/claims.go
@@ -79,10 +79,10 @@
 }
 
 func (c *claims) locate(ctx context.Context) error {
-	page, err := c.log.Read(ctx, platform.StreamClaims, 0, 1, 0)
+	page, err := c.log.Read(ctx, platform.StreamClaims(c.zone), 0, 1, 0)
 	var trimmed *platform.TrimmedError
 	if errors.As(err, &trimmed) {
-		page, err = c.log.Read(ctx, platform.StreamClaims, trimmed.Oldest, 1, 0)
+		page, err = c.log.Read(ctx, platform.StreamClaims(c.zone), trimmed.Oldest, 1, 0)
 	}
 	if err != nil {
 		return trace.Wrap(err)
@@ -108,7 +108,7 @@
 		c.mu.Lock()
 		from := c.next
 		c.mu.Unlock()
-		page, err := c.log.Read(ctx, platform.StreamClaims, from, claimsLimit, 0)
+		page, err := c.log.Read(ctx, platform.StreamClaims(c.zone), from, claimsLimit, 0)
 		if err != nil {
 			return trace.Wrap(err)
 		}
@@ -166,7 +166,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	_, err = c.log.Append(ctx, platform.StreamClaims, [][]byte{data})
+	_, err = c.log.Append(ctx, platform.StreamClaims(c.zone), [][]byte{data})
 	return trace.Wrap(err)
 }
 
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -274,7 +274,7 @@
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	if err := e.claims.append(ctx, Claim{Zone: e.opts.Zone, Host: e.opts.Host, Holder: e.opts.Holder, Term: term}); err != nil {
-		event.Error(e.logger, err, event.LogWriteError, "stream", platform.StreamClaims)
+		event.Error(e.logger, err, event.LogWriteError, "stream", platform.StreamClaims(e.opts.Zone))
 	}
 	for {
 		if err := e.claims.read(ctx); err != nil && ctx.Err() != nil {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -24,10 +24,15 @@
 	StreamConfig Stream = "config"
 	// StreamJobs carries admitted jobs, placements, outcomes and snapshots.
 	StreamJobs Stream = "jobs"
-	// StreamClaims carries claims of zones' active roles.
-	StreamClaims Stream = "claims"
 )
 
+// claimsPrefix begins the name of each zone's stream of claims.
+const claimsPrefix = "claims-"
+
+// StreamClaims is the stream of the claims of a zone's active role. Each zone has its
+// own, so that a scheduler reads nothing of the other zones' renewals.
+func StreamClaims(zone core.ZoneID) Stream { return claimsPrefix + Stream(zone) }
+
 // Record is one record of a stream.
 type Record struct {
 	Offset Offset `json:"offset"`
