--- a/internal/core/backfill.go
+++ b/internal/core/backfill.go
@@ -95,6 +95,8 @@
 	c.setHead(now, e.job)
 	if c.head != nil {
 		c.head.aged = true
+		// The cells may be free already: they were kept for another job.
+		c.head.version = 0
 	}
 }
 
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -27,7 +27,7 @@
 // fleetConfig spreads 760 accelerators over 460 workers: 95 workers have eight.
 func fleetConfig() *Config {
 	cfg := &Config{Generation: 1, Classes: []Class{
-		{Name: "check", Urgent: true, Weight: 1}, {Name: "survey", Checkpoint: true, Weight: 1}, {Name: "summary", Weight: 1},
+		{Name: "check", Urgent: true, Weight: 2}, {Name: "survey", Checkpoint: true, Weight: 1}, {Name: "summary", Weight: 1},
 	}}
 	for i := range fleetWorkers {
 		w := Worker{
@@ -159,3 +159,24 @@
 	b.ReportMetric(float64(f.core.queue.waiting), "waiting")
 	b.ReportMetric(float64(len(f.core.tasks)), "tasks")
 }
+
+// BenchmarkCancelWave cancels 100,000 waiting jobs and reports the time for each.
+func BenchmarkCancelWave(b *testing.B) {
+	const wave = 100000
+	for range b.N {
+		b.StopTimer()
+		f := newFleet(wave)
+		var ids []JobID
+		for id, j := range f.core.jobs {
+			if j.state == Queued {
+				ids = append(ids, id)
+			}
+		}
+		f.steps = f.steps[:0]
+		b.StartTimer()
+		for _, id := range ids {
+			f.step(JobCancelled{Job: id})
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*wave)/1e3, "us/cancel")
+}
--- a/internal/core/policy_test.go
+++ b/internal/core/policy_test.go
@@ -426,3 +426,12 @@
 	f.drain(false)
 	assert.Equal(t, f.state("q"), Running)
 }
+
+func TestLighterWorkThatKeepsItsProgressYieldsToAHeavierClass(t *testing.T) {
+	f := newFake(t, smallOptions(), oneWorkerEach(1, Organisation{ID: "a"}, Organisation{ID: "b"}), mutationNone)
+	f.run(testJob("light", "a", "reconcile", 1, 8), testJob("heavy", "b", "bill", 1, 8))
+	assert.Equal(t, f.state("heavy"), Running)
+	assert.Equal(t, f.notes(NoteYielded)[0].Job, JobID("light"))
+	f.endTask("heavy", true)
+	assert.Equal(t, f.state("light"), Running)
+}
--- a/internal/core/reclaim.go
+++ b/internal/core/reclaim.go
@@ -230,13 +230,13 @@
 func (cl *clearing) makeRoom(k *candidate, w *worker) bool {
 	need := amount{cl.job.Shape.CPU + w.claimedCPU, cl.job.Shape.MemoryBytes + w.claimedMemory, 1 + w.claimedSlots}
 	need.add(cl.extra[w])
+	if cl.leaves(k, w, need) {
+		return true
+	}
 	others := append([]*task(nil), w.held...)
 	sort.SliceStable(others, func(a, b int) bool {
 		return cl.core.loss(cl.now, others[a].job) < cl.core.loss(cl.now, others[b].job)
 	})
-	if cl.leaves(k, w, need) {
-		return true
-	}
 	for _, t := range others {
 		if t.state == taskStopping || cl.goes(k, t) || t.job.withinGuarantee(w, t) || !cl.mayStop(t) {
 			continue
