core: owners do not stop each other over more than their share; guarantees come first

BenchmarkStep did not end: two owners on one worker, each taking more processors than go with their cells, stopped each other for ever (hundreds of attempts). Only a job within its share may stop others for processors, memory or slots now. Jobs covered by their organisation's unused guarantee come before others in order, so that borrowers do not take the cells to be stopped at once.

--- a/internal/core/backfill.go
+++ b/internal/core/backfill.go
@@ -105,6 +105,8 @@
 	switch {
 	case c.urgentNow(a) != c.urgentNow(b):
 		return c.urgentNow(a)
+	case a.org != b.org && c.callsGuarantee(a) != c.callsGuarantee(b):
+		return c.callsGuarantee(a)
 	case a.org != b.org:
 		return c.share(a.org) < c.share(b.org)
 	case a.caller != b.caller:
--- a/internal/core/order.go
+++ b/internal/core/order.go
@@ -42,10 +42,12 @@
 }
 
 // nextOf returns the first job of the organisation with the least share among those
-// for which first has one.
+// for which first has one. Jobs that their organisation's guarantee covers come first:
+// otherwise borrowers would take the cells and be stopped again.
 func (c *Core) nextOf(first func(*org) *job) *job {
 	var best *job
 	var bestShare float64
+	var bestOwned bool
 	for _, o := range c.orgOrder {
 		if o.lanes[laneUrgent].n == 0 && o.lanes[laneNormal].n == 0 {
 			continue
@@ -54,13 +56,21 @@
 		if j == nil {
 			continue
 		}
-		if s := c.share(o); best == nil || s < bestShare {
-			best, bestShare = j, s
+		s, owned := c.share(o), c.callsGuarantee(j)
+		if best == nil || owned && !bestOwned || owned == bestOwned && s < bestShare {
+			best, bestShare, bestOwned = j, s, owned
 		}
 	}
 	return best
 }
 
+// callsGuarantee reports whether the job's accelerators are within what its
+// organisation is guaranteed here and does not use yet.
+func (c *Core) callsGuarantee(j *job) bool {
+	n := j.Shape.Accelerators()
+	return n > 0 && j.org.running.accelerators+n <= j.org.promised(c.opts.Zone)
+}
+
 // firstUrgent returns the organisation's first urgent job, if its urgent quota allows it.
 func (c *Core) firstUrgent(o *org) *job {
 	if o.lanes[laneUrgent].n == 0 {
--- a/internal/core/policy_test.go
+++ b/internal/core/policy_test.go
@@ -435,3 +435,18 @@
 	f.endTask("heavy", true)
 	assert.Equal(t, f.state("light"), Running)
 }
+
+func TestOwnersThatTakeMoreThanTheirShareDoNotStopEachOther(t *testing.T) {
+	a := Organisation{ID: "a", Guarantees: []Guarantee{{Zone: "a", Cells: 1, CellSize: 1}}}
+	b := Organisation{ID: "b", Guarantees: []Guarantee{{Zone: "a", Cells: 1, CellSize: 1}}}
+	f := newFake(t, smallOptions(), oneWorkerEach(1, a, b), mutationNone)
+	for _, org := range []OrgID{"a", "b"} {
+		j := testJob(JobID(org), org, "reconcile", 1, 1)
+		j.Shape.CPU = 40
+		f.run(j)
+	}
+	f.pass(time.Minute)
+	assert.Equal(t, f.state("a"), Running)
+	assert.Equal(t, f.core.jobs["a"].attempt, 1)
+	assert.Equal(t, f.state("b"), Queued)
+}
--- a/internal/core/reclaim.go
+++ b/internal/core/reclaim.go
@@ -233,6 +233,10 @@
 	if cl.leaves(k, w, need) {
 		return true
 	}
+	if cl.purpose == reclaiming && w.excess(cl.job.org, cl.job.Shape, k.part.cell) != (amount{}) {
+		// Beyond its share the job has no guarantee: two such owners would stop each other for ever.
+		return false
+	}
 	others := append([]*task(nil), w.held...)
 	sort.SliceStable(others, func(a, b int) bool {
 		return cl.core.loss(cl.now, others[a].job) < cl.core.loss(cl.now, others[b].job)
