--- a/cmd/agatewinch-gate/main.go
+++ b/cmd/agatewinch-gate/main.go
@@ -19,9 +19,11 @@
 	"agatewinch/internal/event"
 	"agatewinch/internal/gate"
 	"agatewinch/internal/metrics"
+	"agatewinch/internal/peer"
 	"agatewinch/internal/platform/httpadapter"
 	"agatewinch/internal/settings"
 	"agatewinch/internal/tlsconfig"
+	"agatewinch/internal/traffic"
 )
 
 const (
@@ -30,8 +32,10 @@
 	dialTimeout       = 2 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 16 << 10
-	// stopTimeout is longer than the longest poll.
-	stopTimeout = (api.MaxWaitSeconds + 5) * time.Second
+	// stopTimeout is longer than the longest poll with the time to find a lost answer.
+	stopTimeout = (api.MaxWaitSeconds + 15) * time.Second
+	// peerStopTimeout bounds the orderly end of peers' connections.
+	peerStopTimeout = time.Second
 )
 
 func main() {
@@ -51,11 +55,13 @@
 	}
 	registry := metrics.New(metrics.SourceGate)
 	registry.Publish(api.VarsName)
-	log := &httpadapter.Log{Base: s.Platform, Client: httpadapter.NewClient(s.PlatformConns)}
+	counted := traffic.New()
+	counted.Publish()
+	platformClient := countedClient(counted, traffic.Platform, s.PlatformConns, nil)
+	log := &httpadapter.Log{Base: s.Platform, Client: platformClient}
 	opts := s.options(registry)
-	if peerCerts != nil {
-		opts.PeerClient = peerClient(peerCerts)
-	}
+	opts.Peers.Hosts = &httpadapter.Hosts{Base: s.Platform, Client: platformClient}
+	opts.Peers.Client = countedClient(counted, traffic.Peers, 0, peerCerts)
 	g := gate.New(opts, logger, log)
 
 	stopping, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -75,6 +81,9 @@
 		}
 		return nil
 	})
+	if s.PeerListen != "" {
+		group.Go(func() error { return servePeers(running, g, peerCerts, s.PeerListen) })
+	}
 	group.Go(func() error {
 		defer finish()
 		select {
@@ -94,11 +103,39 @@
 	return nil
 }
 
-// peerClient dials schedulers with TLS.
-func peerClient(certs *tlsconfig.Source) *http.Client {
-	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
-	certs.Secure(transport)
-	return &http.Client{Transport: transport}
+// servePeers answers peers, on a listener of their own so that callers never reach it,
+// until ctx ends.
+func servePeers(ctx context.Context, g *gate.Gate, certs *tlsconfig.Source, addr string) error {
+	listener, err := certs.Listen(addr)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	peers := peer.NewServer(g.HandlePeer)
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, peers)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	stop := context.AfterFunc(ctx, func() {
+		closing, cancel := context.WithTimeout(context.Background(), peerStopTimeout)
+		defer cancel()
+		_ = peers.Shutdown(closing)
+		_ = server.Close()
+	})
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return trace.Wrap(err)
+	}
+	return nil
+}
+
+// countedClient returns a client whose connections are bounded to each address, counted
+// by purpose, and made with TLS when certs are set.
+func countedClient(counted *traffic.Counters, purpose traffic.Purpose, perHost int, certs *tlsconfig.Source) *http.Client {
+	client := httpadapter.NewClient(perHost)
+	if t, ok := client.Transport.(*http.Transport); ok {
+		t.DialContext = counted.Dial(purpose, (&net.Dialer{Timeout: dialTimeout}).DialContext)
+		certs.Secure(t)
+	}
+	return client
 }
 
 func newServer(h http.Handler, maxConnections int) *http.Server {
--- a/internal/capacity/sample.go
+++ b/internal/capacity/sample.go
@@ -29,8 +29,8 @@
 }
 
 // ReadUsage reads a process's usage from /proc and, when vars is not empty, its
-// counters of bytes from its metrics URL.
-func ReadUsage(ctx context.Context, pid int, vars string) (Usage, error) {
+// counters of bytes from its metrics URL, with the operators' API key.
+func ReadUsage(ctx context.Context, pid int, vars, key string) (Usage, error) {
 	u := Usage{Bytes: map[string]float64{}}
 	dir := "/proc/" + strconv.Itoa(pid)
 	var err error
@@ -43,7 +43,7 @@
 	if vars == "" {
 		return u, nil
 	}
-	return u, trace.Wrap(readVars(ctx, vars, u.Bytes))
+	return u, trace.Wrap(readVars(ctx, vars, key, u.Bytes))
 }
 
 func readCPU(path string) (time.Duration, error) {
@@ -81,28 +81,39 @@
 	return 0, trace.NotFound("%s has no resident size", path)
 }
 
-// readVars adds up every counter map whose name ends in "_bytes".
-func readVars(ctx context.Context, url string, into map[string]float64) error {
+// The counters of bytes at a daemon's connections, by purpose.
+const (
+	varSent     = "bytes_sent"
+	varReceived = "bytes_received"
+)
+
+// readVars adds up the daemon's counters of bytes.
+func readVars(ctx context.Context, url, key string, into map[string]float64) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	req.Header.Set("Authorization", "Bearer "+key)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return trace.BadParameter("%s answered status %d", url, resp.StatusCode)
+	}
 	var vars map[string]json.RawMessage
 	if err := json.NewDecoder(resp.Body).Decode(&vars); err != nil {
 		return trace.Wrap(err)
 	}
-	for name, raw := range vars {
-		if !strings.HasSuffix(name, "_bytes") {
-			continue
+	for _, name := range []string{varSent, varReceived} {
+		raw, ok := vars[name]
+		if !ok {
+			return trace.NotFound("%s has no counter %q", url, name)
 		}
 		var byKind map[string]float64
-		if json.Unmarshal(raw, &byKind) != nil {
-			continue
+		if err := json.Unmarshal(raw, &byKind); err != nil {
+			return trace.Wrap(err)
 		}
 		for kind, n := range byKind {
 			into[name+"/"+kind] += n
@@ -111,6 +122,15 @@
 	return nil
 }
 
+// Overhead returns what one reading adds to the counters, from two readings in a row.
+func Overhead(first, second Usage) map[string]float64 {
+	added := map[string]float64{}
+	for name, n := range second.Bytes {
+		added[name] = n - first.Bytes[name]
+	}
+	return added
+}
+
 // Rates is what a process cost over a window.
 type Rates struct {
 	// CPU is the share of one core.
@@ -123,12 +143,13 @@
 	ByKind map[string]float64 `json:"by_kind"`
 }
 
-// Between returns the rates from one usage to a later one.
-func Between(before, after Usage, window time.Duration) Rates {
+// Between returns the rates from one usage to a later one. Reading a daemon's counters
+// is counted by them too: overhead is what one reading adds, and is taken off.
+func Between(before, after Usage, overhead map[string]float64, window time.Duration) Rates {
 	s := window.Seconds()
 	r := Rates{CPU: (after.CPU - before.CPU).Seconds() / s, Resident: float64(after.Resident), ByKind: map[string]float64{}}
 	for name, n := range after.Bytes {
-		rate := (n - before.Bytes[name]) / s
+		rate := (n - before.Bytes[name] - overhead[name]) / s
 		r.ByKind[name] = rate
 		r.BytesPerSecond += rate
 	}
--- a/internal/config/follow.go
+++ b/internal/config/follow.go
@@ -136,6 +136,14 @@
 	return f.reader.unreadable, f.reader.reason
 }
 
+// Gap reports whether records were trimmed before they were read, and no snapshot has
+// told yet what is in force.
+func (f *Follower) Gap() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reader.scanned && !f.reader.known
+}
+
 // Ready reports whether the host may serve: it has read to the stream's end or, with
 // the log away, has taken the highest generation that its peers hold.
 func (f *Follower) Ready() bool {
@@ -157,7 +165,8 @@
 // Offer takes a configuration that a peer holds as accepted with generation gen, as
 // its Accepted has it. It reports whether it is newer and now in force.
 func (f *Follower) Offer(record []byte, gen core.Generation) bool {
-	if _, ok := decodeRecord(record); !ok {
+	rec, ok := decodeRecord(record)
+	if !ok || !rec.mayStandFor(gen) {
 		return false
 	}
 	var taken bool
@@ -202,7 +211,7 @@
 	current := r.current
 	complete := r.known && r.caught && r.unreadable == 0 && current.Set != nil && r.gen == current.Generation
 	due := time.Since(f.anchoredAt) >= interval || r.anchor < f.oldest
-	rec := Record{Kind: RecordSnapshot, ID: newID(), AsOf: r.next, Generation: r.gen}
+	rec := Record{Kind: RecordSnapshot, ID: NewID(), AsOf: r.next, Generation: r.gen}
 	f.mu.Unlock()
 	if !complete || !due {
 		return
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -29,9 +29,15 @@
 	ConfigInForce    = Event{2001, "configuration in force", "A new generation of the configuration is in force on this host."}
 	ConfigUnreadable = Event{2002, "configuration unreadable", "A generation was accepted that this build cannot use. The host keeps the one before it and is not ready: bring it to the newest build, or apply a set that it can read."}
 	TLSReloadFailed  = Event{2003, "certificate not reloaded", "A changed certificate, key or authority file could not be read; the ones read before stay in use."}
+	OperatorAction   = Event{2004, "operator's action", "An operator changed something through the HTTP interface; the key's name, the operation and its result are shown."}
+	ConfigGap        = Event{2005, "configuration gap", "Records of the configuration were trimmed before this host read them. It goes on by the next snapshot or a peer's configuration; if no host knows one, apply the files with --force."}
 
 	SchedulerActive  = Event{3001, "scheduler active", "This host now holds the zone's active role."}
 	SchedulerStandby = Event{3002, "scheduler standby", "This host gave up the zone's active role."}
+	RolePaused       = Event{3003, "holder was paused", "The process was stopped for longer than its claim lives; it sends nothing to workers before it has read the claims again."}
+	RoleSuperseded   = Event{3004, "role superseded", "Another process holds the zone's active role, or the role could not be taken up; the higher term goes on."}
+	PlacementVoid    = Event{3005, "placement void", "A placement was refused by the order of the log: another holder's term came first."}
+	OutcomeDropped   = Event{3006, "outcome not recorded", "The buffer of outcomes that wait for the log is full; the job is settled again at the next recovery."}
 
 	WorkerHealth = Event{4001, "worker health changed", "A worker became live, leaving, unreachable or gone."}
 	CoreNote     = Event{4002, "scheduling decision", "The core reports a decision; the code says which."}
@@ -46,11 +52,12 @@
 func Catalogue() []Event {
 	return []Event{
 		ProcessStarted, ProcessStopping, ProcessStopped, ProcessFailed,
-		ConfigInForce, ConfigUnreadable, TLSReloadFailed,
-		SchedulerActive, SchedulerStandby,
+		ConfigInForce, ConfigUnreadable, TLSReloadFailed, OperatorAction, ConfigGap,
+		SchedulerActive, SchedulerStandby, RolePaused, RoleSuperseded, PlacementVoid, OutcomeDropped,
 		WorkerHealth, CoreNote, LeaseRefused,
 		LogWriteError, JournalLoaded, JournalGap,
 		PeerLive, PeerSilent, PeerReplaced, PeerForgotten, PeerConfigFailed,
+		CircuitOpen, CircuitClosed, AnswerLost,
 	}
 }
 
--- a/internal/platform/httpadapter/httpadapter.go
+++ b/internal/platform/httpadapter/httpadapter.go
@@ -35,13 +35,15 @@
 )
 
 // NewClient returns an HTTP client for the adapters. Connections to one address are
-// bounded by perHost, so that several users can share a worker's connections.
+// bounded by perHost, so that several users can share a worker's connections. Bodies
+// are small: they are sent without compression, which spares its headers.
 func NewClient(perHost int) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxConnsPerHost:     perHost,
 		MaxIdleConnsPerHost: idleConnsPerHost,
 		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
 	}}
 }
 
@@ -85,19 +87,6 @@
 	return page, trace.Wrap(err)
 }
 
-// Hosts reads the platform's host list.
-type Hosts struct {
-	Base   string
-	Client *http.Client
-}
-
-// Hosts implements platform.HostList.
-func (h *Hosts) Hosts(ctx context.Context) ([]platform.Host, error) {
-	var hosts []platform.Host
-	err := call(ctx, h.Client, callTimeout, h.Base+PathHosts, nil, &hosts)
-	return hosts, trace.Wrap(err)
-}
-
 // Backend calls workers' backend servers.
 type Backend struct{ Client *http.Client }
 
@@ -134,16 +123,27 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	resp, data, err := send(client, req)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return decode(resp.StatusCode, data, out)
+}
+
+// send carries out a request and reads the whole answer.
+func send(client *http.Client, req *http.Request) (*http.Response, []byte, error) {
+	// An empty value keeps net/http from adding its own.
+	req.Header.Set("User-Agent", "")
 	resp, err := client.Do(req)
 	if err != nil {
-		return classify(err)
+		return nil, nil, classify(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
 	if err != nil {
-		return platform.ErrUnknown
+		return nil, nil, platform.ErrUnknown
 	}
-	return decode(resp.StatusCode, data, out)
+	return resp, data, nil
 }
 
 func decode(status int, data []byte, out any) error {
