--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -160,7 +160,7 @@
 	b.ReportMetric(float64(len(f.core.tasks)), "tasks")
 }
 
-// BenchmarkCancelWave cancels 100,000 waiting jobs and reports the time for each.
+// BenchmarkCancelWave cancels about 100,000 waiting jobs and reports the time for each.
 func BenchmarkCancelWave(b *testing.B) {
 	const wave = 100000
 	for range b.N {
