Tell peers of a new generation, term or role at once

Cause: between zones heartbeats are 4 s apart, so a zone without the platform could have a configuration later than 3 s after its acceptance. Change: such news makes all heartbeats due within one interval; a gate's heartbeats to its own zone are 2 s apart in place of 4 s.

--- a/internal/membership/contact.go
+++ b/internal/membership/contact.go
@@ -78,11 +78,17 @@
 	return self.Role == wire.RoleScheduler && role != wire.RoleGate && zone == self.Zone
 }
 
+// factor multiplies the interval and the timeout towards a peer: a gate of the own zone
+// is half as far as another zone.
 func (m *Membership) factor(self wire.Heartbeat, zone core.ZoneID, role string) time.Duration {
-	if near(self, zone, role) {
+	switch {
+	case near(self, zone, role):
 		return 1
+	case zone == self.Zone:
+		return time.Duration(max(m.opts.FarFactor/2, 1))
+	default:
+		return time.Duration(m.opts.FarFactor)
 	}
-	return time.Duration(m.opts.FarFactor)
 }
 
 func (m *Membership) interval(self wire.Heartbeat, c *contact) time.Duration {
@@ -120,6 +126,7 @@
 	self := m.self()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.hurry(self, now)
 	var due []*contact
 	for _, c := range m.contacts {
 		if c.inFlight || c.self || c.addr == self.Addr || now.Before(c.due) {
@@ -131,6 +138,28 @@
 	return due
 }
 
+// news are the facts about this process that its peers should hear of at once.
+type news struct {
+	facts
+	generation core.Generation
+}
+
+// hurry makes all heartbeats due within an interval when there is news; the caller
+// holds the lock.
+func (m *Membership) hurry(self wire.Heartbeat, now time.Time) {
+	current := news{facts: notable(self), generation: self.Generation}
+	if current == m.told {
+		return
+	}
+	m.told = current
+	for _, c := range m.contacts {
+		soon := now.Add(time.Duration(rand.Float64() * float64(m.opts.Interval)))
+		if soon.Before(c.due) {
+			c.due = soon
+		}
+	}
+}
+
 // beat sends one heartbeat and records its answer.
 func (m *Membership) beat(ctx context.Context, c *contact) {
 	ctx, cancel := context.WithTimeout(ctx, m.opts.Timeout)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -63,7 +63,8 @@
 	Interval time.Duration
 	// Timeout is how long a peer at Interval counts as live after it was last heard.
 	Timeout time.Duration
-	// FarFactor multiplies Interval and Timeout for gates and for other zones.
+	// FarFactor multiplies Interval and Timeout for other zones, and half of it for
+	// gates of the own zone.
 	FarFactor int
 	// Forget is how long a peer that is not heard stays known.
 	Forget time.Duration
@@ -104,6 +105,8 @@
 	members  map[memberKey]*member
 	live     map[memberKey]bool
 	changed  chan struct{}
+	// told is what peers were last hurried to hear.
+	told news
 }
 
 // New returns a membership that does not run yet. self describes this process now; its
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -350,6 +350,20 @@
 	assert.Equal(t, a.consulted, core.Generation(0))
 }
 
+// TestNewsDoesNotWaitForTheNextHeartbeat has heartbeats between the zones further apart
+// than the test's patience.
+func TestNewsDoesNotWaitForTheNextHeartbeat(t *testing.T) {
+	a, b := listen(t, "a", wire.RoleScheduler, "a"), listen(t, "b", wire.RoleScheduler, "b")
+	far := membership.Options{FarFactor: 100 * int(patience/interval), Config: b}
+	b.run(t, far)
+	far.Config, far.Seeds = a, []membership.Seed{{Zone: "b", Addr: b.addr}}
+	a.run(t, far)
+	eventually(t, "first heartbeat", func() bool { return a.heard("b") })
+	a.set(func(hb *wire.Heartbeat) { hb.Generation, hb.Active = 3, true })
+	eventually(t, "the role", func() bool { p, _ := b.find("a"); return p.Active })
+	eventually(t, "the configuration", func() bool { return b.heartbeat().Generation == 3 })
+}
+
 func TestOlderConfigurationIsLeftAlone(t *testing.T) {
 	a, b := listen(t, "a", wire.RoleScheduler, "a"), listen(t, "b", wire.RoleScheduler, "a")
 	a.set(func(hb *wire.Heartbeat) { hb.Generation = 6 })
--- a/internal/membership/traffic_bench_test.go
+++ b/internal/membership/traffic_bench_test.go
@@ -87,7 +87,7 @@
 // four zones; the settings are the defaults.
 func BenchmarkHeartbeatTraffic(b *testing.B) {
 	const settle, measured = 5 * time.Second, 16 * time.Second
-	for _, hosts := range []int{4, 9, 16} {
+	for _, hosts := range []int{4, 8, 9, 16} {
 		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
 			ctx, cancel := context.WithCancel(context.Background())
 			var running sync.WaitGroup
