election: a process that is superseded without the log holds back, longer each time

Cause: a host cut off from log and peers, but not from the workers, and the zone's other holder would displace each other by ever higher terms. The tests' link to a log stands once, in fakelog.

--- a/internal/election/decide.go
+++ b/internal/election/decide.go
@@ -40,6 +40,8 @@
 	claim   Claim
 	// claimAge is the time since this process last saw the claim renewed.
 	claimAge time.Duration
+	// yielding is true while a process that was superseded without the log holds back.
+	yielding bool
 	// peers are the zone's other schedulers that are heard.
 	peers []wire.Heartbeat
 }
@@ -66,7 +68,7 @@
 	}
 	rank := v.rank()
 	if !v.logUp {
-		if rank == 0 && v.running >= r.settle && v.claimAge >= r.stale {
+		if rank == 0 && !v.yielding && v.running >= r.settle && v.claimAge >= r.stale {
 			return takeByRank
 		}
 		return stay
--- a/internal/election/decide_test.go
+++ b/internal/election/decide_test.go
@@ -38,6 +38,8 @@
 		{"goes after a better ranked peer that does nothing", func(v *view) { v.claimAge, v.peers = 1400*time.Millisecond, []wire.Heartbeat{better} }, claimInLog},
 		{"takes the role by rank when the log is away", func(v *view) { v.logUp = false }, takeByRank},
 		{"leaves the role to a better ranked peer when the log is away", func(v *view) { v.logUp, v.peers = false, []wire.Heartbeat{better} }, stay},
+		{"holds back without the log after it was superseded", func(v *view) { v.logUp, v.yielding = false, true }, stay},
+		{"claims in the log although it was superseded", func(v *view) { v.yielding = true }, claimInLog},
 		{"listens first when the log is away", func(v *view) { v.logUp, v.running = false, 0 }, stay},
 		{"does not claim before it is ready", func(v *view) { v.ready = false }, stay},
 		{"does not claim while it stops", func(v *view) { v.stopping = true }, stay},
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -72,6 +73,10 @@
 const (
 	stepInterval = 100 * time.Millisecond
 	claimTimeout = 2 * time.Second
+	// yieldFactor scales the first hold-back of a superseded process by the time that a
+	// new one listens; yieldHighest bounds it.
+	yieldFactor  = 2
+	yieldHighest = time.Minute
 )
 
 // Election takes part in the choice of a zone's active scheduler.
@@ -93,7 +98,10 @@
 	confirmed time.Time
 	// resumed is when the last pause of this process was noticed.
 	resumed time.Time
-	nudge   chan struct{}
+	// yield is how long the last hold-back was, and yieldUntil its end.
+	yield      time.Duration
+	yieldUntil time.Time
+	nudge      chan struct{}
 }
 
 // New returns an election that does not run yet.
@@ -206,6 +214,7 @@
 		e.win(ctx, v.known+1)
 	case standDown:
 		event.Info(e.logger, event.RoleSuperseded, "term", v.term, "known_term", v.known)
+		e.noteSuperseded(v.logUp)
 		e.lose(ctx)
 	case stay:
 		if v.holding {
@@ -214,6 +223,20 @@
 	}
 }
 
+// noteSuperseded has a process that was superseded while it cannot read the log hold back,
+// for longer each time: the other holder may be one that it cannot hear but whose workers
+// it shares, and the two would go on displacing each other.
+func (e *Election) noteSuperseded(logUp bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if logUp {
+		e.yield = 0
+		return
+	}
+	e.yield = min(max(2*e.yield, yieldFactor*e.opts.Settle), yieldHighest)
+	e.yieldUntil = time.Now().Add(e.yield/2 + rand.N(e.yield))
+}
+
 // look gathers what a decision depends on.
 func (e *Election) look() view {
 	c := e.claims.view()
@@ -235,7 +258,7 @@
 	return view{
 		self: e.opts.Host, holder: e.opts.Holder, holding: e.holding, term: e.term, known: e.known, rival: e.rival,
 		ready: e.role.Ready(), stopping: e.stopping, running: now.Sub(e.began), logUp: logUp,
-		claim: c.newest, claimAge: now.Sub(later(c.seen, e.began)), peers: peers,
+		yielding: now.Before(e.yieldUntil), claim: c.newest, claimAge: now.Sub(later(c.seen, e.began)), peers: peers,
 	}
 }
 
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,7 +28,7 @@
 type node struct {
 	*Election
 	net      *network
-	log      *mortalLog
+	log      *fakelog.Link
 	stopping bool
 	cancel   context.CancelFunc
 	done     chan struct{}
@@ -78,7 +77,7 @@
 		Zone: zone, Host: host, Holder: host + ".1", Renew: 20 * time.Millisecond, Poll: 10 * time.Millisecond, Stale: 200 * time.Millisecond,
 		LogAway: 100 * time.Millisecond, RankDelay: 50 * time.Millisecond, Settle: 100 * time.Millisecond,
 	}
-	n := &node{net: net, log: &mortalLog{Log: log}, done: make(chan struct{})}
+	n := &node{net: net, log: &fakelog.Link{Log: log}, done: make(chan struct{})}
 	n.Election = New(opts, logr.Discard(), n.log, n, n)
 	ctx, cancel := context.WithCancel(t.Context())
 	n.cancel = cancel
@@ -93,22 +92,9 @@
 	return n
 }
 
-// mortalLog takes nothing from a process that has died.
-type mortalLog struct {
-	platform.Log
-	dead atomic.Bool
-}
-
-func (l *mortalLog) Append(ctx context.Context, s platform.Stream, data [][]byte) (platform.Offset, error) {
-	if l.dead.Load() {
-		return 0, platform.ErrNotApplied
-	}
-	return l.Log.Append(ctx, s, data)
-}
-
 // kill ends the node and its heartbeats, with no time to give the role up.
 func (n *node) kill() {
-	n.log.dead.Store(true)
+	n.log.Cut.Store(true)
 	n.net.mu.Lock()
 	delete(n.net.nodes, n.opts.Host)
 	n.net.mu.Unlock()
@@ -194,6 +180,27 @@
 	}, poll.WithDelay(5*time.Millisecond))
 }
 
+func TestProcessCutFromTheLogYieldsLongerEachTimeItIsSuperseded(t *testing.T) {
+	log, net := fakelog.New(), &network{nodes: map[string]*node{}}
+	log.SetDown(true)
+	n := net.start(t, "host-1", log)
+	waitActive(t, n, true)
+	n.Observe(n.lastTerm()+1, true)
+	waitActive(t, n, false)
+	first := n.lastYield()
+	assert.Assert(t, first > 0)
+	waitActive(t, n, true)
+	n.Observe(n.lastTerm()+1, true)
+	waitActive(t, n, false)
+	assert.Assert(t, n.lastYield() > first)
+}
+
+func (n *node) lastYield() time.Duration {
+	n.Election.mu.Lock()
+	defer n.Election.mu.Unlock()
+	return n.yield
+}
+
 func TestClaimWhoseAnswerIsLostIsReadBack(t *testing.T) {
 	log, net := fakelog.New(), &network{nodes: map[string]*node{}}
 	log.SetFault(func() fakelog.Fault { return fakelog.AnswerLost })
--- /dev/null
+++ b/internal/platform/fakelog/link.go
@@ -0,0 +1,37 @@
+package fakelog
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"agatewinch/internal/platform"
+)
+
+// Link is one process's way to a log. A cut one takes nothing and gives nothing, and
+// also ends the reads in progress without a result.
+type Link struct {
+	Log platform.Log
+	// Cut is true while the process cannot reach the log.
+	Cut atomic.Bool
+}
+
+// Append implements platform.Log.
+func (l *Link) Append(ctx context.Context, s platform.Stream, data [][]byte) (platform.Offset, error) {
+	if l.Cut.Load() {
+		return 0, platform.ErrNotApplied
+	}
+	return l.Log.Append(ctx, s, data)
+}
+
+// Read implements platform.Log.
+func (l *Link) Read(ctx context.Context, s platform.Stream, from platform.Offset, limit int, wait time.Duration) (platform.Page, error) {
+	if l.Cut.Load() {
+		return platform.Page{}, platform.ErrNotApplied
+	}
+	page, err := l.Log.Read(ctx, s, from, limit, wait)
+	if l.Cut.Load() {
+		return platform.Page{}, platform.ErrNotApplied
+	}
+	return page, err
+}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -36,37 +36,13 @@
 type node struct {
 	*Scheduler
 	cluster *cluster
-	log     *mortalLog
+	log     *fakelog.Link
 	fleet   *mortalFleet
 	cancel  context.CancelFunc
 	done    chan struct{}
 }
 
-// mortalLog and mortalFleet take nothing from a process that has died, or that is kept
-// from the log.
-type mortalLog struct {
-	platform.Log
-	dead atomic.Bool
-}
-
-func (l *mortalLog) Append(ctx context.Context, s platform.Stream, data [][]byte) (platform.Offset, error) {
-	if l.dead.Load() {
-		return 0, platform.ErrNotApplied
-	}
-	return l.Log.Append(ctx, s, data)
-}
-
-func (l *mortalLog) Read(ctx context.Context, s platform.Stream, from platform.Offset, limit int, wait time.Duration) (platform.Page, error) {
-	if l.dead.Load() {
-		return platform.Page{}, platform.ErrNotApplied
-	}
-	page, err := l.Log.Read(ctx, s, from, limit, wait)
-	if l.dead.Load() {
-		return platform.Page{}, platform.ErrNotApplied
-	}
-	return page, err
-}
-
+// mortalFleet takes nothing from a process that has died.
 type mortalFleet struct {
 	*fakeFleet
 	dead atomic.Bool
@@ -114,7 +90,7 @@
 	opts.Journal.Linger = time.Millisecond
 	e := &opts.Election
 	e.Renew, e.Poll, e.Stale, e.LogAway, e.RankDelay, e.Settle = 20*time.Millisecond, 10*time.Millisecond, 300*time.Millisecond, 200*time.Millisecond, 50*time.Millisecond, 100*time.Millisecond
-	n := &node{cluster: c, log: &mortalLog{Log: c.log}, fleet: &mortalFleet{fakeFleet: c.fleet}, done: make(chan struct{})}
+	n := &node{cluster: c, log: &fakelog.Link{Log: c.log}, fleet: &mortalFleet{fakeFleet: c.fleet}, done: make(chan struct{})}
 	n.Scheduler = New(opts, logr.Discard(), n.log, n.fleet, n.fleet)
 	n.Join(n)
 	ctx, cancel := context.WithCancel(c.t.Context())
@@ -132,7 +108,7 @@
 
 // kill ends a scheduler with no time to hand anything over.
 func (n *node) kill() {
-	n.log.dead.Store(true)
+	n.log.Cut.Store(true)
 	n.fleet.dead.Store(true)
 	n.cluster.mu.Lock()
 	delete(n.cluster.nodes, n.opts.Host)
@@ -418,7 +394,7 @@
 		c.mu.Lock()
 		c.cut = true
 		c.mu.Unlock()
-		first.log.dead.Store(true)
+		first.log.Cut.Store(true)
 		first.fleet.dead.Store(true)
 		second := c.start("h2")
 		c.active(second)
@@ -428,7 +404,7 @@
 
 		c.fleet.change("w1", func(w *fakeWorker) { w.leaving = false })
 		c.eventually("started by the second", func() bool { return c.fleet.startsOf(req.Job.ID) == 2 })
-		joined := []*atomic.Bool{&first.fleet.dead, &first.log.dead}
+		joined := []*atomic.Bool{&first.fleet.dead, &first.log.Cut}
 		if logFirst {
 			joined[0], joined[1] = joined[1], joined[0]
 		}
