--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -218,6 +218,7 @@
 	n.Election.mu.Unlock()
 	n.confirm()
 	assert.Assert(t, !n.Confirmed())
+	n.log.Cut.Store(false)
 	assert.NilError(t, n.claims.read(t.Context()))
 	n.confirm()
 	assert.Assert(t, n.Confirmed())
