--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -219,7 +219,7 @@
 	n.confirm()
 	assert.Assert(t, !n.Confirmed())
 	n.log.Cut.Store(false)
-	assert.NilError(t, n.claims.read(t.Context()))
+	assert.NilError(t, n.claims.read(t.Context(), 0))
 	n.confirm()
 	assert.Assert(t, n.Confirmed())
 }
--- a/test/faults/operators.go
+++ b/test/faults/operators.go
@@ -25,10 +25,12 @@
 	At               time.Time
 }
 
-// Sample is the generation that one process said to have in force.
+// Sample is what one process said of itself: the generation in force, and whether it is
+// its zone's active scheduler.
 type Sample struct {
 	Process, Host string
 	Generation    core.Generation
+	Active        bool
 	At            time.Time
 }
 
@@ -48,19 +50,13 @@
 // Run applies and watches until the contexts end.
 func (o *Operators) Run(applying, watching context.Context) {
 	var wait sync.WaitGroup
-	for _, h := range o.cluster.Hosts {
-		wait.Add(2)
-		go func() {
-			defer wait.Done()
-			o.watchGate(watching, h)
-		}()
-		go func() {
-			defer wait.Done()
-			o.watchScheduler(watching, h)
-		}()
-	}
+	o.cluster.EachHost(func(h *harness.EntryHost) {
+		wait.Go(func() { o.watchGate(watching, h) })
+		wait.Go(func() { o.watchScheduler(watching, h) })
+	})
 	for n := 0; applying.Err() == nil; n++ {
-		o.apply(applying, o.cluster.Hosts[n%len(o.cluster.Hosts)])
+		hosts := o.cluster.Hosts()
+		o.apply(applying, hosts[n%len(hosts)])
 		pause(applying, applyEvery)
 	}
 	wait.Wait()
@@ -100,7 +96,7 @@
 		answer, err := o.cluster.Config(one, h)
 		cancel()
 		if err == nil && answer.Set != nil {
-			o.sample(h.Gate.Name, h.Name, answer.Generation)
+			o.sample(Sample{Process: h.Gate.Name, Host: h.Name, Generation: answer.Generation})
 		}
 		pause(ctx, sampleEvery)
 	}
@@ -114,16 +110,17 @@
 		err := client.Call(one, wire.KindStatus, wire.Empty{}, &status)
 		cancel()
 		if err == nil && status.Generation > 0 {
-			o.sample(h.Scheduler.Name, h.Name, status.Generation)
+			o.sample(Sample{Process: h.Scheduler.Name, Host: h.Name, Generation: status.Generation, Active: status.Active})
 		}
 		pause(ctx, sampleEvery)
 	}
 }
 
-func (o *Operators) sample(process, host string, generation core.Generation) {
+func (o *Operators) sample(s Sample) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.samples = append(o.samples, Sample{Process: process, Host: host, Generation: generation, At: time.Now()})
+	s.At = time.Now()
+	o.samples = append(o.samples, s)
 }
 
 // Record returns what was accepted and seen.
@@ -135,7 +132,7 @@
 
 // raceApplies has operators at every gate apply at once.
 func (i *Injector) raceApplies(ctx context.Context) {
-	for _, h := range i.cluster.Hosts {
+	for _, h := range i.cluster.Hosts() {
 		go i.operators.apply(ctx, h)
 	}
 }
@@ -168,7 +165,7 @@
 	case ZoneOffPeers:
 		return i.cutLinks(offPeers), nil
 	}
-	for _, h := range i.cluster.Hosts {
+	for _, h := range i.cluster.Hosts() {
 		if h.Zone == f.Zone {
 			hosts = append(hosts, h.Name)
 		}
