--- a/test/harness/cluster.go
+++ b/test/harness/cluster.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"path/filepath"
-	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -32,30 +32,11 @@
 	Platform = "platform"
 )
 
-// EntryHost is an entry host with its two processes.
-type EntryHost struct {
-	Name, Zone      string
-	Gate, Scheduler *Process
-	// GateURL and SchedulerAddr lead to the processes without a proxy.
-	GateURL       string
-	SchedulerAddr string
-	// CallerURL leads to the gate through the callers' proxy.
-	CallerURL string
-}
-
-// Link is one proxied connection path.
-type Link struct {
-	From, To string
-	*proxy.Proxy
-}
-
 // Cluster is a running system with its stand-in platform.
 type Cluster struct {
 	T     testing.TB
 	Opts  Options
 	Set   config.Set
-	Hosts []*EntryHost
-	Links []*Link
 	Admin *standin.Admin
 	// Direct is an HTTP client for calls without faults.
 	Direct *http.Client
@@ -64,6 +45,23 @@
 	dir      string
 	ports    *ports
 	base     string
+	// platformAddr is where the platform listens, and platformProxy leads to it.
+	platformAddr, platformProxy string
+
+	mu      sync.Mutex
+	hosts   []*EntryHost
+	retired []*EntryHost
+	links   []*Link
+	paths   []*path
+	onHost  []func(*EntryHost)
+	named   map[string]int
+}
+
+// path is a proxy before one process, with the sources that may connect through it.
+type path struct {
+	to    string
+	proxy *proxy.Proxy
+	from  func(process string) bool
 }
 
 // Start starts a cluster, applies the fleet's configuration and waits until every zone
@@ -71,36 +69,29 @@
 func Start(t testing.TB, opts Options) *Cluster {
 	t.Helper()
 	c := &Cluster{
-		T: t, Opts: opts, Set: fleet(opts), dir: t.TempDir(), ports: takePorts(t),
+		T: t, Opts: opts, Set: fleet(opts), named: map[string]int{}, dir: t.TempDir(), ports: takePorts(t),
 		Direct: &http.Client{Timeout: 40 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: directConns}},
 	}
 	t.Cleanup(c.stop)
 	c.plan()
 	c.startPlatform()
 	c.addWorkerLinks()
-	c.writeSettings()
-	for _, h := range c.Hosts {
-		assert.NilError(t, h.Scheduler.Start())
-		assert.NilError(t, h.Gate.Start())
+	for _, h := range c.Hosts() {
+		c.writeSettings(h)
+		assert.NilError(t, h.start())
 	}
 	c.apply()
 	c.awaitServing()
 	return c
 }
 
-// plan names the hosts and gives every process its own address.
+// plan names the hosts of all zones and gives them their addresses.
 func (c *Cluster) plan() {
+	c.platformAddr = c.ports.addr(c.T, 1)
+	c.platformProxy = c.proxyTo(Platform, c.platformAddr, func(process string) bool { return process != Callers })
 	for _, zone := range c.Opts.Zones {
-		for i := range c.Opts.HostsPerZone {
-			name := zone + "-" + strconv.Itoa(i+1)
-			h := &EntryHost{Name: name, Zone: zone}
-			gateAddr := c.ports.addr(c.T, 1)
-			h.SchedulerAddr = c.ports.addr(c.T, 1)
-			h.GateURL = "http://" + gateAddr
-			h.CallerURL = "http://" + c.link(Callers, "gate/"+name, gateAddr)
-			h.Gate = c.process("gate/"+name, binaryGate)
-			h.Scheduler = c.process("scheduler/"+name, binaryScheduler)
-			c.Hosts = append(c.Hosts, h)
+		for range c.Opts.HostsPerZone {
+			c.addHost(c.planHost(zone))
 		}
 	}
 }
@@ -110,16 +101,8 @@
 	return &Process{Name: name, binary: binary, settings: base + ".yaml", log: base + ".log"}
 }
 
-// link adds a proxied path and returns the address of its beginning.
-func (c *Cluster) link(from, to, target string) string {
-	p, err := proxy.New(c.ports.addr(c.T, 1), target)
-	assert.NilError(c.T, err)
-	c.Links = append(c.Links, &Link{From: from, To: to, Proxy: p})
-	return p.Addr()
-}
-
 func (c *Cluster) startPlatform() {
-	listen := c.ports.addr(c.T, 1)
+	listen := c.platformAddr
 	workerBase := c.ports.addr(c.T, len(workerIDs(c.Set)))
 	c.base = "http://" + listen
 	c.Admin = &standin.Admin{Base: c.base, Client: c.Direct}
@@ -127,8 +110,8 @@
 	writeYAML(c.T, filepath.Join(configDir, "fleet.yaml"), c.Set)
 	c.platform = c.process("platform", binaryStandin)
 	file := standinFile{Listen: listen, WorkerBase: workerBase, ConfigDir: configDir, Log: BaseLog(), Worker: BaseWorker()}
-	for _, h := range c.Hosts {
-		file.EntryHosts = append(file.EntryHosts, entryHostLine{ID: h.Name, Zone: h.Zone, Addr: h.SchedulerAddr})
+	for _, h := range c.Hosts() {
+		file.EntryHosts = append(file.EntryHosts, entryHostLine{ID: h.Name, Zone: h.Zone, Addr: h.advertised})
 	}
 	writeYAML(c.T, c.platform.settings, file)
 	assert.NilError(c.T, c.platform.Start())
@@ -147,37 +130,16 @@
 		if h.Kind != platform.BackendHost {
 			continue
 		}
-		h.Addr = c.link("schedulers/"+string(h.Zone), "worker/"+h.ID, h.Addr)
-		assert.NilError(c.T, c.Admin.PutHost(ctx, h))
-	}
-}
-
-// writeSettings writes the settings of all hosts; every link has its own proxy.
-func (c *Cluster) writeSettings() {
-	for _, h := range c.Hosts {
-		gate := gateFile{hostFile: c.hostFile(h, h.Gate.Name, h.GateURL[len("http://"):])}
-		gate.OperatorKeys = []string{config.HashKey(operatorKey)}
-		for _, other := range c.Hosts {
-			addr := c.link(h.Gate.Name, other.Scheduler.Name, other.SchedulerAddr)
-			gate.Schedulers = append(gate.Schedulers, schedulerLine{Zone: other.Zone, Addr: addr})
-		}
-		writeYAML(c.T, h.Gate.settings, gate)
-		writeYAML(c.T, h.Scheduler.settings, schedulerFile{
-			hostFile: c.hostFile(h, h.Scheduler.Name, h.SchedulerAddr), LeaseTTL: c.Opts.Lease, ReserveTTL: c.Opts.Reserve,
+		h.Addr = c.proxyTo("worker/"+h.ID, h.Addr, func(process string) bool {
+			return strings.HasPrefix(process, "scheduler/"+string(h.Zone)+"-")
 		})
+		assert.NilError(c.T, c.Admin.PutHost(ctx, h))
 	}
 }
 
-func (c *Cluster) hostFile(h *EntryHost, process, listen string) hostFile {
-	_, port, err := net.SplitHostPort(c.base[len("http://"):])
-	assert.NilError(c.T, err)
-	base := "http://" + c.link(process, Platform, net.JoinHostPort(loopback, port))
-	return hostFile{Host: h.Name, Region: region, Zone: h.Zone, Listen: listen, Platform: base}
-}
-
 func (c *Cluster) apply() {
 	c.eventually("the first configuration is accepted", func(ctx context.Context) error {
-		_, err := c.Apply(ctx, c.Hosts[0], 0, c.Set)
+		_, err := c.Apply(ctx, c.Hosts()[0], 0, c.Set)
 		return err
 	})
 }
@@ -186,7 +148,7 @@
 func (c *Cluster) awaitServing() {
 	want := c.Opts.WorkersPerZone * workerAccelerators
 	c.eventually("every zone serves", func(ctx context.Context) error {
-		for _, h := range c.Hosts {
+		for _, h := range c.Hosts() {
 			if !c.ready(ctx, h) {
 				return fmt.Errorf("gate %s is not ready", h.Name)
 			}
@@ -198,6 +160,17 @@
 	})
 }
 
+// AwaitReady waits until a host's gate is ready.
+func (c *Cluster) AwaitReady(h *EntryHost) {
+	c.T.Helper()
+	c.eventually("gate "+h.Name+" is ready", func(ctx context.Context) error {
+		if !c.ready(ctx, h) {
+			return fmt.Errorf("not ready")
+		}
+		return nil
+	})
+}
+
 // freeAccelerators is what the zone's active scheduler counts as free, as the host's
 // gate tells it; -1 when it tells nothing.
 func (c *Cluster) freeAccelerators(ctx context.Context, h *EntryHost) int {
@@ -231,7 +204,7 @@
 
 func (c *Cluster) stop() {
 	processes := []*Process{}
-	for _, h := range c.Hosts {
+	for _, h := range append(c.Hosts(), c.retired...) {
 		processes = append(processes, h.Gate, h.Scheduler)
 	}
 	if c.platform != nil {
@@ -240,8 +213,8 @@
 	for _, p := range processes {
 		p.Kill()
 	}
-	for _, l := range c.Links {
-		l.Close()
+	for _, p := range c.paths {
+		p.proxy.Close()
 	}
 	c.Direct.CloseIdleConnections()
 	if c.T.Failed() {
--- a/test/harness/settings.go
+++ b/test/harness/settings.go
@@ -44,16 +44,18 @@
 }
 
 type gateFile struct {
-	hostFile   `yaml:",inline"`
-	Schedulers []schedulerLine `yaml:"schedulers"`
-	// OperatorKeys are hashes of the keys that may apply the first configuration.
-	OperatorKeys []string `yaml:"operator_keys"`
+	hostFile     `yaml:",inline"`
+	Schedulers   []schedulerLine `yaml:"schedulers"`
+	OperatorKeys []string        `yaml:"operator_keys"`
 }
 
 type schedulerFile struct {
 	hostFile   `yaml:",inline"`
 	LeaseTTL   time.Duration `yaml:"lease_ttl"`
 	ReserveTTL time.Duration `yaml:"reserve_ttl"`
+	// Advertise is the proxy's address, so that peers go through the proxy.
+	Advertise  string          `yaml:"advertise"`
+	Schedulers []schedulerLine `yaml:"schedulers"`
 }
 
 func writeYAML(t testing.TB, path string, body any) {
