--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -334,16 +334,38 @@
 	n := c.start("h1")
 	c.serving(n)
 	c.fleet.change("w1", func(w *fakeWorker) { w.leaving = true })
-	c.eventually("w1 counts as leaving", func() bool {
-		reply, err := n.handleStatus(t.Context(), wire.Empty{})
-		assert.NilError(t, err)
-		for _, w := range reply.Workers {
-			if w.Worker == "w1" {
-				return w.Health == core.WorkerLeaving
-			}
+	c.eventually("w1 counts as leaving", func() bool { return n.health(t, "w1") == core.WorkerLeaving })
+}
+
+// health returns what the scheduler holds of a worker.
+func (n *node) health(t *testing.T, id core.WorkerID) core.WorkerHealth {
+	t.Helper()
+	reply, err := n.handleStatus(t.Context(), wire.Empty{})
+	assert.NilError(t, err)
+	for _, w := range reply.Workers {
+		if w.Worker == id {
+			return w.Health
 		}
-		return false
+	}
+	return ""
+}
+
+// TestWorkerWhoseAnswersAreLostIsNotRenewedForEver mutes a worker: the calls arrive and
+// would keep its tasks alive although the holder cannot hear of them.
+func TestWorkerWhoseAnswersAreLostIsNotRenewedForEver(t *testing.T) {
+	c := newCluster(t)
+	n := c.start("h1")
+	c.serving(n)
+	c.fleet.change("w1", func(w *fakeWorker) { w.mute = true })
+	c.eventually("w1 counts as unreachable", func() bool { return n.health(t, "w1") == core.WorkerUnreachable })
+	c.eventually("w1 counts as gone", func() bool { return n.health(t, "w1") == core.WorkerGone })
+	c.eventually("it was left in silence for a lease's life before", func() bool {
+		c.fleet.mu.Lock()
+		defer c.fleet.mu.Unlock()
+		return c.fleet.workers["w1"].longestSilence > n.opts.Core.LeaseTTL
 	})
+	c.fleet.change("w1", func(w *fakeWorker) { w.mute = false })
+	c.eventually("w1 is live again", func() bool { return n.health(t, "w1") == core.WorkerLive })
 }
 
 func TestPlannedStopHandsOverAndWaitersAreSentOn(t *testing.T) {
--- a/internal/scheduler/workers_test.go
+++ b/internal/scheduler/workers_test.go
@@ -27,7 +27,11 @@
 	// away refuses all calls at the connection; mute carries them out without an answer.
 	away bool
 	mute bool
-	news chan struct{}
+	// calledAt is the time of the last call, and longestSilence the longest time between
+	// two.
+	calledAt       time.Time
+	longestSilence time.Duration
+	news           chan struct{}
 }
 
 func newFleet(ids ...string) *fakeFleet {
@@ -87,6 +91,11 @@
 }
 
 func (w *fakeWorker) admits(h platform.Holder) bool {
+	now := time.Now()
+	if !w.calledAt.IsZero() {
+		w.longestSilence = max(w.longestSilence, now.Sub(w.calledAt))
+	}
+	w.calledAt = now
 	if h.Term < w.holder.Term || h.Term == w.holder.Term && h.ID != w.holder.ID {
 		return false
 	}
