--- a/internal/core/policy_test.go
+++ b/internal/core/policy_test.go
@@ -426,3 +426,27 @@
 	f.drain(false)
 	assert.Equal(t, f.state("q"), Running)
 }
+
+func TestLighterWorkThatKeepsItsProgressYieldsToAHeavierClass(t *testing.T) {
+	f := newFake(t, smallOptions(), oneWorkerEach(1, Organisation{ID: "a"}, Organisation{ID: "b"}), mutationNone)
+	f.run(testJob("light", "a", "reconcile", 1, 8), testJob("heavy", "b", "bill", 1, 8))
+	assert.Equal(t, f.state("heavy"), Running)
+	assert.Equal(t, f.notes(NoteYielded)[0].Job, JobID("light"))
+	f.endTask("heavy", true)
+	assert.Equal(t, f.state("light"), Running)
+}
+
+func TestOwnersThatTakeMoreThanTheirShareDoNotStopEachOther(t *testing.T) {
+	a := Organisation{ID: "a", Guarantees: []Guarantee{{Zone: "a", Cells: 1, CellSize: 1}}}
+	b := Organisation{ID: "b", Guarantees: []Guarantee{{Zone: "a", Cells: 1, CellSize: 1}}}
+	f := newFake(t, smallOptions(), oneWorkerEach(1, a, b), mutationNone)
+	for _, org := range []OrgID{"a", "b"} {
+		j := testJob(JobID(org), org, "reconcile", 1, 1)
+		j.Shape.CPU = 40
+		f.run(j)
+	}
+	f.pass(time.Minute)
+	assert.Equal(t, f.state("a"), Running)
+	assert.Equal(t, f.core.jobs["a"].attempt, 1)
+	assert.Equal(t, f.state("b"), Queued)
+}
--- a/internal/membership/contact.go
+++ b/internal/membership/contact.go
@@ -78,16 +78,27 @@
 	return self.Role == wire.RoleScheduler && role != wire.RoleGate && zone == self.Zone
 }
 
+// factor multiplies the interval and the timeout towards a peer: a gate of the own zone
+// is half as far as another zone.
 func (m *Membership) factor(self wire.Heartbeat, zone core.ZoneID, role string) time.Duration {
-	if near(self, zone, role) {
+	switch {
+	case near(self, zone, role):
 		return 1
+	case zone == self.Zone:
+		return time.Duration(max(m.opts.FarFactor/2, 1))
+	default:
+		return time.Duration(m.opts.FarFactor)
 	}
-	return time.Duration(m.opts.FarFactor)
 }
 
 func (m *Membership) interval(self wire.Heartbeat, c *contact) time.Duration {
 	d := m.opts.Interval * m.factor(self, c.zone, c.role)
 	d = min(d<<min(c.failures, 8), max(d, m.opts.Interval*maxBackoff))
+	return jittered(d)
+}
+
+// jittered varies d by up to jitterShare both ways.
+func jittered(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (1 + jitterShare*(2*rand.Float64()-1)))
 }
 
@@ -115,6 +126,7 @@
 	self := m.self()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.hurry(self, now)
 	var due []*contact
 	for _, c := range m.contacts {
 		if c.inFlight || c.self || c.addr == self.Addr || now.Before(c.due) {
@@ -126,6 +138,28 @@
 	return due
 }
 
+// news are the facts about this process that its peers should hear of at once.
+type news struct {
+	facts
+	generation core.Generation
+}
+
+// hurry makes all heartbeats due within an interval when there is news; the caller
+// holds the lock.
+func (m *Membership) hurry(self wire.Heartbeat, now time.Time) {
+	current := news{facts: notable(self), generation: self.Generation}
+	if current == m.told {
+		return
+	}
+	m.told = current
+	for _, c := range m.contacts {
+		soon := now.Add(time.Duration(rand.Float64() * float64(m.opts.Interval)))
+		if soon.Before(c.due) {
+			c.due = soon
+		}
+	}
+}
+
 // beat sends one heartbeat and records its answer.
 func (m *Membership) beat(ctx context.Context, c *contact) {
 	ctx, cancel := context.WithTimeout(ctx, m.opts.Timeout)
@@ -190,14 +224,15 @@
 // readHosts takes the entry hosts of the platform's list as contacts. While the list
 // cannot be read, what it said before stays.
 func (m *Membership) readHosts(ctx context.Context) error {
-	tick := time.NewTicker(m.opts.HostsInterval)
-	defer tick.Stop()
 	for {
+		wait := m.opts.HostsInterval
 		if hosts, err := m.opts.Hosts.Hosts(ctx); err == nil {
 			m.noteHosts(hosts)
+		} else {
+			wait = min(wait, hostsRetry)
 		}
 		select {
-		case <-tick.C:
+		case <-time.After(jittered(wait)):
 		case <-ctx.Done():
 			return trace.Wrap(ctx.Err())
 		}
