--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/testr"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -91,7 +91,7 @@
 	e := &opts.Election
 	e.Renew, e.Poll, e.Stale, e.LogAway, e.RankDelay, e.Settle = 20*time.Millisecond, 10*time.Millisecond, 300*time.Millisecond, 200*time.Millisecond, 50*time.Millisecond, 100*time.Millisecond
 	n := &node{cluster: c, log: &fakelog.Link{Log: c.log}, fleet: &mortalFleet{fakeFleet: c.fleet}, done: make(chan struct{})}
-	n.Scheduler = New(opts, logr.Discard(), n.log, n.fleet, n.fleet)
+	n.Scheduler = New(opts, testr.New(c.t).WithValues("host", host), n.log, n.fleet, n.fleet)
 	n.Join(n)
 	ctx, cancel := context.WithCancel(c.t.Context())
 	n.cancel = cancel
@@ -334,16 +334,38 @@
 	n := c.start("h1")
 	c.serving(n)
 	c.fleet.change("w1", func(w *fakeWorker) { w.leaving = true })
-	c.eventually("w1 counts as leaving", func() bool {
-		reply, err := n.handleStatus(t.Context(), wire.Empty{})
-		assert.NilError(t, err)
-		for _, w := range reply.Workers {
-			if w.Worker == "w1" {
-				return w.Health == core.WorkerLeaving
-			}
+	c.eventually("w1 counts as leaving", func() bool { return n.health(t, "w1") == core.WorkerLeaving })
+}
+
+// health returns what the scheduler holds of a worker.
+func (n *node) health(t *testing.T, id core.WorkerID) core.WorkerHealth {
+	t.Helper()
+	reply, err := n.handleStatus(t.Context(), wire.Empty{})
+	assert.NilError(t, err)
+	for _, w := range reply.Workers {
+		if w.Worker == id {
+			return w.Health
 		}
-		return false
+	}
+	return ""
+}
+
+// TestWorkerWhoseAnswersAreLostIsNotRenewedForEver mutes a worker: the calls arrive and
+// would keep its tasks alive although the holder cannot hear of them.
+func TestWorkerWhoseAnswersAreLostIsNotRenewedForEver(t *testing.T) {
+	c := newCluster(t)
+	n := c.start("h1")
+	c.serving(n)
+	c.fleet.change("w1", func(w *fakeWorker) { w.mute = true })
+	c.eventually("w1 counts as unreachable", func() bool { return n.health(t, "w1") == core.WorkerUnreachable })
+	c.eventually("w1 counts as gone", func() bool { return n.health(t, "w1") == core.WorkerGone })
+	c.eventually("it was left in silence for a lease's life before", func() bool {
+		c.fleet.mu.Lock()
+		defer c.fleet.mu.Unlock()
+		return c.fleet.workers["w1"].longestSilence > n.opts.Core.LeaseTTL
 	})
+	c.fleet.change("w1", func(w *fakeWorker) { w.mute = false })
+	c.eventually("w1 is live again", func() bool { return n.health(t, "w1") == core.WorkerLive })
 }
 
 func TestPlannedStopHandsOverAndWaitersAreSentOn(t *testing.T) {
@@ -372,6 +394,11 @@
 		assert.Check(t, err)
 		waited <- reply
 	}()
+	// An adopted job that nobody waits for is forgotten at its end and would run again.
+	c.eventually("the caller has joined it", func() bool {
+		joined, err := ask(t.Context(), second.Scheduler, func() (bool, error) { return second.jobs[req.Job.ID] != nil, nil })
+		return err == nil && joined
+	})
 	c.fleet.finishAll()
 	assert.Equal(t, (<-waited).Outcome.State, core.Succeeded)
 	assert.Equal(t, c.fleet.startsOf(req.Job.ID), 2)
