--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -27,12 +27,15 @@
 	DefaultTimeout       = 1500 * time.Millisecond
 	DefaultFarFactor     = 8
 	DefaultForget        = 5 * time.Minute
-	DefaultHostsInterval = 3 * time.Second
+	DefaultHostsInterval = 30 * time.Second
 )
 
 // jitterShare is the share of an interval by which it is varied, to spread heartbeats.
 const jitterShare = 0.2
 
+// hostsRetry is the pause after a failed read of the host list.
+const hostsRetry = 3 * time.Second
+
 // Seed is a peer's address from the settings.
 type Seed struct {
 	// Zone is the peer's availability zone, or empty when it is not known.
@@ -60,11 +63,13 @@
 	Interval time.Duration
 	// Timeout is how long a peer at Interval counts as live after it was last heard.
 	Timeout time.Duration
-	// FarFactor multiplies Interval and Timeout for gates and for other zones.
+	// FarFactor multiplies Interval and Timeout for other zones, and half of it for
+	// gates of the own zone.
 	FarFactor int
 	// Forget is how long a peer that is not heard stays known.
 	Forget time.Duration
-	// HostsInterval lies between reads of the host list.
+	// HostsInterval lies between reads of the host list. It may be long: a new host is
+	// known sooner by its own heartbeats.
 	HostsInterval time.Duration
 	// HTTPClient dials peers; nil takes a plain one.
 	HTTPClient *http.Client
@@ -100,6 +105,8 @@
 	members  map[memberKey]*member
 	live     map[memberKey]bool
 	changed  chan struct{}
+	// told is what peers were last hurried to hear.
+	told news
 }
 
 // New returns a membership that does not run yet. self describes this process now; its
