Keep the active role still on a slow machine, and two answers true

Cause: (1) at load 27 the two schedulers of a zone took the role from each other every 1 to 2 s: a reader's own delay aged the claim, and each change was as quick as the first. (2) An admitted job whose placement the log refused ended as not run. (3) The end of an adopted job was not told before its caller came back, so it ran again.

--- /dev/null
+++ b/internal/core/answer_test.go
@@ -0,0 +1,50 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"agatewinch/internal/errkind"
+)
+
+// oneWorkerCore returns a core with one live worker that holds found.
+func oneWorkerCore(found ...FoundTask) *Core {
+	c := New(Options{Zone: "a", LeaseTTL: time.Second, ReserveTTL: time.Second})
+	cfg := &Config{Generation: 1, Workers: []Worker{{ID: "w", Zone: "a", Rack: "r", CPU: 8, MemoryBytes: 8, Accelerators: 8, Slots: 8}}}
+	c.Step(0, ConfigChanged{Config: cfg})
+	c.Step(0, TasksFound{Worker: "w", Tasks: found})
+	c.Step(0, WorkerChanged{Worker: "w", Health: WorkerLive})
+	return c
+}
+
+// TestAdmittedJobIsPlacedAgainWhenTheLogDidNotTakeItsPlacement refuses the first record of
+// a placement: the job is not answered, and is placed again.
+func TestAdmittedJobIsPlacedAgainWhenTheLogDidNotTakeItsPlacement(t *testing.T) {
+	c := oneWorkerCore()
+	out := c.Step(1, JobSubmitted{Job: Job{ID: "j", Logged: true, Shape: Shape{Cells: 1, CellSize: 8, CPU: 1}}})
+	first := out[0].(RecordPlacement)
+	out = c.Step(2, PlacementRecorded{Job: "j", Attempt: first.Attempt, OK: false})
+	for _, a := range out {
+		_, ended := a.(JobEnded)
+		assert.Assert(t, !ended)
+	}
+	out = c.Step(Instant(time.Minute), Tick{})
+	again := out[0].(RecordPlacement)
+	assert.Assert(t, again.Attempt > first.Attempt)
+}
+
+// TestEndOfAnAdoptedTaskIsToldBeforeItsCallerComesBack ends a task whose job no caller
+// has named to this holder yet.
+func TestEndOfAnAdoptedTaskIsToldBeforeItsCallerComesBack(t *testing.T) {
+	job := Job{ID: "j", Idempotent: true, Shape: Shape{Cells: 1, CellSize: 8, CPU: 1}}
+	ref := TaskRef{Job: "j", Attempt: 1}
+	c := oneWorkerCore(FoundTask{Task: ref, Cell: 0xff, Started: true, Job: job})
+	out := c.Step(1, TaskEnded{Task: ref, Worker: "w", OK: true, Output: []byte("done")})
+	assert.Equal(t, len(out), 1)
+	ended := out[0].(JobEnded)
+	assert.Equal(t, ended.Outcome.State, Succeeded)
+	assert.Equal(t, ended.Outcome.Ran, errkind.RanYes)
+	assert.Equal(t, string(ended.Outcome.Outputs[0].Output), "done")
+}
--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -2,8 +2,6 @@
 
 import (
 	"sort"
-
-	"agatewinch/internal/errkind"
 )
 
 // spot is a cell chosen for one task.
@@ -69,8 +67,8 @@
 		c.reserveAll(now, j)
 		return
 	}
-	out := Outcome{State: Failed, Kind: errkind.LogUnavailable, Message: "the placement could not be recorded"}
-	j.outcome = &out
+	// Nothing was sent, and the job is admitted: it is placed again after a pause.
+	j.reason = "the log did not take the job's placement"
 	c.abort(now, j, stopRelease)
 }
 
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -141,7 +141,8 @@
 	c.dropHead(j)
 	delete(c.jobs, j.ID)
 	j.caller.jobs--
-	if !j.orphan {
+	// An orphan's own end is told too: its caller may still come back for the answer.
+	if !j.orphan || out.State == Succeeded || out.Kind == errkind.TaskFailed {
 		c.emit(JobEnded{Job: j.ID, Outcome: out})
 	}
 }
--- a/internal/election/claims.go
+++ b/internal/election/claims.go
@@ -35,6 +35,11 @@
 	claimsLimit = 1000
 	// pollWait is how many poll intervals a read waits for a record.
 	pollWait = 2
+	// takeoverMemory is how long a takeover lengthens the lives of later claims, each
+	// takeover doubling them, up to maxDoublings times. On a machine so slow that renewals
+	// come late the schedulers of a zone would go on superseding each other.
+	takeoverMemory = time.Minute
+	maxDoublings   = 3
 	// pollGap bounds the rate of reads while records keep coming.
 	pollGap = 20 * time.Millisecond
 )
@@ -53,7 +58,11 @@
 	caught bool
 	// readSent is the time before the last successful read was sent.
 	readSent time.Time
-	changed  chan struct{}
+	// clearTo is the time up to which the stream is known to hold nothing further.
+	clearTo time.Time
+	// takeovers are the times at which a claim that was not released was superseded.
+	takeovers []time.Time
+	changed   chan struct{}
 }
 
 func newClaims(zone core.ZoneID, log platform.Log, poll time.Duration) *claims {
@@ -120,27 +129,33 @@
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		if c.take(page, sent) {
+		if c.take(page, sent, wait) {
 			return nil
 		}
 	}
 }
 
 // take applies a page and reports whether it reached the stream's end.
-func (c *claims) take(page platform.Page, sent time.Time) bool {
+func (c *claims) take(page platform.Page, sent time.Time, wait time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := time.Now()
+	clearTo := sent
+	if len(page.Records) == 0 {
+		// The log answers with nothing only once the wait is over.
+		clearTo = earlier(sent.Add(wait), now)
+	}
 	for _, r := range page.Records {
 		var claim Claim
 		if cbor.Unmarshal(r.Data, &claim) == nil && claim.Zone == c.zone {
-			c.apply(claim, time.Now())
+			c.apply(claim, now)
 		}
 	}
 	c.next = max(c.next, page.Next)
 	if page.Next < page.End {
 		return false
 	}
-	c.readSent, c.caught = sent, true
+	c.readSent, c.clearTo, c.caught = sent, clearTo, true
 	close(c.changed)
 	c.changed = make(chan struct{})
 	return true
@@ -148,9 +163,28 @@
 
 func (c *claims) apply(claim Claim, now time.Time) {
 	renewal := claim.Term == c.newest.Term && claim.Holder == c.newest.Holder
-	if claim.Term > c.newest.Term || renewal {
-		c.newest, c.seen = claim, now
+	if claim.Term <= c.newest.Term && !renewal {
+		return
+	}
+	if !renewal && c.newest.Term > 0 && !c.newest.Released && claim.Holder != c.newest.Holder {
+		c.takeovers = append(c.takeovers, now)
+	}
+	c.newest, c.seen = claim, now
+}
+
+// recentTakeovers counts the takeovers that still lengthen a claim's life.
+func (c *claims) recentTakeovers(now time.Time) int {
+	for len(c.takeovers) > 0 && now.Sub(c.takeovers[0]) > takeoverMemory {
+		c.takeovers = c.takeovers[1:]
 	}
+	return len(c.takeovers)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // claimsView is what the stream shows.
@@ -159,13 +193,20 @@
 	seen   time.Time
 	// readSent is zero before the stream was read to its end once.
 	readSent time.Time
-	changed  <-chan struct{}
+	// clearTo is the time up to which the claim is known not to have been renewed again.
+	clearTo time.Time
+	// takeovers is how often the role was taken lately from a holder that kept it.
+	takeovers int
+	changed   <-chan struct{}
 }
 
 func (c *claims) view() claimsView {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return claimsView{newest: c.newest, seen: c.seen, readSent: c.readSent, changed: c.changed}
+	return claimsView{
+		newest: c.newest, seen: c.seen, readSent: c.readSent, clearTo: c.clearTo,
+		takeovers: c.recentTakeovers(time.Now()), changed: c.changed,
+	}
 }
 
 // append writes a claim. It fails when the claim may not be in the stream.
--- a/internal/election/decide.go
+++ b/internal/election/decide.go
@@ -38,8 +38,10 @@
 	running time.Duration
 	logUp   bool
 	claim   Claim
-	// claimAge is the time since this process last saw the claim renewed.
+	// claimAge is the time for which the claim is known not to have been renewed.
 	claimAge time.Duration
+	// takeovers is how often the role was taken lately from a holder that kept it.
+	takeovers int
 	// yielding is true while a process that was superseded without the log holds back.
 	yielding bool
 	// peers are the zone's other schedulers that are heard.
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -204,7 +204,7 @@
 // step takes one decision and carries it out.
 func (e *Election) step(ctx context.Context) {
 	v := e.look()
-	r := rules{stale: e.opts.Stale, rankDelay: e.opts.RankDelay, settle: e.opts.Settle}
+	r := rules{stale: e.opts.Stale << min(v.takeovers, maxDoublings), rankDelay: e.opts.RankDelay, settle: e.opts.Settle}
 	switch decide(v, r) {
 	case claimInLog:
 		if e.claim(ctx, v.known+1) {
@@ -258,10 +258,19 @@
 	return view{
 		self: e.opts.Host, holder: e.opts.Holder, holding: e.holding, term: e.term, known: e.known, rival: e.rival,
 		ready: e.role.Ready(), stopping: e.stopping, running: now.Sub(e.began), logUp: logUp,
-		yielding: now.Before(e.yieldUntil), claim: c.newest, claimAge: now.Sub(later(c.seen, e.began)), peers: peers,
+		yielding: now.Before(e.yieldUntil), claim: c.newest, claimAge: claimAge(c, later(c.seen, e.began), now, logUp), takeovers: c.takeovers, peers: peers,
 	}
 }
 
+// claimAge is the time for which the claim is known not to have been renewed. While the
+// log is up only what was read counts, so that a reader's own delay ends no claim.
+func claimAge(c claimsView, seen, now time.Time, logUp bool) time.Duration {
+	if logUp {
+		return c.clearTo.Sub(seen)
+	}
+	return now.Sub(seen)
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
