core: keep the end of an adopted job until its caller comes back

Cause: an idempotent job that a new holder adopted and that ended before its caller had come back was forgotten, and ran again when the caller named it. The membership tests' nodes guard what the server reads. Before: the new test failed (job placed again). Conclusion: no second run, and still one answer for each job.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -44,6 +44,9 @@
 		}
 		return
 	}
+	if c.tellUnclaimed(submitted.ID) {
+		return
+	}
 	if refusal, refused := c.refusal(now, submitted); refused {
 		c.emit(refusal)
 		return
--- a/internal/core/answer_test.go
+++ b/internal/core/answer_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"agatewinch/internal/errkind"
 )
 
 // oneWorkerCore returns a core with one live worker that holds found.
@@ -32,3 +34,19 @@
 	again := out[0].(RecordPlacement)
 	assert.Assert(t, again.Attempt > first.Attempt)
 }
+
+// TestEndOfAnAdoptedTaskIsToldWhenItsCallerComesBack ends a task whose job no caller has
+// named to this holder yet: the job is not run again, and is answered once it is named.
+func TestEndOfAnAdoptedTaskIsToldWhenItsCallerComesBack(t *testing.T) {
+	job := Job{ID: "j", Idempotent: true, Shape: Shape{Cells: 1, CellSize: 8, CPU: 1}}
+	ref := TaskRef{Job: "j", Attempt: 1}
+	c := oneWorkerCore(FoundTask{Task: ref, Cell: 0xff, Started: true, Job: job})
+	out := c.Step(1, TaskEnded{Task: ref, Worker: "w", OK: true, Output: []byte("done")})
+	assert.Equal(t, len(out), 0)
+	out = c.Step(2, JobSubmitted{Job: job})
+	assert.Equal(t, len(out), 1)
+	ended := out[0].(JobEnded)
+	assert.Equal(t, ended.Outcome.State, Succeeded)
+	assert.Equal(t, ended.Outcome.Ran, errkind.RanYes)
+	assert.Equal(t, string(ended.Outcome.Outputs[0].Output), "done")
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -37,6 +37,7 @@
 	estimates   map[estimateKey]*estimate
 	// placedByWeight counts the placed jobs by their class's weight.
 	placedByWeight map[int]int
+	unclaimed      unclaimed
 	out            []Action
 	mutation       mutation
 }
--- a/internal/core/restore.go
+++ b/internal/core/restore.go
@@ -11,6 +11,9 @@
 	if j != nil && !j.orphan {
 		return
 	}
+	if j == nil && c.tellUnclaimed(e.Job.ID) {
+		return
+	}
 	if j == nil {
 		j = c.newJob(now, e.Job)
 		c.startRestoring(now, j)
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -141,8 +141,11 @@
 	c.dropHead(j)
 	delete(c.jobs, j.ID)
 	j.caller.jobs--
-	if !j.orphan {
+	switch {
+	case !j.orphan:
 		c.emit(JobEnded{Job: j.ID, Outcome: out})
+	case out.State == Succeeded || out.Kind == errkind.TaskFailed:
+		c.unclaimed.add(now, j.ID, out)
 	}
 }
 
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -79,7 +79,10 @@
 	if err := wire.DecodeBody(body, &hb); err != nil {
 		return nil, errkind.New(errkind.InvalidRequest, "malformed")
 	}
-	return n.HandleHeartbeat(hb), nil
+	n.mu.Lock()
+	m := n.Membership
+	n.mu.Unlock()
+	return m.HandleHeartbeat(hb), nil
 }
 
 // listen returns a node that answers but does not run yet.
@@ -111,10 +114,13 @@
 		opts.Timeout = timeout
 	}
 	opts.FarFactor = max(opts.FarFactor, 1)
-	n.Membership = membership.New(opts, n.heartbeat)
+	m := membership.New(opts, n.heartbeat)
+	n.mu.Lock()
+	n.Membership = m
+	n.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	running.Go(func() { _ = n.Run(ctx) })
+	running.Go(func() { _ = m.Run(ctx) })
 	stop := sync.OnceFunc(func() {
 		cancel()
 		running.Wait()
