Show each worker's rack and tasks in status; say that quotas hold by zone

Cause: status showed no rack and always 0 tasks, and the pages did not say that each zone holds the whole quota by itself. Before: TASKS 0 beside a running gang. Conclusion: a quota over several zones would need an agreement that cut-off zones lack.

--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -15,7 +15,7 @@
 	ID OrgID
 	// Weight scales the organisation's fair share; at least 1.
 	Weight int
-	// Quota bounds the accelerators of all its running jobs; zero means no bound.
+	// Quota bounds the accelerators of all its running jobs in each zone; zero means no bound.
 	Quota int
 	// UrgentQuota bounds the accelerators of its running urgent jobs that go before other
 	// work; zero means its guarantee. Urgent jobs beyond it take their turn.
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -28,3 +28,20 @@
 	}
 	return s
 }
+
+// WorkerUse is what is placed on one worker.
+type WorkerUse struct {
+	Worker WorkerID
+	Rack   RackID
+	// Tasks counts the tasks and reservations that the worker holds or is asked to hold.
+	Tasks int
+}
+
+// WorkerUses returns the configured workers of the zone in order of their IDs.
+func (c *Core) WorkerUses() []WorkerUse {
+	uses := make([]WorkerUse, len(c.ordered))
+	for i, w := range c.ordered {
+		uses[i] = WorkerUse{Worker: w.def.ID, Rack: w.def.Rack, Tasks: len(w.held)}
+	}
+	return uses
+}
--- a/internal/scheduler/serve.go
+++ b/internal/scheduler/serve.go
@@ -164,8 +164,12 @@
 			return reply, nil
 		}
 		reply.Load = s.act.core.Stats()
-		for id, ses := range s.act.sessions {
-			reply.Workers = append(reply.Workers, wire.WorkerStatus{Worker: id, Health: ses.told})
+		for _, use := range s.act.core.WorkerUses() {
+			status := wire.WorkerStatus{Worker: use.Worker, Rack: use.Rack, Tasks: use.Tasks, Health: core.WorkerUnreachable}
+			if ses, ok := s.act.sessions[use.Worker]; ok {
+				status.Health = ses.told
+			}
+			reply.Workers = append(reply.Workers, status)
 		}
 		return reply, nil
 	})
