audit: a run that goes on from a checkpoint is one with the run before it

Change: a run without a fresh start counts the members that its job's run before had completed. TestGangWhoseMemberHasEndedResumesTheOthers is the trace: each member starts afresh once and ends once, as in a gang that nobody stops. Conclusion: the check is as strict on members that did not end.

--- a/cmd/agatewinch-bench/run.go
+++ b/cmd/agatewinch-bench/run.go
@@ -38,7 +38,7 @@
 	flags.Uint64Var(&o.seed, "seed", 1, "seed of the workload")
 	flags.DurationVar(&o.lease, "lease", 6*time.Second, "the schedulers' lease time")
 	flags.BoolVar(&o.json, "json", false, "print JSON lines")
-	flags.StringVar(&o.jobs, "jobs", "", "also write each job's story as JSON lines to this path with the policy's name behind it")
+	flags.StringVar(&o.jobs, "jobs", "", "also write each job's story, and the ledger, as JSON lines to paths that begin with this")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error { return o.run(cmd.Context()) }
 	return cmd
 }
@@ -135,7 +135,10 @@
 		return bench.Line{}, trace.Wrap(err)
 	}
 	if o.jobs != "" {
-		if err := writeStories(o.jobs+"-"+target.Policy+".jsonl", bench.Stories(results, ledger)); err != nil {
+		if err := writeLines(o.jobs+"-"+target.Policy+".jsonl", bench.Stories(results, ledger)); err != nil {
+			return bench.Line{}, trace.Wrap(err)
+		}
+		if err := writeLines(o.jobs+"-"+target.Policy+"-ledger.jsonl", ledger); err != nil {
 			return bench.Line{}, trace.Wrap(err)
 		}
 	}
@@ -144,15 +147,15 @@
 	return line, nil
 }
 
-func writeStories(path string, stories []bench.Story) error {
+func writeLines[T any](path string, lines []T) error {
 	file, err := os.Create(path)
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
 	defer func() { _ = file.Close() }()
 	enc := json.NewEncoder(file)
-	for _, s := range stories {
-		if err := enc.Encode(s); err != nil {
+	for _, line := range lines {
+		if err := enc.Encode(line); err != nil {
 			return trace.Wrap(err)
 		}
 	}
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sort"
 	"time"
 
@@ -122,6 +123,9 @@
 	// Fresh is true when a task started without a checkpoint.
 	Fresh bool
 	Tasks []TaskRun
+	// Done holds the tasks that had succeeded before the checkpoint from which this run
+	// goes on: the two are one run.
+	Done map[int]bool
 	// End is the time of the newest ledger entry of all jobs.
 	End time.Duration
 }
@@ -167,6 +171,7 @@
 		}
 		r.add(e)
 	}
+	joinResumed(runs)
 	for _, r := range runs {
 		r.End = end
 		sort.Slice(r.Tasks, func(a, b int) bool { return r.Tasks[a].Index < r.Tasks[b].Index })
@@ -174,6 +179,18 @@
 	return runs
 }
 
+// joinResumed gives each run that goes on from a checkpoint the tasks that its job's run
+// before it had completed.
+func joinResumed(runs []*Run) {
+	last := map[core.JobID]*Run{}
+	for _, r := range runs {
+		if before := last[r.Job]; before != nil && !r.Fresh {
+			r.Done = before.succeeded()
+		}
+		last[r.Job] = r
+	}
+}
+
 func (r *Run) add(e standin.Entry) {
 	if e.Cells > 0 {
 		r.Cells = e.Cells
@@ -209,24 +226,34 @@
 	return time.Unix(0, last), true
 }
 
+// distinct counts the tasks that started, those before a checkpoint included.
 func (r *Run) distinct() int {
-	seen := map[int]bool{}
+	seen := maps.Clone(r.Done)
+	if seen == nil {
+		seen = map[int]bool{}
+	}
 	for _, t := range r.Tasks {
 		seen[t.Index] = true
 	}
 	return len(seen)
 }
 
-func (r *Run) wholeSuccess() bool {
-	ok := map[int]bool{}
+// succeeded returns the tasks that succeeded, those before a checkpoint included.
+func (r *Run) succeeded() map[int]bool {
+	ok := maps.Clone(r.Done)
+	if ok == nil {
+		ok = map[int]bool{}
+	}
 	for _, t := range r.Tasks {
 		if t.OK {
 			ok[t.Index] = true
 		}
 	}
-	return len(ok) >= r.Cells
+	return ok
 }
 
+func (r *Run) wholeSuccess() bool { return len(r.succeeded()) >= r.Cells }
+
 // partial says how the run was incomplete for longer than a lease; empty when it was not.
 func (r *Run) partial(lease time.Duration) string {
 	if r.distinct() < r.Cells {
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -47,6 +47,21 @@
 		start("j", 1, 0, 2, 1), start("j", 1, 1, 2, 2),
 		end(standin.EntryLapsed, "j", 1, 0, lease), end(standin.EntryLapsed, "j", 1, 1, lease),
 	}
+	resume := func(index int, at time.Duration) standin.Entry {
+		e := start("j", 2, index, 2, at)
+		e.Kind = standin.EntryResumed
+		return e
+	}
+	oneLeft := []standin.Entry{
+		start("j", 1, 0, 2, 1), start("j", 1, 1, 2, 2),
+		end(standin.EntryEnded, "j", 1, 1, 2*lease), end(standin.EntryCheckpointed, "j", 1, 0, 2*lease),
+		resume(0, 3*lease), end(standin.EntryEnded, "j", 2, 0, 5*lease),
+	}
+	oneForgotten := []standin.Entry{
+		start("j", 1, 0, 2, 1), start("j", 1, 1, 2, 2),
+		end(standin.EntryCheckpointed, "j", 1, 1, 2*lease), end(standin.EntryCheckpointed, "j", 1, 0, 2*lease),
+		resume(0, 3*lease), end(standin.EntryEnded, "j", 2, 0, 5*lease),
+	}
 	repeatable := good
 	repeatable.Idempotent = true
 	for _, tc := range []struct {
@@ -64,6 +79,8 @@
 		{"another job's output", Told{Job: "j", Cells: 2, Nonce: "m", Ended: true, Succeeded: true, Outputs: []string{"n", "n"}}, whole, Counts{WrongAnswers: 1}},
 		{"answer cut short", Told{Job: "j", Cells: 2, Nonce: "n", Ended: true, Succeeded: true, Outputs: []string{"n"}}, whole, Counts{WrongAnswers: 1}},
 		{"success without a run", good, nil, Counts{WrongAnswers: 1}},
+		{"checkpointed gang goes on with the member that had not ended", good, oneLeft, Counts{}},
+		{"checkpointed gang goes on without a member that had not ended", good, oneForgotten, Counts{PartialGangs: 1, WrongAnswers: 1}},
 		{"gang goes on after a member's loss", Told{Job: "j", Cells: 2}, lostMember, Counts{PartialGangs: 1}},
 		{"gang runs half started", Told{Job: "j", Cells: 2}, halfStarted, Counts{PartialGangs: 1}},
 	} {
--- a/internal/core/policy_test.go
+++ b/internal/core/policy_test.go
@@ -125,6 +125,24 @@
 	assert.Equal(t, f.jobs["survey"].outcome.State, Succeeded)
 }
 
+// TestGangWhoseMemberHasEndedResumesTheOthers is the trace behind the rule that a gang may
+// go on without the members that had run to their end before a checkpoint.
+func TestGangWhoseMemberHasEndedResumesTheOthers(t *testing.T) {
+	owner := Organisation{ID: "owner", Guarantees: []Guarantee{{Zone: "a", Cells: 1, CellSize: 8}}}
+	f := newFake(t, smallOptions(), oneWorkerEach(1, owner, Organisation{ID: "guest"}), mutationNone)
+	f.run(testJob("gang", "guest", "reconcile", 2, 4))
+	ended := f.core.jobs["gang"].tasks[1].Task
+	f.end(f.workers[f.workerOf("gang")], ended, true)
+	f.run(testJob("mine", "owner", "bill", 1, 8))
+	assert.Equal(t, f.state("mine"), Running)
+	f.endTask("mine", true)
+	assert.Equal(t, f.state("gang"), Running)
+	assert.Equal(t, f.core.jobs["gang"].tasks[1].Task, ended)
+	assert.DeepEqual(t, f.jobs["gang"].fresh, map[int]int{0: 1, 1: 1})
+	f.endTask("gang", true)
+	assert.Equal(t, len(f.jobs["gang"].outcome.Outputs), 2)
+}
+
 func TestSmallWorkDoesNotStarveAGangAtTheHead(t *testing.T) {
 	f := newFake(t, smallOptions(), oneWorkerEach(2, Organisation{ID: "gang"}, Organisation{ID: "small"}), mutationNone)
 	for i := range 16 {
