Give the bench's workers a checkpoint time

Cause: reclaim was measured on workers that checkpoint at once. Change: every worker of the bench takes 300 ms for a checkpoint.

--- a/cmd/agatewinch-bench/run.go
+++ b/cmd/agatewinch-bench/run.go
@@ -114,22 +114,20 @@
 // and then the whole scenario.
 func (o runOptions) measure(ctx context.Context, s bench.Scenario, target bench.Target) (bench.Line, error) {
 	prefix := s.Name + strconv.FormatUint(o.seed, 10) + "-"
+	w := bench.Build(s, o.seed, true)
+	driver := bench.NewDriver(target, prefix)
+	if err := driver.PrepareWorkers(ctx, w.BadWorkers); err != nil {
+		return bench.Line{}, trace.Wrap(err)
+	}
 	var base []bench.Result
 	if s.Name == "vatuwaqa" {
 		base = bench.NewDriver(target, "base-"+prefix).Run(ctx, bench.Build(s, o.seed, false))
 	}
-	w := bench.Build(s, o.seed, true)
-	driver := bench.NewDriver(target, prefix)
 	before, err := driver.Ledger(ctx, 0)
 	if err != nil {
 		return bench.Line{}, trace.Wrap(err)
 	}
-	restore, err := driver.BreakWorkers(ctx, w.BadWorkers)
-	if err != nil {
-		return bench.Line{}, trace.Wrap(err)
-	}
 	results := driver.Run(ctx, w)
-	restore()
 	ledger, err := driver.Ledger(ctx, len(before))
 	if err != nil {
 		return bench.Line{}, trace.Wrap(err)
--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -9,26 +10,31 @@
 	"agatewinch/internal/standin"
 )
 
-// BreakWorkers makes the first n workers of the fleet fail everything they start; the
-// returned function mends them.
-func (d *Driver) BreakWorkers(ctx context.Context, n int) (restore func(), err error) {
-	var broken []core.WorkerID
-	for _, r := range Sizes()[0].Set().Racks {
-		if len(broken) < n {
-			broken = append(broken, core.WorkerID(r.Workers[0].Name))
+// checkpointTime is how long a checkpoint takes on the bench's workers.
+const checkpointTime = 300 * time.Millisecond
+
+// PrepareWorkers gives every worker the bench's checkpoint time, and makes the first n
+// racks' first workers fail everything they start.
+func (d *Driver) PrepareWorkers(ctx context.Context, broken int) error {
+	for i, r := range Sizes()[0].Set().Racks {
+		for k, w := range r.Workers {
+			if err := d.prepareWorker(ctx, core.WorkerID(w.Name), i < broken && k == 0); err != nil {
+				return trace.Wrap(err)
+			}
 		}
 	}
-	admin := d.admin()
-	for _, id := range broken {
-		if err := admin.SetWorker(ctx, id, standin.WorkerFaults{FailAll: true}); err != nil {
-			return nil, trace.Wrap(err)
-		}
+	return nil
+}
+
+func (d *Driver) prepareWorker(ctx context.Context, id core.WorkerID, broken bool) error {
+	status, err := d.admin().Worker(ctx, id)
+	if err != nil {
+		return trace.Wrap(err)
 	}
-	return func() {
-		for _, id := range broken {
-			_ = admin.SetWorker(context.WithoutCancel(ctx), id, standin.WorkerFaults{})
-		}
-	}, nil
+	faults := status.Faults
+	faults.CheckpointTime = checkpointTime
+	faults.FailAll = broken
+	return trace.Wrap(d.admin().SetWorker(ctx, id, faults))
 }
 
 func (d *Driver) admin() *standin.Admin {
