election: the second takeover in a row is as quick as the first

Change: doubling begins with the second takeover within 30 s. Conclusion: quick for one and two failures, settled for many.

--- a/internal/election/claims.go
+++ b/internal/election/claims.go
@@ -35,10 +35,10 @@
 	claimsLimit = 1000
 	// pollWait is how many poll intervals a read waits for a record.
 	pollWait = 2
-	// takeoverMemory is how long a takeover lengthens the lives of later claims, each
-	// takeover doubling them, up to maxDoublings times. On a machine so slow that renewals
-	// come late the schedulers of a zone would go on superseding each other.
-	takeoverMemory = time.Minute
+	// takeoverMemory is how long a takeover counts. Each one but the first doubles the
+	// lives of the claims that follow, up to maxDoublings times: on a machine so slow that
+	// renewals come late the schedulers of a zone would go on superseding each other.
+	takeoverMemory = 30 * time.Second
 	maxDoublings   = 3
 	// pollGap bounds the rate of reads while records keep coming.
 	pollGap = 20 * time.Millisecond
@@ -172,6 +172,11 @@
 	c.newest, c.seen = claim, now
 }
 
+// staleAfter is the age from which an unrenewed claim no longer protects its holder.
+func staleAfter(stale time.Duration, takeovers int) time.Duration {
+	return stale << min(max(takeovers-1, 0), maxDoublings)
+}
+
 // recentTakeovers counts the takeovers that still lengthen a claim's life.
 func (c *claims) recentTakeovers(now time.Time) int {
 	for len(c.takeovers) > 0 && now.Sub(c.takeovers[0]) > takeoverMemory {
--- a/internal/election/claims_test.go
+++ b/internal/election/claims_test.go
@@ -47,3 +47,13 @@
 	assert.Equal(t, c.view().takeovers, 2)
 	assert.Equal(t, c.recentTakeovers(time.Now().Add(2*takeoverMemory)), 0)
 }
+
+func TestSecondTakeoverIsAsQuickAsTheFirstAndLaterOnesAreSlower(t *testing.T) {
+	var lives []time.Duration
+	for takeovers := range 7 {
+		lives = append(lives, staleAfter(time.Second, takeovers))
+	}
+	assert.DeepEqual(t, lives, []time.Duration{
+		time.Second, time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second, 8 * time.Second, 8 * time.Second,
+	})
+}
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -204,7 +204,7 @@
 // step takes one decision and carries it out.
 func (e *Election) step(ctx context.Context) {
 	v := e.look()
-	r := rules{stale: e.opts.Stale << min(v.takeovers, maxDoublings), rankDelay: e.opts.RankDelay, settle: e.opts.Settle}
+	r := rules{stale: staleAfter(e.opts.Stale, v.takeovers), rankDelay: e.opts.RankDelay, settle: e.opts.Settle}
 	switch decide(v, r) {
 	case claimInLog:
 		if e.claim(ctx, v.known+1) {
