--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	./scripts/quickstart.sh
 
 test: build
-	$(GO) test $(RACE) -timeout 540s ./...
+	$(GO) test $(RACE) -count=1 -timeout 540s ./...
 
 lint:
 	@out="$$(gofmt -l .)"; if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
