--- /dev/null
+++ b/internal/core/dispatch/core.go
@@ -0,0 +1,353 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"agatewinch/internal/core/job"
+)
+
+// Core is the decider's state. It is not safe for concurrent use.
+type Core struct {
+	set     Settings
+	jobs    map[string]*jobRun
+	seq     int
+	workers map[string]*worker
+	// sorted holds the workers by id, so that decisions can be repeated.
+	sorted []*worker
+	tasks  map[string]*task
+	batch  *Batch
+	sent   map[int]*Batch
+	number int
+	out    Actions
+	// dirty says that something changed that placing depends on.
+	dirty bool
+	// guaranteed is the accelerators that each organisation owns.
+	guaranteed map[string]int64
+	// wake is when the next occurrence or held back task may be placed.
+	wake time.Duration
+}
+
+// New returns a core that knows nothing.
+func New(set Settings) *Core {
+	c := &Core{set: set, jobs: map[string]*jobRun{}, workers: map[string]*worker{}, tasks: map[string]*task{}, sent: map[int]*Batch{}, guaranteed: map[string]int64{}}
+	c.openBatch()
+	return c
+}
+
+func (c *Core) openBatch() {
+	c.number++
+	c.batch = &Batch{number: c.number, acks: map[*worker]int64{}}
+}
+
+// SetGuarantees says how many accelerators each organisation owns.
+func (c *Core) SetGuarantees(g map[string]int64) { c.guaranteed = g }
+
+// AddJob takes in an accepted job with what the log says of its tasks.
+func (c *Core) AddJob(now Now, spec *job.Job, tasks map[string]job.TaskRecord) {
+	if c.jobs[spec.ID] != nil {
+		return
+	}
+	c.checkDone(now, c.newJob(now, spec, tasks))
+	c.dirty = true
+}
+
+func (c *Core) newJob(now Now, spec *job.Job, tasks map[string]job.TaskRecord) *jobRun {
+	c.seq++
+	j := &jobRun{spec: spec, arrived: now.Mono, seq: c.seq}
+	c.jobs[spec.ID] = j
+	for k := range spec.Occurrences() {
+		o := &occurrence{index: k}
+		if spec.Times > 0 {
+			o.dueMs = spec.FirstDueMs + int64(k)*spec.IntervalMs
+		}
+		for i := range spec.Steps {
+			s := &step{job: j, occ: o, index: i, spec: &spec.Steps[i]}
+			for n := range s.spec.Count {
+				t := &task{id: job.TaskID{Job: spec.ID, Occurrence: k, Step: i, Index: n}, step: s}
+				s.tasks = append(s.tasks, t)
+				c.tasks[t.id.String()] = t
+				c.restoreTask(now, t, tasks)
+			}
+			if k == 0 {
+				j.work += float64(s.spec.Count) * s.spec.Need.Cores() * s.spec.Estimate.Seconds()
+			}
+			o.steps = append(o.steps, s)
+		}
+		j.occ = append(j.occ, o)
+	}
+	return j
+}
+
+func (c *Core) restoreTask(now Now, t *task, records map[string]job.TaskRecord) {
+	r, ok := records[t.id.String()]
+	if !ok {
+		return
+	}
+	t.number, t.fails, t.saved, t.began = r.Run, r.Fails, r.Checkpoint, r.Began
+	if t.step.spec.Gang {
+		t.step.number = max(t.step.number, r.Run)
+		t.step.fails = max(t.step.fails, r.Fails)
+	}
+	if r.Done {
+		t.done = true
+		t.step.done++
+	}
+	if r.Active {
+		w := c.workerFor(r.Worker, r.Born)
+		if w == nil {
+			// That life of the worker is over.
+			return
+		}
+		c.put(&run{task: t, number: r.Run, worker: w, phase: adopted, need: t.step.spec.Charge(), began: now.Mono, percentAt: now.Mono, saved: r.Checkpoint})
+		w.adoptedUntil = max(w.adoptedUntil, now.Mono+c.set.UnheardLease+time.Duration(float64(c.set.MaxLease)/slowestClock)+lapseMargin)
+	}
+}
+
+// AddEnded takes in a job that has ended while some of its runs have not.
+func (c *Core) AddEnded(now Now, spec *job.Job, state job.State, tasks map[string]job.TaskRecord) {
+	active := false
+	for _, r := range tasks {
+		active = active || r.Active
+	}
+	if !active || c.jobs[spec.ID] != nil {
+		return
+	}
+	j := c.newJob(now, spec, tasks)
+	j.end, j.endDurable = state, true
+	c.forgetIfOver(j)
+}
+
+// workerFor returns the worker that a recorded placement names, or nil if it has begun
+// another life since.
+func (c *Core) workerFor(id string, born int64) *worker {
+	w := c.workers[id]
+	if w == nil {
+		w = c.addWorker(WorkerInfo{ID: id, Born: born})
+	}
+	if w.Born != 0 && born != 0 && w.Born > born {
+		return nil
+	}
+	return w
+}
+
+func (c *Core) addWorker(info WorkerInfo) *worker {
+	w := &worker{WorkerInfo: info, runs: map[*run]bool{}, labels: map[string]bool{}}
+	c.workers[info.ID] = w
+	i, _ := slices.BinarySearchFunc(c.sorted, info.ID, func(w *worker, id string) int {
+		if w.ID < id {
+			return -1
+		} else if w.ID > id {
+			return 1
+		}
+		return 0
+	})
+	c.sorted = slices.Insert(c.sorted, i, w)
+	return w
+}
+
+func (c *Core) put(r *run) {
+	r.task.cur = r
+	r.worker.runs[r] = true
+	r.worker.used = r.worker.used.Plus(r.need)
+	r.task.step.job.live++
+}
+
+// remove frees the room of a run.
+func (c *Core) remove(r *run) {
+	if !r.worker.runs[r] {
+		return
+	}
+	delete(r.worker.runs, r)
+	r.worker.used = r.worker.used.Minus(r.need)
+	r.task.step.job.live--
+	if r.task.cur == r {
+		r.task.cur = nil
+	}
+	c.dirty = true
+}
+
+// CancelJob stops a job's tasks and starts no more of them.
+func (c *Core) CancelJob(now Now, id string) {
+	j := c.jobs[id]
+	if j == nil || j.cancelled || j.end != "" {
+		return
+	}
+	j.cancelled = true
+	c.stopJob(now, j, "cancelled")
+	c.finish(now, j, job.Cancelled)
+}
+
+func (c *Core) stopJob(now Now, j *jobRun, why string) {
+	for _, o := range j.occ {
+		for _, s := range o.steps {
+			c.dropPlan(s)
+			for _, t := range s.tasks {
+				if t.cur != nil && !t.done {
+					c.stop(now, t.cur, why)
+				}
+			}
+		}
+	}
+}
+
+// stop tells a run to end; its room stays taken until its end is known.
+func (c *Core) stop(now Now, r *run, why string) {
+	if r.phase == stopping {
+		return
+	}
+	unsent := r.phase == recording
+	r.phase = stopping
+	c.note(Note{What: "stop", Task: r.task.id.String(), Run: r.number, Worker: r.worker.ID, Why: why})
+	if unsent {
+		return // nothing was sent: the run is void once its record is durable
+	}
+	c.sendStop(now, r)
+}
+
+func (c *Core) sendStop(now Now, r *run) {
+	r.stopSent = true
+	r.stopNext = now.Mono + c.set.StopTime + time.Second
+	c.out.Stops = append(c.out.Stops, Stop{Target: r.worker.target(), Task: r.task.id, Run: r.number, ticket: r})
+}
+
+func (w *worker) target() Target { return Target{Worker: w.ID, Address: w.Address, Born: w.Born} }
+
+func (c *Core) note(n Note) {
+	if n.Job == "" && n.Task != "" {
+		if id, err := job.ParseTaskID(n.Task); err == nil {
+			n.Job = id.Job
+		}
+	}
+	c.out.Notes = append(c.out.Notes, n)
+}
+
+// finish writes a job's end.
+func (c *Core) finish(now Now, j *jobRun, state job.State) {
+	if j.end != "" {
+		return
+	}
+	j.end = state
+	c.batch.Ends = append(c.batch.Ends, JobEnd{ID: j.spec.ID, State: state, AtMs: now.UnixMs})
+	c.batch.ended = append(c.batch.ended, j)
+	c.note(Note{What: "end", Job: j.spec.ID, Why: string(state)})
+	for _, o := range j.occ {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if t.cur == nil && t.number > 0 {
+					c.batch.Dropped = append(c.batch.Dropped, t.id)
+				}
+			}
+		}
+	}
+	c.forgetIfOver(j)
+}
+
+// forgetIfOver drops a job that has ended and of which nothing runs.
+func (c *Core) forgetIfOver(j *jobRun) {
+	if j.end == "" || j.live > 0 {
+		return
+	}
+	for _, o := range j.occ {
+		for _, s := range o.steps {
+			c.dropPlan(s)
+			for _, t := range s.tasks {
+				delete(c.tasks, t.id.String())
+			}
+		}
+	}
+	delete(c.jobs, j.spec.ID)
+}
+
+func (c *Core) checkDone(now Now, j *jobRun) {
+	if j.end != "" {
+		return
+	}
+	for _, o := range j.occ {
+		for _, s := range o.steps {
+			if s.done < len(s.tasks) {
+				return
+			}
+		}
+	}
+	c.finish(now, j, job.Succeeded)
+}
+
+// record writes a task's state into the open batch.
+func (c *Core) record(t *task) {
+	if t.step.job.end != "" && t.cur == nil {
+		c.batch.Dropped = append(c.batch.Dropped, t.id)
+		return
+	}
+	r := job.TaskRecord{Run: t.number, Done: t.done, Fails: t.fails, Checkpoint: t.saved, Began: t.began}
+	if t.step.spec.Gang {
+		r.Fails = t.step.fails
+	}
+	if t.cur != nil {
+		r.Active, r.Worker, r.Born = true, t.cur.worker.ID, t.cur.worker.Born
+	}
+	c.batch.Tasks = append(c.batch.Tasks, TaskChange{ID: t.id, Record: r})
+}
+
+// TakeBatch returns what has to be recorded, or nil.
+func (c *Core) TakeBatch() *Batch {
+	if c.batch.empty() {
+		return nil
+	}
+	b := c.batch
+	c.sent[b.number] = b
+	c.openBatch()
+	return b
+}
+
+// Recorded says that a batch is in the log: what depended on it goes out.
+func (c *Core) Recorded(now Now, b *Batch) {
+	delete(c.sent, b.number)
+	for w, n := range b.acks {
+		if c.workers[w.ID] == w {
+			w.noted = max(w.noted, n)
+		}
+	}
+	for _, j := range b.ended {
+		j.endDurable = true
+	}
+	for _, r := range b.starts {
+		c.launch(now, r)
+	}
+}
+
+// launch sends a start, unless what it was decided on no longer holds.
+func (c *Core) launch(now Now, r *run) {
+	if !r.worker.runs[r] {
+		return
+	}
+	w := r.worker
+	if r.phase == stopping || r.task.step.job.closed() || !w.listed || w.Draining {
+		c.settle(now, r, job.EndVoid, r.task.saved)
+		return
+	}
+	r.phase = starting
+	c.out.Starts = append(c.out.Starts, Start{
+		Target: w.target(), Task: r.task.id, Run: r.number, Payload: r.task.step.job.spec.Payload,
+		Checkpoint: r.saved, LeaseUntilMs: c.lease(now, w), ticket: r,
+	})
+}
+
+// lease returns the end of a new lease by the worker's clock.
+func (c *Core) lease(now Now, w *worker) int64 {
+	until := w.clockAtLeast(now.Mono) + c.set.Lease.Milliseconds()
+	w.leaseMs = max(w.leaseMs, until)
+	return until
+}
+
+// TakeActions returns the orders to carry out. It places waiting work first.
+func (c *Core) TakeActions(now Now) Actions {
+	if c.dirty || (c.wake > 0 && now.Mono >= c.wake) {
+		c.dirty = false
+		c.schedule(now)
+	}
+	c.emitHolds(now)
+	out := c.out
+	c.out = Actions{}
+	return out
+}
--- /dev/null
+++ b/internal/core/dispatch/order.go
@@ -0,0 +1,100 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// firstPriority is the priority that may stop others.
+const firstPriority = 0
+
+// schedule places waiting work. It is one cycle: plans whose room has become free, then
+// the steps whose turn has come, in order.
+func (c *Core) schedule(now Now) {
+	c.wake = 0
+	steps := c.readySteps(now)
+	for _, s := range steps {
+		if s.plan != nil {
+			c.runPlan(now, s)
+		}
+	}
+	full := fullShapes{}
+	for _, s := range steps {
+		if s.plan != nil {
+			continue
+		}
+		if s.spec.Gang {
+			c.placeGang(now, s, full)
+		} else {
+			c.placeTasks(now, s, full)
+		}
+	}
+}
+
+// readySteps returns the steps whose turn has come, first things first.
+func (c *Core) readySteps(now Now) []*step {
+	var ready []*step
+	for _, j := range c.jobs {
+		if j.closed() {
+			continue
+		}
+		for _, o := range j.occ {
+			if o.dueMs > now.UnixMs {
+				c.wakeAt(now, now.Mono+time.Duration(o.dueMs-now.UnixMs)*time.Millisecond)
+				continue
+			}
+			for _, s := range o.steps {
+				if s.done < len(s.tasks) && s.turn() {
+					if !s.ready {
+						s.ready, s.readySince = true, now.Mono
+					}
+					if s.hasWaiting() {
+						ready = append(ready, s)
+					}
+				}
+			}
+		}
+	}
+	slices.SortFunc(ready, c.compare(now))
+	return ready
+}
+
+func (c *Core) wakeAt(now Now, at time.Duration) {
+	if at <= now.Mono {
+		at = now.Mono + time.Millisecond
+	}
+	if c.wake == 0 || at < c.wake {
+		c.wake = at
+	}
+}
+
+// turn reports whether the steps before s are done.
+func (s *step) turn() bool {
+	for _, i := range s.spec.After {
+		if before := s.occ.steps[i]; before.done < len(before.tasks) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *step) hasWaiting() bool {
+	for _, t := range s.tasks {
+		if t.cur == nil && !t.done {
+			return true
+		}
+	}
+	return false
+}
+
+// compare orders steps: by priority, then by when the job came.
+func (c *Core) compare(now Now) func(a, b *step) int {
+	return func(a, b *step) int {
+		return cmp.Or(
+			cmp.Compare(a.job.spec.Priority, b.job.spec.Priority),
+			cmp.Compare(a.job.seq, b.job.seq),
+			cmp.Compare(a.occ.index, b.occ.index),
+			cmp.Compare(a.index, b.index))
+	}
+}
--- /dev/null
+++ b/internal/core/dispatch/outcome.go
@@ -0,0 +1,19 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+)
+
+var outcomeNames = [...]string{"accepted", "unanswered", "refused", "no room", "unhealthy", "other life", "fenced"}
+
+// String returns the outcome's name.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+func sortRuns(runs []*run) {
+	slices.SortFunc(runs, func(a, b *run) int {
+		return cmp.Or(
+			cmp.Compare(a.task.id.Job, b.task.id.Job), cmp.Compare(a.task.id.Occurrence, b.task.id.Occurrence),
+			cmp.Compare(a.task.id.Step, b.task.id.Step), cmp.Compare(a.task.id.Index, b.task.id.Index), cmp.Compare(a.number, b.number))
+	})
+}
--- /dev/null
+++ b/internal/core/dispatch/place.go
@@ -0,0 +1,299 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"agatewinch/internal/core/job"
+)
+
+// shape is what a placement depends on, to try each kind of task once a cycle.
+type shape struct {
+	service, label, rack string
+	need                 job.Resources
+	most                 int
+}
+
+// fullShapes remembers the shapes for which no worker had room in this cycle.
+type fullShapes map[shape]bool
+
+func (s *step) shape() shape {
+	return shape{s.job.spec.Service, s.spec.Label, s.spec.DataRack, s.spec.Charge(), s.spec.MaxPerWorker}
+}
+
+// fits reports whether w may run tasks of s at all.
+func (w *worker) fits(s *step) bool {
+	return w.Service == s.job.spec.Service && (s.spec.Label == "" || w.labels[s.spec.Label])
+}
+
+// onWorker counts the runs of s on w.
+func (s *step) onWorker(w *worker) int {
+	n := 0
+	for r := range w.runs {
+		if r.task.step == s {
+			n++
+		}
+	}
+	return n
+}
+
+func (t *task) failedAt(w *worker) bool { return slices.Contains(t.failedOn, w.ID) }
+
+// waiting returns the tasks of s that may be placed now.
+func (c *Core) waiting(now Now, s *step) []*task {
+	var ts []*task
+	for _, t := range s.tasks {
+		if t.cur != nil || t.done {
+			continue
+		}
+		if t.notBefore > now.Mono {
+			c.wakeAt(now, t.notBefore)
+			continue
+		}
+		ts = append(ts, t)
+	}
+	return ts
+}
+
+// placeTasks places the tasks of a step that are independent of each other.
+func (c *Core) placeTasks(now Now, s *step, full fullShapes) {
+	if full[s.shape()] {
+		return
+	}
+	waiting := c.waiting(now, s)
+	for i, t := range waiting {
+		w := c.bestWorker(now, s, t)
+		if w == nil {
+			if s.job.spec.Priority == firstPriority {
+				c.preempt(now, s, waiting[i:])
+				return
+			}
+			if len(t.failedOn) == 0 && s.spec.DataRack == "" {
+				full[s.shape()] = true
+			}
+			return
+		}
+		c.place(now, t, w, t.number+1)
+	}
+}
+
+// offRackWait is how long a task waits for its data's rack, in parts of its estimate:
+// elsewhere it takes several times as long.
+func (c *Core) offRackWait(s *step) time.Duration {
+	return min(time.Duration(float64(s.spec.Estimate)*(c.set.SpreadFactor-1)), maxRackWait)
+}
+
+// maxRackWait bounds the wait for a rack; estimates are often wrong.
+const maxRackWait = 6 * time.Second
+
+func (c *Core) bestWorker(now Now, s *step, t *task) *worker {
+	var best *worker
+	var bestScore float64
+	need := s.spec.Charge()
+	anyRack := s.spec.DataRack == "" || now.Mono-s.readySince >= c.offRackWait(s)
+	if !anyRack {
+		c.wakeAt(now, s.readySince+c.offRackWait(s))
+	}
+	for _, w := range c.sorted {
+		if !w.fits(s) || !w.free().Fits(need) || !w.usable(now.Mono) {
+			continue
+		}
+		onRack := s.spec.DataRack == "" || w.Rack == s.spec.DataRack
+		if !onRack && !anyRack {
+			continue
+		}
+		if s.spec.MaxPerWorker > 0 && s.onWorker(w) >= s.spec.MaxPerWorker {
+			continue
+		}
+		score := leftover(w, need)
+		if !onRack {
+			score += 100
+		}
+		if t.failedAt(w) {
+			score += 50
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// leftover is best fit: what would stay free, accelerators first since large tasks need
+// whole workers.
+func leftover(w *worker, need job.Resources) float64 {
+	f := w.free().Minus(need)
+	return 4*share(f.Accelerators, w.Capacity.Accelerators) + share(f.MemMB, w.Capacity.MemMB) + 0.5*share(f.CPU, w.Capacity.CPU)
+}
+
+func share(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// place decides a run; its order goes out once the record is in the log.
+func (c *Core) place(now Now, t *task, w *worker, number int) {
+	t.number = number
+	r := &run{task: t, number: number, worker: w, phase: recording, need: t.step.spec.Charge(), began: now.Mono, percentAt: now.Mono, saved: t.saved}
+	c.put(r)
+	c.record(t)
+	c.batch.starts = append(c.batch.starts, r)
+	c.note(Note{What: "placed", Task: t.id.String(), Run: number, Worker: w.ID})
+}
+
+// placeGang places all tasks of a gang or none.
+func (c *Core) placeGang(now Now, s *step, full fullShapes) {
+	for _, t := range s.tasks {
+		if t.cur != nil {
+			return // an earlier run is not over everywhere
+		}
+	}
+	waiting := c.waiting(now, s)
+	if len(waiting) < len(s.tasks) {
+		return
+	}
+	at := c.findGang(now, s)
+	if at == nil {
+		if s.job.spec.Priority == firstPriority {
+			c.preempt(now, s, waiting)
+		}
+		return
+	}
+	c.startGang(now, s, at)
+}
+
+func (c *Core) startGang(now Now, s *step, at []*worker) {
+	for _, t := range s.tasks {
+		s.number = max(s.number, t.number)
+	}
+	s.number++
+	saved := ""
+	for _, t := range s.tasks {
+		if t.saved != "" {
+			saved = t.saved // any member's checkpoint is valid for the gang
+		}
+	}
+	for i, t := range s.tasks {
+		t.saved = saved
+		c.place(now, t, at[i], s.number)
+	}
+}
+
+// findGang returns a worker for each task of s, or nil.
+func (c *Core) findGang(now Now, s *step) []*worker {
+	var usable []*worker
+	for _, w := range c.sorted {
+		if w.fits(s) && w.usable(now.Mono) {
+			usable = append(usable, w)
+		}
+	}
+	if !s.spec.SameRack {
+		return assign(s, usable)
+	}
+	var best []*worker
+	bestFree := 0.0
+	possible := false
+	for _, group := range byRack(usable) {
+		if roomFor(s, group) >= len(s.tasks) {
+			possible = true
+		}
+		at := assign(s, group)
+		if at == nil {
+			continue
+		}
+		free := 0.0
+		for _, w := range group {
+			free += leftover(w, job.Resources{})
+		}
+		if best == nil || free < bestFree {
+			best, bestFree = at, free
+		}
+	}
+	if best != nil {
+		return best
+	}
+	if possible && now.Mono-s.readySince < c.spreadWait(s) {
+		c.wakeAt(now, s.readySince+c.spreadWait(s))
+		return nil
+	}
+	return assign(s, usable)
+}
+
+// spreadWait is how long a gang waits for one rack before it runs on several, where it
+// takes several times as long.
+func (c *Core) spreadWait(s *step) time.Duration {
+	if s.job.spec.Priority == firstPriority {
+		return urgentSpreadWait
+	}
+	return min(time.Duration(float64(s.spec.Estimate)*(c.set.SpreadFactor-1)), maxSpreadWait)
+}
+
+const (
+	// urgentSpreadWait leaves most of the reclaim time for the start itself.
+	urgentSpreadWait = time.Second
+	// maxSpreadWait bounds the wait of other gangs for one rack.
+	maxSpreadWait = 12 * time.Second
+)
+
+// byRack groups workers by rack, in the order of rack names.
+func byRack(workers []*worker) [][]*worker {
+	groups := map[string][]*worker{}
+	for _, w := range workers {
+		groups[w.Rack] = append(groups[w.Rack], w)
+	}
+	names := make([]string, 0, len(groups))
+	for n := range groups {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	out := make([][]*worker, 0, len(names))
+	for _, n := range names {
+		out = append(out, groups[n])
+	}
+	return out
+}
+
+// roomFor counts the tasks of s that a group could hold if it were empty.
+func roomFor(s *step, group []*worker) int {
+	n := 0
+	for _, w := range group {
+		n += timesFit(w.Capacity, s.spec.Charge(), s.spec.MaxPerWorker)
+	}
+	return n
+}
+
+func timesFit(room, need job.Resources, most int) int {
+	n := 1 << 20
+	for _, d := range [3][2]int64{{room.CPU, need.CPU}, {room.MemMB, need.MemMB}, {room.Accelerators, need.Accelerators}} {
+		if d[1] > 0 {
+			n = min(n, int(max(0, d[0])/d[1]))
+		}
+	}
+	if most > 0 {
+		n = min(n, most)
+	}
+	return n
+}
+
+// assign fills the workers with least room first; it returns nil if not all tasks fit.
+func assign(s *step, group []*worker) []*worker {
+	need := s.spec.Charge()
+	order := slices.Clone(group)
+	slices.SortStableFunc(order, func(a, b *worker) int {
+		return cmp.Compare(leftover(a, job.Resources{}), leftover(b, job.Resources{}))
+	})
+	var at []*worker
+	for _, w := range order {
+		n := timesFit(w.free(), need, s.spec.MaxPerWorker)
+		for range n {
+			at = append(at, w)
+			if len(at) == len(s.tasks) {
+				return at
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/dispatch/preempt.go
@@ -0,0 +1,285 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"agatewinch/internal/core/job"
+)
+
+// planTime bounds how long a plan keeps room for work that waits for stops.
+const planTime = 2500 * time.Millisecond
+
+// plan is the room that a preemption is freeing for a step.
+type plan struct {
+	at    map[*task]*worker
+	until time.Duration
+}
+
+// runPlan starts a planned step once its room is free.
+func (c *Core) runPlan(now Now, s *step) {
+	need := s.spec.Charge()
+	taken := map[*worker]job.Resources{}
+	for t, w := range s.plan.at {
+		if t.cur != nil || t.done || !w.usable(now.Mono) || now.Mono > s.plan.until {
+			c.dropPlan(s)
+			return
+		}
+		taken[w] = taken[w].Plus(need)
+	}
+	for w, sum := range taken {
+		if !w.Capacity.Minus(w.used).Fits(sum) {
+			c.wakeAt(now, s.plan.until+time.Millisecond)
+			return
+		}
+	}
+	at := s.plan.at
+	c.dropPlan(s)
+	if s.spec.Gang {
+		places := make([]*worker, len(s.tasks))
+		for i, t := range s.tasks {
+			places[i] = at[t]
+		}
+		c.startGang(now, s, places)
+		return
+	}
+	for _, t := range s.tasks {
+		if w := at[t]; w != nil {
+			c.place(now, t, w, t.number+1)
+		}
+	}
+}
+
+func (c *Core) dropPlan(s *step) {
+	if s.plan == nil {
+		return
+	}
+	for _, w := range s.plan.at {
+		w.reserved = w.reserved.Minus(s.spec.Charge())
+	}
+	s.plan = nil
+	c.dirty = true
+}
+
+// preempt frees room for urgent tasks by stopping what loses least.
+func (c *Core) preempt(now Now, s *step, tasks []*task) {
+	var usable []*worker
+	for _, w := range c.sorted {
+		if w.fits(s) && w.usable(now.Mono) {
+			usable = append(usable, w)
+		}
+	}
+	groups := [][]*worker{usable}
+	if s.spec.SameRack && s.spec.Gang {
+		groups = append(byRack(usable), usable)
+	}
+	var best *eviction
+	for i, g := range groups {
+		e := c.evict(now, s, len(tasks), g)
+		if e == nil {
+			continue
+		}
+		if best == nil || e.cost < best.cost {
+			best = e
+		}
+		if len(groups) > 1 && i == len(groups)-2 && best != nil {
+			break // a whole rack serves best
+		}
+	}
+	if best == nil {
+		c.note(Note{What: "no room to free", Job: s.job.spec.ID})
+		return
+	}
+	p := &plan{at: map[*task]*worker{}, until: now.Mono + planTime}
+	for i, t := range tasks {
+		p.at[t] = best.at[i]
+		best.at[i].reserved = best.at[i].reserved.Plus(s.spec.Charge())
+	}
+	s.plan = p
+	for _, r := range best.victims {
+		c.stop(now, r, "preempted")
+		if r.task.step.spec.Gang {
+			c.breakGang(now, r.task.step, r.number)
+		}
+	}
+	c.wakeAt(now, p.until+time.Millisecond)
+}
+
+// eviction is a set of runs whose end makes room for tasks.
+type eviction struct {
+	at      []*worker
+	victims []*run
+	cost    float64
+}
+
+// evict finds places for n tasks of s in a group, or nil.
+func (c *Core) evict(now Now, s *step, n int, group []*worker) *eviction {
+	need := s.spec.Charge()
+	chosen := map[*run]bool{}
+	free := map[*worker]job.Resources{}
+	for _, w := range group {
+		free[w] = w.soonFree()
+	}
+	e := &eviction{}
+	for range n {
+		var best *worker
+		var bestVictims []*run
+		bestCost := 0.0
+		for _, w := range group {
+			if s.spec.MaxPerWorker > 0 && s.onWorker(w)+count(e.at, w) >= s.spec.MaxPerWorker {
+				continue
+			}
+			victims, cost, ok := c.victims(now, s, w, free[w], need, chosen)
+			if ok && (best == nil || cost < bestCost || cost == bestCost && leftover(w, need) < leftover(best, need)) {
+				best, bestVictims, bestCost = w, victims, cost
+			}
+		}
+		if best == nil {
+			return nil
+		}
+		for _, v := range bestVictims {
+			for _, m := range gangOf(v) {
+				if !chosen[m] {
+					chosen[m] = true
+					e.victims = append(e.victims, m)
+					if f, ok := free[m.worker]; ok {
+						free[m.worker] = f.Plus(m.need)
+					}
+				}
+			}
+		}
+		free[best] = free[best].Minus(need)
+		e.at = append(e.at, best)
+		e.cost += bestCost
+	}
+	return e
+}
+
+func count(at []*worker, w *worker) int {
+	n := 0
+	for _, a := range at {
+		if a == w {
+			n++
+		}
+	}
+	return n
+}
+
+// soonFree is the room of w once its stopping runs have ended.
+func (w *worker) soonFree() job.Resources {
+	f := w.free()
+	for r := range w.runs {
+		if r.phase == stopping {
+			f = f.Plus(r.need)
+		}
+	}
+	return f
+}
+
+// victims returns the cheapest runs to stop on w so that need fits.
+func (c *Core) victims(now Now, s *step, w *worker, free, need job.Resources, chosen map[*run]bool) ([]*run, float64, bool) {
+	if free.Fits(need) {
+		return nil, 0, true
+	}
+	var candidates []*run
+	for _, r := range c.runsOf(w) {
+		if !chosen[r] && mayStop(s, r) {
+			candidates = append(candidates, r)
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b *run) int { return cmp.Compare(c.lossOf(now, a), c.lossOf(now, b)) })
+	var picked []*run
+	for _, r := range candidates {
+		picked = append(picked, r)
+		free = free.Plus(r.need)
+		if free.Fits(need) {
+			break
+		}
+	}
+	if !free.Fits(need) {
+		return nil, 0, false
+	}
+	cost := 0.0
+	kept := picked[:0]
+	for i := len(picked) - 1; i >= 0; i-- { // give back what is not needed, dearest first
+		if without := free.Minus(picked[i].need); without.Fits(need) {
+			free = without
+			continue
+		}
+		kept = append(kept, picked[i])
+		cost += c.lossOf(now, picked[i])
+	}
+	return kept, cost, true
+}
+
+// mayStop reports whether s may take the room of r.
+func mayStop(s *step, r *run) bool {
+	spec := r.task.step
+	return spec.job.spec.Priority > s.job.spec.Priority && !spec.spec.LongRunning &&
+		(r.phase == running || r.phase == starting || r.phase == recording)
+}
+
+// gangOf returns the runs that end with r.
+func gangOf(r *run) []*run {
+	if !r.task.step.spec.Gang {
+		return []*run{r}
+	}
+	var all []*run
+	for _, t := range r.task.step.tasks {
+		if t.cur != nil && t.cur.number == r.number && t.cur.phase != stopping {
+			all = append(all, t.cur)
+		}
+	}
+	return all
+}
+
+const (
+	// checkpointLoss is the work that a task with checkpoints loses at a stop, with the
+	// time to restore it.
+	checkpointLoss = 700 * time.Millisecond
+	// stopCost is the loss of a stop in core-seconds beside the work itself: the place,
+	// and the order.
+	stopCost = 10
+)
+
+// lossOf is the work in core-seconds that is thrown away if r is stopped.
+func (c *Core) lossOf(now Now, r *run) float64 {
+	sum := 0.0
+	for _, m := range gangOf(r) {
+		at := time.Duration(0)
+		if m.seen {
+			at = now.Mono - m.seenAt
+		}
+		if m.task.step.spec.Checkpoints {
+			at = min(at, checkpointLoss)
+		}
+		sum += stopCost + at.Seconds()*m.need.Cores()
+	}
+	return sum
+}
+
+// stallTime is how long a run's progress may stand still; a worker is looked at every
+// two seconds, so that this takes two looks without progress.
+const stallTime = 3500 * time.Millisecond
+
+// watchStalled moves tasks that make no progress to other workers.
+func (c *Core) watchStalled(now Now) {
+	for _, w := range c.sorted {
+		if w.misses > 0 {
+			continue
+		}
+		for _, r := range c.runsOf(w) {
+			if r.phase != running || r.task.step.spec.LongRunning || w.holdAt <= r.percentAt+stallTime || r.percent >= 100 || r.seenAt+stallTime > w.holdAt {
+				continue
+			}
+			c.note(Note{What: "stalled", Task: r.task.id.String(), Run: r.number, Worker: w.ID})
+			r.task.failedOn = append(r.task.failedOn, w.ID)
+			w.health.quarantine(now.Mono)
+			c.stop(now, r, "stalled")
+			if r.task.step.spec.Gang {
+				c.breakGang(now, r.task.step, r.number)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/dispatch/settle.go
@@ -0,0 +1,404 @@
+package dispatch
+
+import (
+	"time"
+
+	"agatewinch/internal/core/job"
+)
+
+// SetWorkers takes in the platform's list of workers.
+func (c *Core) SetWorkers(now Now, list []WorkerInfo) {
+	named := make(map[string]bool, len(list))
+	for _, info := range list {
+		named[info.ID] = true
+		c.setWorker(now, info)
+	}
+	for _, w := range c.sorted {
+		if w.listed && !named[w.ID] {
+			w.listed = false
+			c.dirty = true
+			c.note(Note{What: "worker unlisted", Worker: w.ID})
+		}
+	}
+}
+
+func (c *Core) setWorker(now Now, info WorkerInfo) {
+	w := c.workers[info.ID]
+	if w == nil {
+		w = c.addWorker(info)
+		w.clockAt = now.Mono
+		c.note(Note{What: "worker listed", Worker: w.ID})
+	}
+	if w.Born != 0 && info.Born < w.Born {
+		return // an entry of a former life
+	}
+	if info.Born > w.Born && w.Born != 0 {
+		c.newLife(now, w, info.Born)
+	}
+	if !w.listed || w.Draining != info.Draining || w.Capacity != info.Capacity {
+		c.dirty = true
+	}
+	if w.listed && !w.Draining && info.Draining {
+		c.note(Note{What: "worker draining", Worker: w.ID})
+	}
+	clockMs, clockAt := w.ClockMs, w.clockAt
+	if clockMs == 0 || info.ClockMs > w.clockAtLeast(now.Mono) {
+		clockMs, clockAt = info.ClockMs, now.Mono
+	}
+	w.WorkerInfo = info
+	w.ClockMs, w.clockAt = clockMs, clockAt
+	w.listed = true
+	clear(w.labels)
+	for _, l := range info.Labels {
+		w.labels[l] = true
+	}
+	w.labels[info.Rack] = true
+}
+
+// newLife ends all runs of a worker's former life.
+func (c *Core) newLife(now Now, w *worker, born int64) {
+	c.note(Note{What: "worker reborn", Worker: w.ID})
+	w.Born = born
+	w.ClockMs, w.clockAt, w.leaseMs, w.adoptedUntil = 0, now.Mono, 0, 0
+	w.settled, w.noted, w.acked = 0, 0, 0
+	w.heard = false
+	for _, r := range c.runsOf(w) {
+		c.settle(now, r, job.EndLost, r.saved)
+	}
+}
+
+func (c *Core) runsOf(w *worker) []*run {
+	runs := make([]*run, 0, len(w.runs))
+	for r := range w.runs {
+		runs = append(runs, r)
+	}
+	sortRuns(runs)
+	return runs
+}
+
+// Started takes in the outcome of a start.
+func (c *Core) Started(now Now, s Start, o Outcome) {
+	r := s.ticket
+	if !r.worker.runs[r] || r.worker.Born != s.Born {
+		return
+	}
+	c.note(Note{What: "start answered", Task: s.Task.String(), Run: s.Run, Worker: s.Worker, Why: o.String()})
+	switch o {
+	case Accepted:
+		c.beginRun(now, r)
+	case Unanswered:
+		r.worker.misses++
+		c.stop(now, r, "start unanswered")
+	case RefusedRoom, Refused:
+		c.settle(now, r, job.EndVoid, r.task.saved)
+		if o == RefusedRoom {
+			r.worker.pauseTo = now.Mono + unhealthyPause
+		}
+	case RefusedUnhealthy:
+		r.worker.pauseTo = now.Mono + unhealthyPause
+		c.settle(now, r, job.EndVoid, r.task.saved)
+	case OtherLife:
+		r.worker.pauseTo = now.Mono + unhealthyPause
+		c.settle(now, r, job.EndVoid, r.task.saved)
+	}
+}
+
+func (c *Core) beginRun(now Now, r *run) {
+	if !r.seen {
+		r.seen, r.seenAt, r.percentAt = true, now.Mono, now.Mono
+	}
+	if r.phase == starting || r.phase == adopted {
+		r.phase = running
+	}
+	if !r.task.began {
+		r.task.began = true
+		if r.task.id.Index == 0 || !r.task.step.spec.Gang {
+			c.record(r.task) // callers are shown that the job runs
+		}
+	}
+}
+
+// Stopped takes in the outcome of a stop.
+func (c *Core) Stopped(now Now, s Stop, o Outcome) {
+	r := s.ticket
+	if r == nil || !r.worker.runs[r] || r.worker.Born != s.Born {
+		return
+	}
+	if o == Accepted {
+		r.stopAcked, r.stopAckedAt = true, now.Mono
+		return
+	}
+	r.stopNext = now.Mono + stopRetry
+}
+
+// HoldFailed says that a look at a worker was not answered.
+func (c *Core) HoldFailed(now Now, h Hold, o Outcome) {
+	w := c.workers[h.Worker]
+	if w == nil {
+		return
+	}
+	w.holding = false
+	w.holdAt = now.Mono + holdRetry
+	if w.Born != h.Born {
+		return
+	}
+	w.misses++
+	if w.misses == 2 {
+		c.note(Note{What: "worker unreachable", Worker: w.ID, Why: o.String()})
+	}
+}
+
+// Held takes in a worker's answer to a hold.
+func (c *Core) Held(now Now, h Hold, rep Report) {
+	w := c.workers[h.Worker]
+	if w == nil {
+		return
+	}
+	w.holding = false
+	w.holdAt = now.Mono
+	if rep.Born > w.Born {
+		c.newLife(now, w, rep.Born)
+	}
+	if rep.Born != w.Born {
+		return
+	}
+	if w.misses >= 2 {
+		c.note(Note{What: "worker reachable", Worker: w.ID})
+	}
+	if w.misses > 0 {
+		w.misses = 0
+		c.dirty = true
+	}
+	if !w.heard {
+		w.heard = true
+		c.dirty = true
+	}
+	if rep.ClockMs > w.clockAtLeast(now.Mono) {
+		w.ClockMs, w.clockAt = rep.ClockMs, now.Mono
+	}
+	w.acked = max(w.acked, h.Ack)
+	c.takeEnds(now, w, rep.Ended)
+	listed := c.takeRunning(now, w, rep.Running)
+	if len(rep.Ended) < maxListedEnds {
+		c.takeAbsent(now, w, h, listed)
+	}
+}
+
+func (c *Core) takeEnds(now Now, w *worker, ended []EndedTask) {
+	for _, e := range ended {
+		if e.Number <= w.settled {
+			continue
+		}
+		w.settled = e.Number
+		c.batch.acks[w] = e.Number
+		t := c.tasks[e.Task]
+		if t == nil {
+			continue
+		}
+		if t.cur != nil && t.cur.number == e.Run && t.cur.worker == w {
+			c.settle(now, t.cur, e.How, e.Checkpoint)
+			continue
+		}
+		// An end of a run that was taken as over: what it did still counts.
+		c.lateEnd(now, t, e)
+	}
+}
+
+func (c *Core) lateEnd(now Now, t *task, e EndedTask) {
+	c.note(Note{What: "late end", Task: e.Task, Run: e.Run, Why: string(e.How)})
+	if e.How == job.EndDone && !t.done && !t.step.spec.Gang && !t.step.job.closed() {
+		if t.cur != nil {
+			c.stop(now, t.cur, "done by another run")
+		}
+		c.markDone(now, t)
+		c.checkDone(now, t.step.job)
+	}
+}
+
+func (c *Core) takeRunning(now Now, w *worker, rows []RunningTask) map[*run]bool {
+	listed := make(map[*run]bool, len(rows))
+	for _, row := range rows {
+		t := c.tasks[row.Task]
+		if t == nil || t.cur == nil || t.cur.number != row.Run || t.cur.worker != w {
+			c.stray(now, w, row)
+			continue
+		}
+		r := t.cur
+		listed[r] = true
+		if row.Checkpoint != "" {
+			r.saved = row.Checkpoint
+		}
+		if row.Percent != r.percent {
+			r.percent, r.percentAt = row.Percent, now.Mono
+		}
+		c.beginRun(now, r)
+		if r.phase == running && t.step.job.closed() && !t.done {
+			c.stop(now, r, "job over")
+		}
+	}
+	return listed
+}
+
+// stray stops a run that nobody wants, such as a start that was carried out late.
+func (c *Core) stray(now Now, w *worker, row RunningTask) {
+	id, err := job.ParseTaskID(row.Task)
+	if err != nil {
+		return
+	}
+	c.note(Note{What: "stop", Task: row.Task, Run: row.Run, Worker: w.ID, Why: "not wanted"})
+	c.out.Stops = append(c.out.Stops, Stop{Target: w.target(), Task: id, Run: row.Run})
+}
+
+// takeAbsent ends runs that an answer proves not to be on the worker.
+func (c *Core) takeAbsent(now Now, w *worker, h Hold, listed map[*run]bool) {
+	for _, r := range c.runsOf(w) {
+		if listed[r] {
+			continue
+		}
+		switch {
+		case r.phase == adopted:
+			// The hold carried this decider's epoch: an older start is refused now.
+			c.settle(now, r, job.EndVoid, r.task.saved)
+		case r.phase == stopping && r.stopAcked && r.stopAckedAt <= h.sentAt:
+			c.settle(now, r, job.EndVoid, r.task.saved)
+		case r.phase == running && r.seenAt < h.sentAt:
+			c.settle(now, r, job.EndLost, r.saved)
+		}
+	}
+}
+
+// settle takes a run's end into the state.
+func (c *Core) settle(now Now, r *run, how job.End, saved string) {
+	t, s, j := r.task, r.task.step, r.task.step.job
+	c.remove(r)
+	if saved != "" {
+		t.saved = saved
+	}
+	c.note(Note{What: "run ended", Task: t.id.String(), Run: r.number, Worker: r.worker.ID, Why: string(how)})
+	switch how {
+	case job.EndDone:
+		r.worker.health.done()
+		c.markDone(now, t)
+	case job.EndFailed:
+		t.failedOn = append(t.failedOn, r.worker.ID)
+		if r.worker.health.failed(now.Mono, j.spec.ID) {
+			c.note(Note{What: "worker quarantined", Worker: r.worker.ID})
+		}
+		c.countFailure(s, t, r.number)
+	case job.EndVoid, job.EndLost, job.EndLapsed, job.EndAlone:
+		t.notBefore = now.Mono + placementPause
+	}
+	if s.spec.Gang && how != job.EndDone && !t.done {
+		c.breakGang(now, s, r.number)
+	}
+	c.record(t)
+	if !j.closed() {
+		if !s.spec.LongRunning && c.exhausted(s, t) {
+			c.stopJob(now, j, "job failed")
+			c.finish(now, j, job.Failed)
+		}
+		c.checkDone(now, j)
+	}
+	c.forgetIfOver(j)
+}
+
+func (c *Core) markDone(now Now, t *task) {
+	if t.done {
+		return
+	}
+	if t.step.spec.LongRunning {
+		return // it has to be started again
+	}
+	members := []*task{t}
+	if t.step.spec.Gang {
+		members = t.step.tasks // one end stands for all
+	}
+	for _, m := range members {
+		if m.done {
+			continue
+		}
+		m.done = true
+		m.step.done++
+		if m != t {
+			c.record(m)
+		}
+	}
+	c.dirty = true
+}
+
+func (c *Core) countFailure(s *step, t *task, number int) {
+	t.fails++
+	if s.spec.Gang && s.failedRun != number {
+		s.failedRun = number
+		s.fails++
+	}
+}
+
+func (c *Core) exhausted(s *step, t *task) bool {
+	limit := max(1, s.job.spec.Attempts)
+	if s.spec.Gang {
+		return s.fails >= limit
+	}
+	return t.fails >= limit
+}
+
+// breakGang stops what is left of a gang's run.
+func (c *Core) breakGang(now Now, s *step, number int) {
+	for _, m := range s.tasks {
+		m.notBefore = max(m.notBefore, now.Mono)
+		if m.cur != nil && m.cur.number == number && !m.done {
+			c.stop(now, m.cur, "gang broken")
+		}
+	}
+}
+
+// Tick does what only time brings: lapsed leases, repeated stops.
+func (c *Core) Tick(now Now) {
+	for _, w := range c.sorted {
+		if len(w.runs) == 0 {
+			continue
+		}
+		lapsed := (w.leaseMs > 0 || w.adoptedUntil > 0) && now.Mono > w.lapsedAt()
+		for _, r := range c.runsOf(w) {
+			switch {
+			case lapsed && r.phase != recording && w.misses > 0:
+				c.settle(now, r, job.EndLost, r.saved)
+			case r.phase == stopping && r.stopSent && !r.stopAcked && now.Mono >= r.stopNext:
+				c.sendStop(now, r)
+			}
+		}
+	}
+	c.watchStalled(now)
+}
+
+// emitHolds looks at the workers on which something runs, or may.
+func (c *Core) emitHolds(now Now) {
+	for _, w := range c.sorted {
+		if w.holding || now.Mono < w.holdAt || w.Address == "" {
+			continue
+		}
+		wait, need := c.holdNeed(w)
+		if !need {
+			continue
+		}
+		w.holding = true
+		c.out.Holds = append(c.out.Holds, Hold{Target: w.target(), LeaseUntilMs: c.lease(now, w), Ack: w.noted, Wait: wait, sentAt: now.Mono})
+	}
+}
+
+func (c *Core) holdNeed(w *worker) (time.Duration, bool) {
+	wait, need := c.set.HoldWait, false
+	for r := range w.runs {
+		switch {
+		case r.phase == adopted:
+			return 0, true
+		case r.phase == stopping && !r.stopSent, r.phase == recording, r.phase == starting:
+		default:
+			need = true
+		}
+	}
+	if !need && w.noted > w.acked {
+		return 0, true
+	}
+	return wait, need
+}
--- /dev/null
+++ b/internal/core/dispatch/world.go
@@ -0,0 +1,229 @@
+// Package dispatch decides which task runs on which worker. It is a state machine
+// without I/O: events and the time go in, records and orders come out. An order that
+// starts a run goes out only after the record of its placement is in the log.
+package dispatch
+
+import (
+	"time"
+
+	"agatewinch/internal/core/job"
+)
+
+// Now is the time of an event.
+type Now struct {
+	// Mono is the steady time since the process began.
+	Mono time.Duration
+	// UnixMs is the time of day.
+	UnixMs int64
+}
+
+// Settings are the bounds that the decider keeps to.
+type Settings struct {
+	// Lease is how long a worker goes on without hearing from the decider.
+	Lease time.Duration
+	// MaxLease is the longest lease that a worker grants.
+	MaxLease time.Duration
+	// HoldWait is how long a look at a worker waits for an end.
+	HoldWait time.Duration
+	// UnheardLease bounds how long a former decider may go on renewing leases after
+	// its successor took over.
+	UnheardLease time.Duration
+	// SpreadFactor is how much slower a task is away from its rack.
+	SpreadFactor float64
+	// StopTime is how long a stop takes at most.
+	StopTime time.Duration
+}
+
+const (
+	// slowestClock is the rate of the slowest worker's clock, by the platform's contract.
+	slowestClock = 0.98
+	// lapseMargin covers delays between the end of a lease and its effect.
+	lapseMargin = 300 * time.Millisecond
+	// holdRetry is the pause after a look that was not answered; a third of the
+	// shortest lease leaves several tries.
+	holdRetry = 300 * time.Millisecond
+	// stopRetry is the pause after a stop that was not answered.
+	stopRetry = 250 * time.Millisecond
+	// unhealthyPause keeps work off a worker that refused a start.
+	unhealthyPause = 2 * time.Second
+	// placementPause keeps a task from being placed again at once after its run ended
+	// without being at work.
+	placementPause = 300 * time.Millisecond
+	// maxListedEnds is how many ends a worker lists at a time.
+	maxListedEnds = 500
+)
+
+// WorkerInfo is what a worker says of itself.
+type WorkerInfo struct {
+	ID       string
+	Address  string
+	Service  string
+	Zone     string
+	Rack     string
+	Labels   []string
+	Capacity job.Resources
+	// Born tells the lives of a worker apart, in Unix milliseconds.
+	Born     int64
+	Draining bool
+	// ClockMs is the worker's steady clock when it wrote the entry.
+	ClockMs int64
+}
+
+type phase uint8
+
+// The phases of a run.
+const (
+	// recording runs wait for the record of their placement.
+	recording phase = iota
+	// starting runs have an order on its way.
+	starting
+	// running runs have been seen at work.
+	running
+	// stopping runs have been told to stop.
+	stopping
+	// adopted runs stand in the log and have not been heard of by this decider.
+	adopted
+)
+
+type run struct {
+	task   *task
+	number int
+	worker *worker
+	phase  phase
+	need   job.Resources
+	// fromSaved is the checkpoint that the run resumed from.
+	began   time.Duration
+	saved   string
+	percent int
+	// percentAt is when percent last grew.
+	percentAt time.Duration
+	// seen says that the run was listed or its start was answered.
+	seen   bool
+	seenAt time.Duration
+	// stopSent, stopAcked and stopAckedAt follow the order to stop.
+	stopSent    bool
+	stopAcked   bool
+	stopAckedAt time.Duration
+	stopNext    time.Duration
+}
+
+type task struct {
+	id   job.TaskID
+	step *step
+	// number is the newest run's number.
+	number int
+	done   bool
+	began  bool
+	fails  int
+	saved  string
+	cur    *run
+	// notBefore holds the next placement back.
+	notBefore time.Duration
+	// failedOn lists workers on which the task failed.
+	failedOn []string
+}
+
+type step struct {
+	job   *jobRun
+	occ   *occurrence
+	index int
+	spec  *job.Step
+	tasks []*task
+	done  int
+	// number is the newest run of the gang, and fails its failed runs.
+	number int
+	fails  int
+	// failedRun is the gang run whose failure has been counted.
+	failedRun int
+	// plan holds the places that a preemption is freeing.
+	plan *plan
+	// readySince is when the step's turn came.
+	readySince time.Duration
+	ready      bool
+}
+
+type occurrence struct {
+	index int
+	dueMs int64
+	steps []*step
+	done  int
+}
+
+type jobRun struct {
+	spec      *job.Job
+	cancelled bool
+	// end is the state that the job ends in, set once; endDurable once it is recorded.
+	end        job.State
+	endDurable bool
+	occ        []*occurrence
+	occDone    int
+	live       int
+	arrived    time.Duration
+	// oldestFirst orders jobs of equal worth.
+	seq int
+	// work is the job's core-seconds by its estimates.
+	work float64
+}
+
+func (j *jobRun) closed() bool { return j.cancelled || j.end != "" }
+
+type worker struct {
+	WorkerInfo
+	listed bool
+	labels map[string]bool
+	used   job.Resources
+	// reserved is held for plans that wait for room.
+	reserved job.Resources
+	runs     map[*run]bool
+	// clockAt is when the worker's clock was at least clockMs.
+	clockAt time.Duration
+	// leaseMs is the latest lease end that was sent, by the worker's clock.
+	leaseMs int64
+	// adoptedUntil bounds the leases that a former decider may have given.
+	adoptedUntil time.Duration
+	// heard says that the worker answered this decider in its present life.
+	heard bool
+	// noted is the last end that is recorded, acked the last that the worker was told
+	// of; settled the last that was taken into the state.
+	settled int64
+	noted   int64
+	acked   int64
+	holding bool
+	holdAt  time.Duration
+	misses  int
+	pauseTo time.Duration
+	health  health
+}
+
+func (w *worker) free() job.Resources {
+	return w.Capacity.Minus(w.used).Minus(w.reserved)
+}
+
+// usable reports whether new work may be placed on w.
+func (w *worker) usable(now time.Duration) bool {
+	return w.listed && !w.Draining && now >= w.pauseTo && w.misses < 2 && !w.health.quarantined(now) && !w.hasAdopted()
+}
+
+func (w *worker) hasAdopted() bool {
+	if w.heard || w.adoptedUntil == 0 {
+		return false
+	}
+	for r := range w.runs {
+		if r.phase == adopted {
+			return true
+		}
+	}
+	return false
+}
+
+// clockAtLeast returns a lower bound of the worker's clock.
+func (w *worker) clockAtLeast(now time.Duration) int64 {
+	return w.ClockMs + int64(float64((now-w.clockAt).Milliseconds())*slowestClock)
+}
+
+// lapsedAt returns when every lease that this decider gave has surely ended.
+func (w *worker) lapsedAt() time.Duration {
+	left := float64(w.leaseMs-w.ClockMs) / slowestClock
+	at := w.clockAt + time.Duration(left*float64(time.Millisecond)) + lapseMargin
+	return max(at, w.adoptedUntil)
+}
--- /dev/null
+++ b/internal/entry/decider.go
@@ -0,0 +1,364 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"agatewinch/internal/core/dispatch"
+	"agatewinch/internal/event"
+	"agatewinch/internal/ledger"
+	"agatewinch/internal/sharedlog"
+)
+
+const (
+	// tickEvery is how often the core checks leases and repeats stops.
+	tickEvery = 250 * time.Millisecond
+	// listEvery is how often the list of workers is read.
+	listEvery = 500 * time.Millisecond
+	// workerLease is how long workers go on without a decider: long enough for a
+	// takeover, short enough that work on a lost worker is soon started elsewhere.
+	workerLease = 8 * time.Second
+	// lookWait is how long a look at a worker waits for an end, the most that it may.
+	lookWait = 2 * time.Second
+	// sweepEvery is how often ended jobs are looked for that need not be shown any more.
+	sweepEvery = 10 * time.Second
+	// sweepMargin is added to the time that ended jobs are shown.
+	sweepMargin = 30 * time.Second
+	// releaseTime bounds the giving up of the role at a planned stop.
+	releaseTime = 1500 * time.Millisecond
+)
+
+// decider runs the core while this host holds the role. One goroutine owns the core;
+// calls run beside it and post what came of them.
+type decider struct {
+	host   *Host
+	epoch  int64
+	core   *dispatch.Core
+	events chan func(dispatch.Now)
+	began  time.Time
+
+	sequence  int64
+	appending bool
+	// appendedAt is when the log last took a record.
+	appendedAt time.Time
+	superseded string
+	sweptAt    time.Time
+	catalog    int64
+}
+
+// maxEvents bounds the outcomes that wait for the core; calls in flight are fewer.
+const maxEvents = 4096
+
+func newDecider(h *Host, epoch int64) *decider {
+	now := time.Now()
+	return &decider{
+		host: h, epoch: epoch, events: make(chan func(dispatch.Now), maxEvents), began: now, appendedAt: now, sweptAt: now,
+		core: dispatch.New(dispatch.Settings{
+			Lease: min(workerLease, h.set.MaxLease), MaxLease: h.set.MaxLease, HoldWait: lookWait,
+			UnheardLease: holdWithoutLog, SpreadFactor: h.set.SpreadFactor, StopTime: h.set.StopTime,
+		}),
+	}
+}
+
+func (d *decider) now() dispatch.Now {
+	t := time.Now()
+	return dispatch.Now{Mono: t.Sub(d.began), UnixMs: t.UnixMilli()}
+}
+
+// run decides until the role is lost, ctx ends or stop is closed. It returns why.
+func (d *decider) run(ctx context.Context, stop <-chan struct{}) string {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d.restore()
+	go d.followWorkers(ctx)
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		d.takeJobs()
+		d.drive(ctx)
+		select {
+		case <-ctx.Done():
+			return "process ends"
+		case <-stop:
+			return d.release(ctx)
+		case f := <-d.events:
+			f(d.now())
+			d.drainEvents()
+		case <-d.host.jobsSignal:
+		case <-tick.C:
+			d.core.Tick(d.now())
+			d.sweep(ctx)
+		}
+		if d.superseded != "" {
+			return d.superseded
+		}
+		if time.Since(d.appendedAt) > holdWithoutLog {
+			return "the log takes no records"
+		}
+	}
+}
+
+func (d *decider) drainEvents() {
+	for {
+		select {
+		case f := <-d.events:
+			f(d.now())
+		default:
+			return
+		}
+	}
+}
+
+// restore builds the core from the ledger.
+func (d *decider) restore() {
+	now := d.now()
+	d.host.ledger.TakeAdded()
+	if list, err := d.host.list.List(context.Background()); err == nil {
+		d.core.SetWorkers(now, list)
+	} else {
+		event.Error(d.host.out, err, event.LogLost, "topic", "workers")
+	}
+	d.setCatalog()
+	n := 0
+	d.host.ledger.EachByArrival(func(id string, e *ledger.Entry) {
+		if e.Job == nil {
+			return
+		}
+		if e.Ended != nil {
+			d.core.AddEnded(now, e.Job, e.Ended.State, e.Tasks)
+			return
+		}
+		n++
+		d.core.AddJob(now, e.Job, e.Tasks)
+		if e.Cancelled {
+			d.core.CancelJob(now, id)
+		}
+	})
+	event.Info(d.host.out, event.JournalLoaded, "jobs", n, "epoch", d.epoch)
+}
+
+func (d *decider) setCatalog() {
+	if c := d.host.newest(); c != nil && c.Version != d.catalog {
+		d.catalog = c.Version
+		d.core.SetGuarantees(c.Guarantees())
+	}
+}
+
+// takeJobs hands newly recorded jobs and cancellations to the core.
+func (d *decider) takeJobs() {
+	d.setCatalog()
+	now := d.now()
+	for _, id := range d.host.ledger.TakeAdded() {
+		e, ok := d.host.ledger.Find(id)
+		if !ok || e.Job == nil || e.Ended != nil {
+			continue
+		}
+		d.core.AddJob(now, e.Job, nil)
+		if e.Cancelled {
+			d.core.CancelJob(now, id)
+		}
+	}
+}
+
+func (d *decider) post(f func(dispatch.Now)) {
+	d.events <- f
+}
+
+// drive carries out what the core wants.
+func (d *decider) drive(ctx context.Context) {
+	actions := d.core.TakeActions(d.now())
+	for _, n := range actions.Notes {
+		event.Info(d.host.out, event.Decision, "what", n.What, "job", n.Job, "task", n.Task, "run", n.Run, "worker", n.Worker, "why", n.Why, "epoch", d.epoch)
+	}
+	for _, s := range actions.Starts {
+		go func() {
+			o := d.host.workers.Start(ctx, s, d.epoch)
+			d.post(func(now dispatch.Now) { d.checkFence(o, s.Worker); d.core.Started(now, s, o) })
+		}()
+	}
+	for _, s := range actions.Stops {
+		go func() {
+			o := d.host.workers.Stop(ctx, s, d.epoch)
+			d.post(func(now dispatch.Now) { d.checkFence(o, s.Worker); d.core.Stopped(now, s, o) })
+		}()
+	}
+	for _, h := range actions.Holds {
+		go func() {
+			rep, o := d.host.workers.Hold(ctx, h, d.epoch)
+			d.post(func(now dispatch.Now) {
+				d.checkFence(o, h.Worker)
+				if o == dispatch.Accepted {
+					d.core.Held(now, h, rep)
+				} else {
+					d.core.HoldFailed(now, h, o)
+				}
+			})
+		}()
+	}
+	d.append(ctx)
+}
+
+// checkFence gives the role up when a worker has seen a higher epoch.
+func (d *decider) checkFence(o dispatch.Outcome, worker string) {
+	if o == dispatch.Fenced {
+		event.Info(d.host.out, event.LeaseRefused, "worker", worker, "epoch", d.epoch)
+		d.superseded = "a worker has seen a higher epoch"
+	}
+}
+
+// append writes the open batch, or renews the role; one append is on its way at a time.
+func (d *decider) append(ctx context.Context) {
+	if d.appending || d.superseded != "" {
+		return
+	}
+	batch := d.core.TakeBatch()
+	if batch == nil && time.Since(d.appendedAt) < renewEvery {
+		return
+	}
+	records := d.records(batch)
+	if len(records) == 0 {
+		rec, err := ledger.RoleRecord(ledger.Role{Epoch: d.epoch, Holder: d.host.set.Host, Incarnation: d.host.incarnation})
+		if err != nil {
+			d.superseded = err.Error()
+			return
+		}
+		records = append(records, rec)
+	}
+	d.sequence++
+	d.appending = true
+	sequence := d.sequence
+	go func() {
+		err := d.appendUntilKnown(ctx, records, sequence)
+		d.post(func(now dispatch.Now) { d.appended(now, batch, err) })
+	}()
+}
+
+func (d *decider) records(b *dispatch.Batch) []sharedlog.Record {
+	if b == nil {
+		return nil
+	}
+	var records []sharedlog.Record
+	add := func(r sharedlog.Record, err error) {
+		if err != nil {
+			event.Error(d.host.out, err, event.LogWriteError)
+			return
+		}
+		records = append(records, r)
+	}
+	for _, t := range b.Tasks {
+		add(ledger.TaskRecord(t.ID, t.Record))
+	}
+	for _, e := range b.Ends {
+		add(ledger.EndRecord(e.ID, ledger.Ended{State: e.State, AtMs: e.AtMs}))
+	}
+	for _, id := range b.Dropped {
+		records = append(records, ledger.DropTask(id))
+	}
+	return records
+}
+
+// appendUntilKnown repeats an append, with its sequence number, until the log says what
+// became of it.
+func (d *decider) appendUntilKnown(ctx context.Context, records []sharedlog.Record, sequence int64) error {
+	retry := newBackoff()
+	for {
+		offset, err := d.host.log.Append(ctx, ledger.TopicState, records, sharedlog.AppendOptions{Fence: &sharedlog.Fence{Epoch: d.epoch, Sequence: sequence}})
+		if err == nil {
+			d.host.state.ingest(offset, records, offset+int64(len(records)))
+			return nil
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if !errors.Is(err, sharedlog.ErrUnknown) && !errors.Is(err, sharedlog.ErrRefused) {
+			return err
+		}
+		event.Error(d.host.out, err, event.LogWriteError, "records", len(records), "epoch", d.epoch)
+		sleep(ctx, retry.NextBackOff())
+	}
+}
+
+func (d *decider) appended(now dispatch.Now, batch *dispatch.Batch, err error) {
+	d.appending = false
+	if err != nil {
+		event.Error(d.host.out, err, event.RoleSuperseded, "epoch", d.epoch)
+		d.superseded = err.Error()
+		return
+	}
+	d.appendedAt = time.Now()
+	if batch != nil {
+		d.core.Recorded(now, batch)
+	}
+}
+
+// followWorkers reads the list of workers.
+func (d *decider) followWorkers(ctx context.Context) {
+	lost := false
+	for ctx.Err() == nil {
+		sleep(ctx, listEvery)
+		list, err := d.host.list.List(ctx)
+		if err != nil {
+			if !lost && ctx.Err() == nil {
+				lost = true
+				event.Error(d.host.out, err, event.LogLost, "topic", "workers")
+			}
+			continue
+		}
+		if lost {
+			lost = false
+			event.Info(d.host.out, event.LogRegained, "topic", "workers")
+		}
+		d.post(func(now dispatch.Now) { d.core.SetWorkers(now, list) })
+	}
+}
+
+// release writes that the role is free once what is on its way has been recorded.
+func (d *decider) release(ctx context.Context) string {
+	deadline := time.After(releaseTime)
+	for d.appending {
+		select {
+		case f := <-d.events:
+			f(d.now())
+		case <-deadline:
+			return "planned stop; the log did not answer"
+		}
+	}
+	if d.superseded != "" {
+		return d.superseded
+	}
+	rec, err := ledger.RoleRecord(ledger.Role{Epoch: d.epoch, Holder: d.host.set.Host, Incarnation: d.host.incarnation, Released: true})
+	if err != nil {
+		return err.Error()
+	}
+	ctx, cancel := context.WithTimeout(ctx, releaseTime)
+	defer cancel()
+	if err := d.appendUntilKnown(ctx, []sharedlog.Record{rec}, d.sequence+1); err != nil {
+		return "planned stop; " + err.Error()
+	}
+	return "planned stop"
+}
+
+// sweep drops ended jobs that nobody may ask for any more.
+func (d *decider) sweep(ctx context.Context) {
+	if time.Since(d.sweptAt) < sweepEvery {
+		return
+	}
+	d.sweptAt = time.Now()
+	before := time.Now().Add(-d.host.set.KeepEnded - sweepMargin).UnixMilli()
+	var jobs []sharedlog.Record
+	d.host.ledger.Each(func(id string, e *ledger.Entry) {
+		if e.Ended != nil && e.Ended.AtMs < before {
+			jobs = append(jobs, ledger.DropJob(id)...)
+		}
+	})
+	if len(jobs) == 0 {
+		return
+	}
+	go func() {
+		if _, err := d.host.log.Append(ctx, ledger.TopicJobs, jobs, sharedlog.AppendOptions{}); err != nil {
+			event.Error(d.host.out, err, event.LogWriteError, "what", "sweep")
+		}
+	}()
+}
+
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,88 @@
+// Package entry is the process of an entry host: it answers callers from the folded log,
+// and, while it holds the deciding role, it runs the core that places their jobs.
+package entry
+
+import (
+	"context"
+	"time"
+
+	"agatewinch/internal/catalog"
+	"agatewinch/internal/core/dispatch"
+	"agatewinch/internal/core/job"
+	"agatewinch/internal/errkind"
+)
+
+// Settings is what a host has to know.
+type Settings struct {
+	// Host is the host's name, IP its address and Zone its availability zone.
+	Host, IP, Zone string
+	// Listen and ReadyListen are the addresses for callers and for the balancer.
+	Listen, ReadyListen string
+	// FirstPort and LastPort are free for the system's own processes.
+	FirstPort, LastPort int
+	// Grace is the time between a request to stop and the end of the process.
+	Grace time.Duration
+	// ApplyWithin is how soon a configuration has to be in force, and ApplyStretch what
+	// is added while the log cannot be reached by all.
+	ApplyWithin, ApplyStretch time.Duration
+	// MaxLease is the longest lease that workers grant.
+	MaxLease time.Duration
+	// StopTime is how long a worker takes to stop a run, at most.
+	StopTime time.Duration
+	// KeepEnded is how long an ended job has to be shown.
+	KeepEnded time.Duration
+	// SpreadFactor is how much slower work is away from its rack.
+	SpreadFactor float64
+	// DutyLease is how long one holder at a time may order machines about.
+	DutyLease time.Duration
+	// MemoryMB is the memory of the process.
+	MemoryMB int64
+}
+
+// Service is what callers can ask for.
+type Service interface {
+	// Catalog returns what is in force, or an error while that is not known.
+	Catalog() (*catalog.Catalog, error)
+	// Submit returns nil once the job is in the log.
+	Submit(ctx context.Context, q *catalog.Queue, org string, j *job.Job) error
+	// State returns what is known of a job.
+	State(ctx context.Context, q *catalog.Queue, org, id string) (job.State, error)
+	// Cancel returns nil once the cancellation is in the log.
+	Cancel(ctx context.Context, q *catalog.Queue, org, id string) error
+	// Waiting counts a queue's jobs of which no task has begun.
+	Waiting(ctx context.Context, q *catalog.Queue) (int, error)
+	// Draining reports whether the host is stopping.
+	Draining() bool
+	// Refused is told of each request that fails.
+	Refused(method, path string, status int, err *errkind.Error)
+}
+
+// Workers carries out orders.
+type Workers interface {
+	Start(ctx context.Context, s dispatch.Start, epoch int64) dispatch.Outcome
+	Stop(ctx context.Context, s dispatch.Stop, epoch int64) dispatch.Outcome
+	Hold(ctx context.Context, h dispatch.Hold, epoch int64) (dispatch.Report, dispatch.Outcome)
+}
+
+// WorkerList follows the platform's list of workers.
+type WorkerList interface {
+	List(ctx context.Context) ([]dispatch.WorkerInfo, error)
+}
+
+// CatalogSource follows the operators' configuration. It returns nil if nothing changed.
+type CatalogSource interface {
+	Next(ctx context.Context, wait time.Duration) (*catalog.Catalog, error)
+}
+
+const (
+	// readWait is how long a read of the log waits for a record. A connection that has
+	// gone silent is noticed after it.
+	readWait = 2 * time.Second
+	// catalogWait is shorter, since the configuration has to be in force in two seconds.
+	catalogWait = time.Second
+	// retryFirst and retryMax space the calls to a log that does not answer.
+	retryFirst = 50 * time.Millisecond
+	retryMax   = 500 * time.Millisecond
+	// readyAge is how old the last answer of the log may be on a host that is ready.
+	readyAge = 4 * time.Second
+)
--- /dev/null
+++ b/internal/entry/follow.go
@@ -0,0 +1,236 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"agatewinch/internal/event"
+	"agatewinch/internal/sharedlog"
+)
+
+// follower folds one topic into the ledger.
+type follower struct {
+	host  *Host
+	topic string
+
+	mu   sync.Mutex
+	next int64
+	// contact is when the log last answered.
+	contact  time.Time
+	caughtUp bool
+	lost     bool
+	// paused followers leave the topic to its only writer, which folds what it appends.
+	paused bool
+	resume chan struct{}
+	// changed is signalled after records were folded.
+	changed func()
+}
+
+func newFollower(h *Host, topic string, changed func()) *follower {
+	return &follower{host: h, topic: topic, next: -1, resume: make(chan struct{}, 1), changed: changed}
+}
+
+func newBackoff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = retryFirst, retryMax
+	return b
+}
+
+func (f *follower) run(ctx context.Context) error {
+	retry := newBackoff()
+	for ctx.Err() == nil {
+		if f.isPaused() {
+			select {
+			case <-f.resume:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		if err := f.step(ctx, readWait); err != nil {
+			f.fail(err)
+			sleep(ctx, retry.NextBackOff())
+			continue
+		}
+		retry.Reset()
+	}
+	return nil
+}
+
+// step reads once. It loads the newest records first, and again after a gap.
+func (f *follower) step(ctx context.Context, wait time.Duration) error {
+	from := f.position()
+	if from < 0 {
+		return f.load(ctx)
+	}
+	res, err := f.host.log.Read(ctx, f.topic, from, wait)
+	if errors.Is(err, sharedlog.ErrTrimmed) {
+		event.Info(f.host.out, event.JournalGap, "topic", f.topic, "offset", from)
+		f.mu.Lock()
+		f.next = -1
+		f.mu.Unlock()
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	f.ingest(from, res.Records, res.End)
+	return nil
+}
+
+func (f *follower) load(ctx context.Context) error {
+	records, end, err := f.host.log.Newest(ctx, f.topic)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.host.fold(records)
+	f.next = end
+	f.answered()
+	return nil
+}
+
+// ingest folds records that begin at from, leaving out those that are folded already.
+func (f *follower) ingest(from int64, records []sharedlog.Record, end int64) {
+	f.mu.Lock()
+	if skip := f.next - from; skip > 0 {
+		records = records[min(skip, int64(len(records))):]
+		from = f.next
+	}
+	if f.next < 0 || from != f.next {
+		f.mu.Unlock()
+		return
+	}
+	f.host.fold(records)
+	f.next += int64(len(records))
+	if f.next >= end {
+		f.caughtUp = true
+	}
+	f.answered()
+	f.mu.Unlock()
+	if len(records) > 0 && f.changed != nil {
+		f.changed()
+	}
+}
+
+func (f *follower) answered() {
+	f.contact = time.Now()
+	if f.lost {
+		f.lost = false
+		event.Info(f.host.out, event.LogRegained, "topic", f.topic, "offset", f.next)
+	}
+}
+
+func (f *follower) fail(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.lost && !errors.Is(err, context.Canceled) {
+		f.lost = true
+		event.Error(f.host.out, err, event.LogLost, "topic", f.topic, "offset", f.next)
+	}
+}
+
+// catchUp reads to the end of the topic.
+func (f *follower) catchUp(ctx context.Context) error {
+	for {
+		from := f.position()
+		if from < 0 {
+			return sharedlog.ErrRefused
+		}
+		res, err := f.host.log.Read(ctx, f.topic, from, 0)
+		if err != nil {
+			return err
+		}
+		f.ingest(from, res.Records, res.End)
+		if from+int64(len(res.Records)) >= res.End {
+			return nil
+		}
+	}
+}
+
+func (f *follower) position() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.next
+}
+
+func (f *follower) isPaused() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.paused
+}
+
+// pause leaves the topic to this host's appends; unpause takes it up again.
+func (f *follower) pause() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.paused = true
+}
+
+func (f *follower) unpause() {
+	f.mu.Lock()
+	f.paused = false
+	f.mu.Unlock()
+	select {
+	case f.resume <- struct{}{}:
+	default:
+	}
+}
+
+// age returns how long ago the log answered, and whether all was read once.
+func (f *follower) age() (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.contact), f.caughtUp
+}
+
+func (f *follower) touch() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answered()
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// fold applies records and says so if one cannot be read.
+func (h *Host) fold(records []sharedlog.Record) {
+	if err := h.ledger.Apply(records); err != nil {
+		event.Error(h.out, err, event.RecordUnreadable)
+	}
+}
+
+// followCatalog keeps the newest configuration in force.
+func (h *Host) followCatalog(ctx context.Context) error {
+	retry := newBackoff()
+	lost := false
+	for ctx.Err() == nil {
+		c, err := h.source.Next(ctx, catalogWait)
+		if err != nil {
+			if !lost && ctx.Err() == nil {
+				lost = true
+				event.Error(h.out, err, event.LogLost, "topic", "configuration")
+			}
+			sleep(ctx, retry.NextBackOff())
+			continue
+		}
+		if lost {
+			lost = false
+			event.Info(h.out, event.LogRegained, "topic", "configuration")
+		}
+		retry.Reset()
+		h.setCatalog(c)
+	}
+	return nil
+}
+
--- /dev/null
+++ b/internal/entry/role.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"agatewinch/internal/event"
+	"agatewinch/internal/ledger"
+	"agatewinch/internal/sharedlog"
+)
+
+const (
+	// renewEvery is how often the holder of the deciding role appends at least.
+	renewEvery = 700 * time.Millisecond
+	// silence is how long nothing may come from the holder before another host takes
+	// over: three renewals, with the time that an append may take.
+	silence = 2400 * time.Millisecond
+	// rankSpread spreads the hosts' claims, so that one of them comes first.
+	rankSpread = 400 * time.Millisecond
+	// watchEvery is how often a standby looks for silence.
+	watchEvery = 100 * time.Millisecond
+	// holdWithoutLog is how long a holder goes on renewing leases while the log does not
+	// take its records.
+	holdWithoutLog = 10 * time.Second
+)
+
+// role is the deciding role as this host sees it. One conditional append claims it; the
+// epoch that it wins fences both the topic of state and the workers.
+type role struct {
+	host *Host
+
+	mu sync.Mutex
+	// seen is the last count of the holder's records, and when it changed.
+	seen     uint64
+	seenAt   time.Time
+	leading  bool
+	released chan struct{}
+	stop     chan struct{}
+	stopOnce sync.Once
+}
+
+func newRole(h *Host) *role {
+	return &role{host: h, seenAt: time.Now(), stop: make(chan struct{}), released: make(chan struct{})}
+}
+
+func (r *role) rank() time.Duration {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(r.host.set.Host)) // it cannot fail
+	return time.Duration(hash.Sum32()%1000) * rankSpread / 1000
+}
+
+func (r *role) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, watchEvery)
+		select {
+		case <-r.stop:
+			return nil
+		default:
+		}
+		if !r.free() {
+			continue
+		}
+		if epoch, ok := r.claim(ctx); ok {
+			r.lead(ctx, epoch)
+		}
+	}
+	return nil
+}
+
+// free reports whether this host should claim the role now.
+func (r *role) free() bool {
+	age, caughtUp := r.host.state.age()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n := r.host.ledger.Changes(); n != r.seen {
+		r.seen, r.seenAt = n, time.Now()
+	}
+	_, jobsRead := r.host.jobs.age()
+	if !caughtUp || !jobsRead || r.host.newest() == nil {
+		return false
+	}
+	quiet := time.Since(r.seenAt)
+	now := r.host.ledger.Role()
+	switch {
+	case now.Epoch == 0, now.Released:
+		return quiet >= r.rank()
+	case now.Holder == r.host.set.Host:
+		return true // an earlier life of this process held it
+	}
+	// A host whose reads are late would take silence of its own for the holder's.
+	return quiet >= silence+r.rank() && age < readWait+watchEvery
+}
+
+func (r *role) claim(ctx context.Context) (int64, bool) {
+	h := r.host
+	if err := h.state.catchUp(ctx); err != nil {
+		return 0, false
+	}
+	if err := h.jobs.catchUp(ctx); err != nil {
+		return 0, false
+	}
+	if !r.free() {
+		return 0, false
+	}
+	at := h.state.position()
+	claim := ledger.Role{Epoch: h.ledger.Role().Epoch + 1, Holder: h.set.Host, Incarnation: h.incarnation}
+	rec, err := ledger.RoleRecord(claim)
+	if err != nil {
+		event.Error(h.out, err, event.RoleSuperseded)
+		return 0, false
+	}
+	h.state.pause()
+	_, err = h.log.Append(ctx, ledger.TopicState, []sharedlog.Record{rec}, sharedlog.AppendOptions{At: &at, Fence: &sharedlog.Fence{Epoch: claim.Epoch}})
+	if err == nil {
+		h.state.ingest(at, []sharedlog.Record{rec}, at+1)
+		return claim.Epoch, true
+	}
+	h.state.unpause()
+	var conflict *sharedlog.ConflictError
+	if !errors.As(err, &conflict) {
+		event.Error(h.out, err, event.LogWriteError, "what", "claim")
+	}
+	sleep(ctx, r.rank())
+	return 0, false
+}
+
+func (r *role) lead(ctx context.Context, epoch int64) {
+	event.Info(r.host.out, event.SchedulerActive, "epoch", epoch)
+	r.setLeading(true)
+	d := newDecider(r.host, epoch)
+	why := d.run(ctx, r.stop)
+	r.setLeading(false)
+	r.host.state.unpause()
+	event.Info(r.host.out, event.SchedulerStandby, "epoch", epoch, "why", why)
+	r.mu.Lock()
+	r.seenAt = time.Now()
+	r.mu.Unlock()
+	select {
+	case <-r.stop:
+		close(r.released)
+	default:
+	}
+}
+
+func (r *role) setLeading(v bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leading = v
+}
+
+func (r *role) isLeading() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leading
+}
+
+// release gives the role up, if this host holds it.
+func (r *role) release(ctx context.Context) {
+	leading := r.isLeading()
+	r.stopOnce.Do(func() { close(r.stop) })
+	if !leading {
+		return
+	}
+	select {
+	case <-r.released:
+	case <-ctx.Done():
+	}
+}
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -30,6 +30,7 @@
 	Unauthenticated  Kind = "unauthenticated"
 	Forbidden        Kind = "forbidden"
 	NotFound         Kind = "not_found"
+	JobUnknown       Kind = "job_unknown"
 	RequestMismatch  Kind = "request_mismatch"
 	TooLarge         Kind = "too_large"
 	NeverRunnable    Kind = "never_runnable"
@@ -80,6 +81,7 @@
 	Unauthenticated:  {http.StatusUnauthorized, false, RanNo, "The API key is missing or wrong."},
 	Forbidden:        {http.StatusForbidden, false, RanNo, "The API key does not allow this action."},
 	NotFound:         {http.StatusNotFound, false, RanUnknown, "No such job is known here; it may have ended long ago."},
+	JobUnknown:       {http.StatusGone, false, RanUnknown, "No job of this ID is known; it was never accepted, or it ended long ago."},
 	RequestMismatch:  {http.StatusConflict, false, RanNo, "The request ID was used before with a different body; this body did not run."},
 	TooLarge:         {http.StatusRequestEntityTooLarge, false, RanNo, "The request body is over the limit."},
 	NeverRunnable:    {http.StatusUnprocessableEntity, false, RanNo, "No set of workers could ever hold this job; the message names the missing resource."},
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -58,6 +58,7 @@
 		LogWriteError, JournalLoaded, JournalGap,
 		PeerLive, PeerSilent, PeerReplaced, PeerForgotten, PeerConfigFailed,
 		CircuitOpen, CircuitClosed, AnswerLost,
+		RequestTaken, RequestRefused, Decision, LogLost, LogRegained, RecordUnreadable, WorkerEntryUnreadable, SettingsRead, LinesDropped,
 	}
 }
 
