--- a/internal/core/dispatch/order.go
+++ b/internal/core/dispatch/order.go
@@ -13,6 +13,7 @@
 // the steps whose turn has come, in order.
 func (c *Core) schedule(now Now) {
 	c.wake = 0
+	c.cover()
 	steps := c.readySteps(now)
 	for _, s := range steps {
 		if s.plan != nil {
@@ -88,11 +89,49 @@
 	return false
 }
 
+// cover finds the jobs of the first priority that their organisations' guarantees hold
+// for: in the order in which they came, while their accelerators are within it.
+func (c *Core) cover() {
+	var urgent []*jobRun
+	for _, j := range c.jobs {
+		if j.spec.Priority == firstPriority && !j.closed() {
+			urgent = append(urgent, j)
+		}
+	}
+	slices.SortFunc(urgent, func(a, b *jobRun) int { return cmp.Compare(a.seq, b.seq) })
+	used := map[string]int64{}
+	for _, j := range urgent {
+		need := j.accelerators()
+		j.covered = used[j.spec.Org]+need <= c.guaranteed[j.spec.Org]
+		if j.covered {
+			used[j.spec.Org] += need
+		}
+	}
+}
+
+// accelerators is what the job's widest step takes.
+func (j *jobRun) accelerators() int64 {
+	most := int64(0)
+	for i := range j.spec.Steps {
+		s := &j.spec.Steps[i]
+		most = max(most, int64(s.Count)*s.Need.Accelerators)
+	}
+	return most
+}
+
+func uncovered(s *step) int {
+	if s.job.covered {
+		return 0
+	}
+	return 1
+}
+
 // compare orders steps: by priority, then by when the job came.
 func (c *Core) compare(now Now) func(a, b *step) int {
 	return func(a, b *step) int {
 		return cmp.Or(
 			cmp.Compare(a.job.spec.Priority, b.job.spec.Priority),
+			cmp.Compare(uncovered(a), uncovered(b)),
 			cmp.Compare(a.job.seq, b.job.seq),
 			cmp.Compare(a.occ.index, b.occ.index),
 			cmp.Compare(a.index, b.index))
--- a/internal/core/dispatch/preempt.go
+++ b/internal/core/dispatch/preempt.go
@@ -29,10 +29,15 @@
 		taken[w] = taken[w].Plus(need)
 	}
 	for w, sum := range taken {
-		if !w.Capacity.Minus(w.used).Fits(sum) {
-			c.wakeAt(now, s.plan.until+time.Millisecond)
+		if w.Capacity.Minus(w.used).Fits(sum) {
+			continue
+		}
+		if !w.Capacity.Minus(w.used).Plus(w.stoppingRoom()).Fits(sum) {
+			c.dropPlan(s) // what was to end did so, and the room is not there
 			return
 		}
+		c.wakeAt(now, s.plan.until+time.Millisecond)
+		return
 	}
 	at := s.plan.at
 	c.dropPlan(s)
@@ -168,13 +173,18 @@
 
 // soonFree is the room of w once its stopping runs have ended.
 func (w *worker) soonFree() job.Resources {
-	f := w.free()
+	return w.free().Plus(w.stoppingRoom())
+}
+
+// stoppingRoom is what the stopping runs of w will free.
+func (w *worker) stoppingRoom() job.Resources {
+	var sum job.Resources
 	for r := range w.runs {
 		if r.phase == stopping {
-			f = f.Plus(r.need)
+			sum = sum.Plus(r.need)
 		}
 	}
-	return f
+	return sum
 }
 
 // victims returns the cheapest runs to stop on w so that need fits.
@@ -201,7 +211,7 @@
 		return nil, 0, false
 	}
 	cost := 0.0
-	kept := picked[:0]
+	var kept []*run
 	for i := len(picked) - 1; i >= 0; i-- { // give back what is not needed, dearest first
 		if without := free.Minus(picked[i].need); without.Fits(need) {
 			free = without
@@ -215,8 +225,9 @@
 
 // mayStop reports whether s may take the room of r.
 func mayStop(s *step, r *run) bool {
-	spec := r.task.step
-	return spec.job.spec.Priority > s.job.spec.Priority && !spec.spec.LongRunning &&
+	other := r.task.step
+	lower := other.job.spec.Priority > s.job.spec.Priority || s.job.covered && !other.job.covered
+	return lower && !other.spec.LongRunning && !r.task.done &&
 		(r.phase == running || r.phase == starting || r.phase == recording)
 }
 
--- a/internal/core/dispatch/world.go
+++ b/internal/core/dispatch/world.go
@@ -159,8 +159,10 @@
 	occDone    int
 	live       int
 	arrived    time.Duration
-	// oldestFirst orders jobs of equal worth.
+	// seq is the order in which the jobs came.
 	seq int
+	// covered says that the organisation's guarantee holds for the job.
+	covered bool
 	// work is the job's core-seconds by its estimates.
 	work float64
 }
