entry, dispatch: spare partitions for submissions; what runs on a lost worker lapses once

Ruled out: the list of workers, which was right; the state partition, which was up. Change: a lapse needs no missed look; a successor waits 5 s and one lease, or one lease alone after a planned hand-over; submissions go to the first of three partitions that takes them.

--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -100,7 +100,7 @@
 			return
 		}
 		c.put(&run{task: t, number: r.Run, worker: w, phase: adopted, need: t.step.spec.Charge(), began: now.Mono, percentAt: now.Mono, saved: r.Checkpoint})
-		w.adoptedUntil = max(w.adoptedUntil, now.Mono+c.set.UnheardLease+time.Duration(float64(c.set.MaxLease)/slowestClock)+lapseMargin)
+		w.adoptedUntil = max(w.adoptedUntil, now.Mono+c.set.UnheardLease+time.Duration(float64(c.set.Lease)/slowestClock)+lapseMargin)
 	}
 }
 
--- a/internal/core/dispatch/settle.go
+++ b/internal/core/dispatch/settle.go
@@ -360,7 +360,7 @@
 		lapsed := (w.leaseMs > 0 || w.adoptedUntil > 0) && now.Mono > w.lapsedAt()
 		for _, r := range c.runsOf(w) {
 			switch {
-			case lapsed && r.phase != recording && w.misses > 0:
+			case lapsed && r.phase != recording:
 				c.settle(now, r, job.EndLost, r.saved)
 			case r.phase == stopping && r.stopSent && !r.stopAcked && now.Mono >= r.stopNext:
 				c.sendStop(now, r)
--- a/internal/core/dispatch/world.go
+++ b/internal/core/dispatch/world.go
@@ -21,12 +21,10 @@
 type Settings struct {
 	// Lease is how long a worker goes on without hearing from the decider.
 	Lease time.Duration
-	// MaxLease is the longest lease that a worker grants.
-	MaxLease time.Duration
 	// HoldWait is how long a look at a worker waits for an end.
 	HoldWait time.Duration
 	// UnheardLease bounds how long a former decider may go on renewing leases after
-	// its successor took over.
+	// its successor took over; it is zero if the former one is known to have stopped.
 	UnheardLease time.Duration
 	// SpreadFactor is how much slower a task is away from its rack.
 	SpreadFactor float64
--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -50,13 +50,13 @@
 // maxEvents bounds the outcomes that wait for the core; calls in flight are fewer.
 const maxEvents = 4096
 
-func newDecider(h *Host, fence sharedlog.Fence) *decider {
+func newDecider(h *Host, fence sharedlog.Fence, unheard time.Duration) *decider {
 	now := time.Now()
 	return &decider{
 		host: h, epoch: fence.Epoch, sequence: fence.Sequence, events: make(chan func(dispatch.Now), maxEvents), began: now, appendedAt: now, sweptAt: now,
 		core: dispatch.New(dispatch.Settings{
-			Lease: min(workerLease, h.set.MaxLease), MaxLease: h.set.MaxLease, HoldWait: lookWait,
-			UnheardLease: holdWithoutLog, SpreadFactor: h.set.SpreadFactor, StopTime: h.set.StopTime,
+			Lease: min(workerLease, h.set.MaxLease), HoldWait: lookWait,
+			UnheardLease: unheard, SpreadFactor: h.set.SpreadFactor, StopTime: h.set.StopTime,
 		}),
 	}
 }
@@ -356,8 +356,10 @@
 		return
 	}
 	go func() {
-		if _, err := d.host.log.Append(ctx, ledger.TopicJobs, jobs, sharedlog.AppendOptions{}); err != nil {
-			event.Error(d.host.out, err, event.LogWriteError, "what", "sweep")
+		for _, topic := range ledger.TopicsJobs {
+			if _, err := d.host.log.Append(ctx, topic, jobs, sharedlog.AppendOptions{}); err != nil {
+				event.Error(d.host.out, err, event.LogWriteError, "what", "sweep", "topic", topic.String())
+			}
 		}
 	}()
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -78,6 +78,8 @@
 	// readWait is how long a read of the log waits for a record. A connection that has
 	// gone silent is noticed after it.
 	readWait = 2 * time.Second
+	// spareWait is for topics that are seldom written to.
+	spareWait = 10 * time.Second
 	// catalogWait is shorter, since the configuration has to be in force in two seconds.
 	catalogWait = time.Second
 	// retryFirst and retryMax space the calls to a log that does not answer.
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -15,7 +15,9 @@
 // follower folds one topic into the ledger.
 type follower struct {
 	host  *Host
-	topic string
+	topic sharedlog.Topic
+	// wait is how long a read waits for a record.
+	wait time.Duration
 
 	mu   sync.Mutex
 	next int64
@@ -30,8 +32,8 @@
 	changed func()
 }
 
-func newFollower(h *Host, topic string, changed func()) *follower {
-	return &follower{host: h, topic: topic, next: -1, resume: make(chan struct{}, 1), changed: changed}
+func newFollower(h *Host, topic sharedlog.Topic, wait time.Duration, changed func()) *follower {
+	return &follower{host: h, topic: topic, wait: wait, next: -1, resume: make(chan struct{}, 1), changed: changed}
 }
 
 func newBackoff() *backoff.ExponentialBackOff {
@@ -50,7 +52,7 @@
 			}
 			continue
 		}
-		if err := f.step(ctx, readWait); err != nil {
+		if err := f.step(ctx, f.wait); err != nil {
 			f.fail(err)
 			sleep(ctx, retry.NextBackOff())
 			continue
@@ -66,9 +68,12 @@
 	if from < 0 {
 		return f.load(ctx)
 	}
+	if _, read := f.age(); !read {
+		wait = 0 // nothing is answered before all has been read once
+	}
 	res, err := f.host.log.Read(ctx, f.topic, from, wait)
 	if errors.Is(err, sharedlog.ErrTrimmed) {
-		event.Info(f.host.out, event.JournalGap, "topic", f.topic, "offset", from)
+		event.Info(f.host.out, event.JournalGap, "topic", f.topic.String(), "offset", from)
 		f.mu.Lock()
 		f.next = -1
 		f.mu.Unlock()
@@ -121,7 +126,7 @@
 	f.contact = time.Now()
 	if f.lost {
 		f.lost = false
-		event.Info(f.host.out, event.LogRegained, "topic", f.topic, "offset", f.next)
+		event.Info(f.host.out, event.LogRegained, "topic", f.topic.String(), "offset", f.next)
 	}
 }
 
@@ -130,7 +135,7 @@
 	defer f.mu.Unlock()
 	if !f.lost && !errors.Is(err, context.Canceled) {
 		f.lost = true
-		event.Error(f.host.out, err, event.LogLost, "topic", f.topic, "offset", f.next)
+		event.Error(f.host.out, err, event.LogLost, "topic", f.topic.String(), "offset", f.next)
 	}
 }
 
@@ -188,12 +193,6 @@
 	return time.Since(f.contact), f.caughtUp
 }
 
-func (f *follower) touch() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.answered()
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -28,7 +28,7 @@
 	began       time.Time
 
 	ledger *ledger.Ledger
-	jobs   *follower
+	jobs   []*follower
 	state  *follower
 	writer *jobWriter
 	role   *role
@@ -55,8 +55,14 @@
 		set: set, log: p.Log, source: p.Catalog, list: p.List, workers: p.Workers, out: p.Out,
 		incarnation: time.Now().UnixMilli(), began: time.Now(), ledger: ledger.New(), jobsSignal: make(chan struct{}, 1),
 	}
-	h.jobs = newFollower(h, ledger.TopicJobs, h.signalJobs)
-	h.state = newFollower(h, ledger.TopicState, nil)
+	for i, t := range ledger.TopicsJobs {
+		wait := spareWait
+		if i == 0 {
+			wait = readWait
+		}
+		h.jobs = append(h.jobs, newFollower(h, t, wait, h.signalJobs))
+	}
+	h.state = newFollower(h, ledger.TopicState, readWait, nil)
 	h.writer = newJobWriter(h)
 	h.role = newRole(h)
 	return h
@@ -72,7 +78,9 @@
 // Run follows the log and takes the deciding role when it is free. It ends with ctx.
 func (h *Host) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return h.jobs.run(ctx) })
+	for _, f := range h.jobs {
+		g.Go(func() error { return f.run(ctx) })
+	}
 	g.Go(func() error { return h.state.run(ctx) })
 	g.Go(func() error { return h.followCatalog(ctx) })
 	g.Go(func() error { return h.writer.run(ctx) })
@@ -102,13 +110,24 @@
 }
 
 func (h *Host) caughtUp() bool {
-	_, jobs := h.jobs.age()
-	_, state := h.state.age()
-	return jobs && state
+	for _, f := range h.jobs {
+		if _, ok := f.age(); !ok {
+			return false
+		}
+	}
+	_, ok := h.state.age()
+	return ok
 }
 
+// logAge is how long ago the log answered this host.
 func (h *Host) logAge() time.Duration {
-	age, _ := h.jobs.age()
+	h.mu.Lock()
+	age := time.Since(h.catalogAt)
+	h.mu.Unlock()
+	for _, f := range append(h.jobs[:len(h.jobs):len(h.jobs)], h.state) {
+		a, _ := f.age()
+		age = min(age, a)
+	}
 	return age
 }
 
--- a/internal/entry/role.go
+++ b/internal/entry/role.go
@@ -23,8 +23,9 @@
 	// watchEvery is how often a standby looks for silence.
 	watchEvery = 100 * time.Millisecond
 	// holdWithoutLog is how long a holder goes on renewing leases while the log does not
-	// take its records.
-	holdWithoutLog = 10 * time.Second
+	// take its records. With the lease of workers it covers the log's usual outages; a
+	// successor has to wait for both before it gives up what it cannot reach.
+	holdWithoutLog = 5 * time.Second
 	// sequenceBits leaves room for the appends of one holder before the next host's range.
 	sequenceBits = 24
 )
@@ -42,6 +43,8 @@
 	released chan struct{}
 	stop     chan struct{}
 	stopOnce sync.Once
+	// unheard bounds how long the former holder may go on renewing leases.
+	unheard time.Duration
 }
 
 func newRole(h *Host) *role {
@@ -80,8 +83,7 @@
 	if n := r.host.ledger.Changes(); n != r.seen {
 		r.seen, r.seenAt = n, time.Now()
 	}
-	_, jobsRead := r.host.jobs.age()
-	if !caughtUp || !jobsRead || r.host.newest() == nil {
+	if !caughtUp || !r.host.caughtUp() || r.host.newest() == nil {
 		return false
 	}
 	quiet := time.Since(r.seenAt)
@@ -109,14 +111,16 @@
 	if err := h.state.catchUp(ctx); err != nil {
 		return sharedlog.Fence{}, false
 	}
-	if err := h.jobs.catchUp(ctx); err != nil {
-		return sharedlog.Fence{}, false
-	}
 	if !r.free() {
 		return sharedlog.Fence{}, false
 	}
 	at := h.state.position()
-	claim := ledger.Role{Epoch: h.ledger.Role().Epoch + 1, Holder: h.set.Host, Incarnation: h.incarnation}
+	former := h.ledger.Role()
+	r.unheard = holdWithoutLog
+	if former.Epoch == 0 || former.Released || former.Holder == h.set.Host {
+		r.unheard = 0
+	}
+	claim := ledger.Role{Epoch: former.Epoch + 1, Holder: h.set.Host, Incarnation: h.incarnation}
 	rec, err := ledger.RoleRecord(claim)
 	if err != nil {
 		event.Error(h.out, err, event.RoleSuperseded)
@@ -142,7 +146,7 @@
 	epoch := fence.Epoch
 	event.Info(r.host.out, event.SchedulerActive, "epoch", epoch)
 	r.setLeading(true)
-	d := newDecider(r.host, fence)
+	d := newDecider(r.host, fence, r.unheard)
 	why := d.run(ctx, r.stop)
 	r.setLeading(false)
 	r.host.state.unpause()
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -94,7 +94,12 @@
 	if !h.caughtUp() {
 		return sharedlog.ErrRefused
 	}
-	return h.jobs.catchUp(ctx)
+	for _, f := range h.jobs {
+		if err := f.catchUp(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // Cancel implements Service.
@@ -136,6 +141,9 @@
 type jobWriter struct {
 	host  *Host
 	queue chan pendingRecord
+	// home is the partition that is tried first.
+	home      int
+	homeUntil time.Time
 }
 
 type pendingRecord struct {
@@ -148,9 +156,8 @@
 	maxPending = 256
 	// maxBatch bounds the records of one append, far below the log's limit.
 	maxBatch = 64
-	// appendTries is how often an append without an answer is repeated; keys make the
-	// repeat harmless.
-	appendTries = 3
+	// homeTime is how long another partition is used after the first one failed.
+	homeTime = 5 * time.Second
 )
 
 func newJobWriter(h *Host) *jobWriter {
@@ -203,19 +210,31 @@
 		records[i] = p.record
 	}
 	unknown := false
-	for range appendTries {
-		_, err := w.host.log.Append(ctx, ledger.TopicJobs, records, sharedlog.AppendOptions{})
-		switch {
-		case err == nil:
+	for i := range ledger.TopicsJobs {
+		// The key makes it harmless that a record stands in several partitions.
+		at := (w.home + i) % len(ledger.TopicsJobs)
+		_, err := w.host.log.Append(ctx, ledger.TopicsJobs[at], records, sharedlog.AppendOptions{})
+		if err == nil {
+			w.settleOn(at)
 			w.host.fold(records)
 			w.host.signalJobs()
 			return nil
-		case errors.Is(err, sharedlog.ErrUnknown):
-			unknown = true
-		case !unknown:
-			return retryLater(errkind.LogUnavailable, comeBack, "the log refused the record")
 		}
-		event.Error(w.host.out, err, event.LogWriteError, "records", len(records))
+		unknown = unknown || errors.Is(err, sharedlog.ErrUnknown)
+		event.Error(w.host.out, err, event.LogWriteError, "records", len(records), "topic", ledger.TopicsJobs[at].String())
+	}
+	if unknown {
+		return errkind.New(errkind.OutcomeUnknown, "the log has not said whether it has the record")
+	}
+	return retryLater(errkind.LogUnavailable, comeBack, "the log refused the record")
+}
+
+// settleOn remembers the partition that took a record. The first one is tried again later.
+func (w *jobWriter) settleOn(at int) {
+	if at != w.home {
+		w.home, w.homeUntil = at, time.Now().Add(homeTime)
+	}
+	if w.home != 0 && time.Now().After(w.homeUntil) {
+		w.home = 0
 	}
-	return errkind.New(errkind.OutcomeUnknown, "the log has not said whether it has the record")
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -17,11 +17,12 @@
 )
 
 // The topics of the product.
-const (
-	// TopicJobs holds submissions and cancellations; every host appends to it.
-	TopicJobs = "keyed.jobs"
+var (
+	// TopicsJobs hold submissions and cancellations; every host appends to the first of
+	// them that takes the records.
+	TopicsJobs = []sharedlog.Topic{{Name: "keyed.jobs"}, {Name: "keyed.jobs", Part: 1}, {Name: "keyed.jobs", Part: 2}}
 	// TopicState holds the deciding role, tasks and ends; only its holder appends to it.
-	TopicState = "keyed.state"
+	TopicState = sharedlog.Topic{Name: "keyed.state"}
 )
 
 // The kinds of key.
--- a/internal/sharedlog/sharedlog.go
+++ b/internal/sharedlog/sharedlog.go
@@ -6,9 +6,19 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"time"
 )
 
+// Topic is one partition of a topic; each is ordered by itself, and may be away alone.
+type Topic struct {
+	Name string
+	Part int
+}
+
+// String returns the topic's name and partition.
+func (t Topic) String() string { return t.Name + "/" + strconv.Itoa(t.Part) }
+
 // Record is one record of a topic. An empty value drops its key.
 type Record struct {
 	Key    string
@@ -65,9 +75,9 @@
 // Log is the platform's log.
 type Log interface {
 	// Append adds records, all or nothing, and returns the offset of the first one.
-	Append(ctx context.Context, topic string, records []Record, opt AppendOptions) (int64, error)
+	Append(ctx context.Context, topic Topic, records []Record, opt AppendOptions) (int64, error)
 	// Read returns the records from an offset on. It waits up to wait for the first one.
-	Read(ctx context.Context, topic string, from int64, wait time.Duration) (ReadResult, error)
+	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (ReadResult, error)
 	// Newest returns the newest record of each key, and an offset to go on reading from.
-	Newest(ctx context.Context, topic string) ([]Record, int64, error)
+	Newest(ctx context.Context, topic Topic) ([]Record, int64, error)
 }
