sim: play loads and faults against the deciding core in virtual time

The simulator checks that no task runs twice, none starts after its recorded end and no worker is over capacity under lost and late orders, takeovers, crashes and cuts.

--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -363,4 +363,3 @@
 		}
 	}()
 }
-
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -76,10 +76,9 @@
 
 const (
 	// readWait is how long a read of the log waits for a record. A connection that has
-	// gone silent is noticed after it.
-	readWait = 2 * time.Second
-	// spareWait is for topics that are seldom written to.
-	spareWait = 10 * time.Second
+	// gone silent is noticed only after it, and a cancellation has to reach the decider
+	// within three seconds.
+	readWait = 1500 * time.Millisecond
 	// catalogWait is shorter, since the configuration has to be in force in two seconds.
 	catalogWait = time.Second
 	// retryFirst and retryMax space the calls to a log that does not answer.
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -16,8 +16,6 @@
 type follower struct {
 	host  *Host
 	topic sharedlog.Topic
-	// wait is how long a read waits for a record.
-	wait time.Duration
 
 	mu   sync.Mutex
 	next int64
@@ -32,8 +30,8 @@
 	changed func()
 }
 
-func newFollower(h *Host, topic sharedlog.Topic, wait time.Duration, changed func()) *follower {
-	return &follower{host: h, topic: topic, wait: wait, next: -1, resume: make(chan struct{}, 1), changed: changed}
+func newFollower(h *Host, topic sharedlog.Topic, changed func()) *follower {
+	return &follower{host: h, topic: topic, next: -1, resume: make(chan struct{}, 1), changed: changed}
 }
 
 func newBackoff() *backoff.ExponentialBackOff {
@@ -52,7 +50,7 @@
 			}
 			continue
 		}
-		if err := f.step(ctx, f.wait); err != nil {
+		if err := f.step(ctx, readWait); err != nil {
 			f.fail(err)
 			sleep(ctx, retry.NextBackOff())
 			continue
@@ -232,4 +230,3 @@
 	}
 	return nil
 }
-
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -55,14 +55,10 @@
 		set: set, log: p.Log, source: p.Catalog, list: p.List, workers: p.Workers, out: p.Out,
 		incarnation: time.Now().UnixMilli(), began: time.Now(), ledger: ledger.New(), jobsSignal: make(chan struct{}, 1),
 	}
-	for i, t := range ledger.TopicsJobs {
-		wait := spareWait
-		if i == 0 {
-			wait = readWait
-		}
-		h.jobs = append(h.jobs, newFollower(h, t, wait, h.signalJobs))
+	for _, t := range ledger.TopicsJobs {
+		h.jobs = append(h.jobs, newFollower(h, t, h.signalJobs))
 	}
-	h.state = newFollower(h, ledger.TopicState, readWait, nil)
+	h.state = newFollower(h, ledger.TopicState, nil)
 	h.writer = newJobWriter(h)
 	h.role = newRole(h)
 	return h
--- /dev/null
+++ b/internal/sim/sim_test.go
@@ -0,0 +1,93 @@
+package sim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"agatewinch/internal/core/job"
+)
+
+// play runs a load on a fleet of 48 workers for the traffic and the time to finish it.
+func play(seed uint64, classes []Class, capacity job.Resources, scale float64, bursts []Burst, f Faults) (*World, Load) {
+	w := New(seed, DefaultSettings(), Fleet(48, capacity))
+	w.Faults = f
+	l := Load{Classes: classes, Bursts: bursts, Length: 34 * time.Second, Scale: scale, Lead: 5 * time.Second}
+	w.Submit(l)
+	w.Run(70 * time.Second)
+	return w, l
+}
+
+// TestOrdersKeepTheRulesUnderFaults plays lost and late orders, takeovers, crashes and cuts
+// against the real core: no task runs twice, none starts after its recorded end, and no
+// worker is over its capacity.
+func TestOrdersKeepTheRulesUnderFaults(t *testing.T) {
+	faults := map[string]Faults{
+		"none":      {},
+		"lost":      {LostAnswer: 0.1},
+		"late":      {Late: 0.06},
+		"takeovers": {Takeover: 4 * time.Second},
+		"crashes":   {Crash: 3 * time.Second},
+		"cuts":      {CutTime: 3 * time.Second},
+		"all":       {LostAnswer: 0.05, Late: 0.04, Takeover: 6 * time.Second, Crash: 5 * time.Second, CutTime: 5 * time.Second},
+	}
+	for name, f := range faults {
+		for seed := uint64(1); seed <= 6; seed++ {
+			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
+				t.Parallel()
+				classes, capacity := Launches()
+				if seed%2 == 0 {
+					classes, capacity = Leadline()
+				}
+				w, _ := play(seed, classes, capacity, 0.8, nil, f)
+				assert.Equal(t, len(w.Broken), 0, "%v", first(w.Broken, 5))
+				assert.Assert(t, w.Runs > 100, "only %d runs began", w.Runs)
+			})
+		}
+	}
+}
+
+func first(lines []string, n int) []string { return lines[:min(n, len(lines))] }
+
+// TestEveryJobEndsOnceTheFaultsEnd plays faults for a while; afterwards all jobs come to
+// an end.
+func TestEveryJobEndsOnceTheFaultsEnd(t *testing.T) {
+	for seed := uint64(1); seed <= 6; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			classes, capacity := Launches()
+			w, _ := play(seed, classes, capacity, 0.4, nil, Faults{LostAnswer: 0.05, Late: 0.03, Takeover: 9 * time.Second, Crash: 9 * time.Second})
+			w.Faults = Faults{}
+			w.Run(160 * time.Second)
+			for id, p := range w.jobs {
+				assert.Assert(t, p.state != "" || p.cancelled, "job %s (%s) has not ended", id, p.class.Name)
+			}
+		})
+	}
+}
+
+func TestReport(t *testing.T) {
+	for _, site := range []struct {
+		name string
+		load func() ([]Class, job.Resources)
+	}{{"launches", Launches}, {"leadline", Leadline}} {
+		for _, scale := range []float64{0.6, 1, 1.2} {
+			sum, wasted := 0.0, 0.0
+			rows := map[string]float64{}
+			const seeds = 12
+			for seed := uint64(1); seed <= seeds; seed++ {
+				classes, capacity := site.load()
+				w, l := play(seed, classes, capacity, scale, []Burst{{classes[1].Name, 2 * time.Second, 6 * time.Second, 2}, {classes[2].Name, 3 * time.Second, 5 * time.Second, 2.3}}, Faults{})
+				r, share := w.Results(l)
+				for _, x := range r {
+					rows[x.Class] += x.Share / seeds
+				}
+				sum += share
+				wasted += w.Wasted
+			}
+			t.Logf("%s x%.1f: %.3f wasted %.0f %v", site.name, scale, sum/seeds, wasted/seeds, rows)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sim/sites.go
@@ -0,0 +1,61 @@
+package sim
+
+import (
+	"time"
+
+	"agatewinch/internal/core/dispatch"
+	"agatewinch/internal/core/job"
+)
+
+// Launches is the load of the launch log site: large gangs that fill a worker's memory,
+// urgent checks, and wide summaries.
+func Launches() ([]Class, job.Resources) {
+	return []Class{
+		{
+			Name: "sheet-reconcile", Priority: 1, Attempts: 4, Stretch: 3, Objective: time.Second, Worth: 3, LateWorth: 1.5,
+			Rate: 0.63, Work: 8500 * time.Millisecond, WorkSpread: 0.3, LongestWork: 11 * time.Second, Width: 5, WidthSpread: 0.8, MaxWidth: 30,
+			Steps: 1, CPU: 26000, MemMB: 68000, Accelerators: []int64{1, 2, 4, 8, 8}, Gang: true, SameRack: 0.6, Checkpoints: 0.45,
+			Poison: 0.01, Flaky: 0.02, Cancel: 0.05, EstimateOff: 0.2, Filled: 5,
+		},
+		{
+			Name: "currency-check", Priority: 0, Attempts: 3, Stretch: 1.5, Objective: 250 * time.Millisecond, Worth: 4, LateWorth: 0.8,
+			Rate: 1.53, Work: 2500 * time.Millisecond, WorkSpread: 0.5, LongestWork: 8 * time.Second, Width: 3.4, WidthSpread: 0.8, MaxWidth: 21,
+			Steps: 1, CPU: 7500, MemMB: 11000, Accelerators: []int64{1, 2, 4, 8, 8}, Gang: true, SameRack: 0.8, Flaky: 0.02, EstimateOff: 0.9,
+		},
+		{
+			Name: "monthly-summary", Priority: 2, Attempts: 3, Stretch: 3, Objective: 3 * time.Second, Worth: 1, LateWorth: 0.5,
+			Rate: 0.47, Work: 9500 * time.Millisecond, WorkSpread: 0.3, LongestWork: 11 * time.Second, Width: 16, WidthSpread: 0.8, MaxWidth: 94,
+			Steps: 1.3, CPU: 5600, MemMB: 11000, Accelerators: []int64{1}, Checkpoints: 0.45, Poison: 0.01, Flaky: 0.005, Cancel: 0.15,
+			EstimateOff: 0.2, Filled: 7,
+		},
+	}, job.Resources{CPU: 64000, MemMB: 131072, Accelerators: 8}
+}
+
+// Leadline is the load of the pipe renewal site, with smaller workers and lateness that
+// earns next to nothing.
+func Leadline() ([]Class, job.Resources) {
+	return []Class{
+		{
+			Name: "pipe-survey", Priority: 1, Attempts: 2, Stretch: 3, Objective: time.Second, Worth: 3, LateWorth: 0.3,
+			Rate: 0.86, Work: 8500 * time.Millisecond, WorkSpread: 0.3, LongestWork: 11 * time.Second, Width: 4, WidthSpread: 0.8, MaxWidth: 24,
+			Steps: 1, CPU: 13000, MemMB: 26000, Accelerators: []int64{1, 2, 4, 8, 8}, Gang: true, SameRack: 0.6, Checkpoints: 0.45,
+			Poison: 0.01, Flaky: 0.05, Cancel: 0.05, EstimateOff: 0.2, Filled: 9,
+		},
+		{
+			Name: "work-order", Priority: 0, Attempts: 4, Stretch: 1.5, Objective: 250 * time.Millisecond, Worth: 4, LateWorth: 0.8,
+			Rate: 1.92, Work: 2500 * time.Millisecond, WorkSpread: 0.5, LongestWork: 8 * time.Second, Width: 3, WidthSpread: 0.8, MaxWidth: 18,
+			Steps: 1, CPU: 3700, MemMB: 7600, Accelerators: []int64{1, 2, 4, 8, 8}, Gang: true, SameRack: 0.8, Flaky: 0.05, EstimateOff: 0.9,
+		},
+		{
+			Name: "lead-test", Priority: 2, Attempts: 4, Stretch: 3, Objective: 3 * time.Second, Worth: 1, LateWorth: 0.1,
+			Rate: 0.68, Work: 9500 * time.Millisecond, WorkSpread: 0.3, LongestWork: 11 * time.Second, Width: 12, WidthSpread: 0.8, MaxWidth: 72,
+			Steps: 1.3, CPU: 2800, MemMB: 4100, Accelerators: []int64{1}, Checkpoints: 0.45, Poison: 0.03, Flaky: 0.005, Cancel: 0.15,
+			EstimateOff: 0.2, Filled: 9,
+		},
+	}, job.Resources{CPU: 32000, MemMB: 65536, Accelerators: 8}
+}
+
+// DefaultSettings are the bounds of both sites.
+func DefaultSettings() dispatch.Settings {
+	return dispatch.Settings{Lease: 8 * time.Second, HoldWait: 2 * time.Second, UnheardLease: 5 * time.Second, SpreadFactor: 3, StopTime: stopTime}
+}
