--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -24,6 +24,9 @@
 	dirty bool
 	// guaranteed is the accelerators that each organisation owns.
 	guaranteed map[string]int64
+	// holds is the room that is kept for gangs in this cycle, for reserved of them.
+	holds    map[*worker]*hold
+	reserved int
 	// wake is when the next occurrence or held back task may be placed.
 	wake time.Duration
 }
--- a/internal/core/dispatch/order.go
+++ b/internal/core/dispatch/order.go
@@ -21,6 +21,7 @@
 		}
 	}
 	full := fullShapes{}
+	c.holds, c.reserved = map[*worker]*hold{}, 0
 	for _, s := range steps {
 		if s.plan != nil {
 			continue
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -96,7 +96,7 @@
 		c.wakeAt(now, s.readySince+c.offRackWait(s))
 	}
 	for _, w := range c.sorted {
-		if !w.fits(s) || !w.free().Fits(need) || !w.usable(now.Mono) {
+		if !w.fits(s) || !w.free().Fits(need) || !w.usable(now.Mono) || !c.mayUse(now, s, w) {
 			continue
 		}
 		onRack := s.spec.DataRack == "" || w.Rack == s.spec.DataRack
@@ -106,7 +106,7 @@
 		if s.spec.MaxPerWorker > 0 && s.onWorker(w) >= s.spec.MaxPerWorker {
 			continue
 		}
-		score := leftover(w, need)
+		score := leftover(w, need) + s.bias(w)
 		if !onRack {
 			score += 100
 		}
@@ -120,6 +120,29 @@
 	return best
 }
 
+// sideWeight is how strongly work keeps to its side of the fleet, beside best fit.
+const sideWeight = 4.0
+
+// bias keeps urgent work, and work that loses little when it is stopped, on one side of
+// the fleet, and work that would lose all on the other: the answer to urgent bursts, which
+// then stop work that has checkpoints.
+func (s *step) bias(w *worker) float64 {
+	if s.job.spec.Priority == firstPriority || s.spec.Checkpoints {
+		return sideWeight * w.side
+	}
+	return sideWeight * (1 - w.side)
+}
+
+// setSides gives each worker its side, by rack: from zero to one.
+func (c *Core) setSides() {
+	groups := byRack(c.sorted)
+	for i, g := range groups {
+		for _, w := range g {
+			w.side = float64(i) / float64(len(groups))
+		}
+	}
+}
+
 // leftover is best fit: what would stay free, accelerators first since large tasks need
 // whole workers.
 func leftover(w *worker, need job.Resources) float64 {
@@ -134,9 +157,15 @@
 	return float64(part) / float64(whole)
 }
 
+// mayUse reports whether a reservation leaves w to a task of s.
+func (c *Core) mayUse(now Now, s *step, w *worker) bool {
+	return s.job.spec.Priority == firstPriority || c.holds[w].allows(now, s)
+}
+
 // place decides a run; its order goes out once the record is in the log.
 func (c *Core) place(now Now, t *task, w *worker, number int) {
 	t.number = number
+	c.holds[w].take(now, t.step)
 	r := &run{task: t, number: number, worker: w, phase: recording, need: t.step.spec.Charge(), began: now.Mono, percentAt: now.Mono, saved: t.saved}
 	c.put(r)
 	c.record(t)
@@ -159,6 +188,8 @@
 	if at == nil {
 		if s.job.spec.Priority == firstPriority {
 			c.preempt(now, s, waiting)
+		} else {
+			c.reserve(now, s, c.holds)
 		}
 		return
 	}
@@ -185,8 +216,8 @@
 // findGang returns a worker for each task of s, or nil.
 func (c *Core) findGang(now Now, s *step) []*worker {
 	var usable []*worker
-	for _, w := range c.sorted {
-		if w.fits(s) && w.usable(now.Mono) {
+	for _, w := range c.usableFor(now, s) {
+		if c.mayUse(now, s, w) {
 			usable = append(usable, w)
 		}
 	}
@@ -206,7 +237,7 @@
 		}
 		free := 0.0
 		for _, w := range group {
-			free += leftover(w, job.Resources{})
+			free += leftover(w, job.Resources{}) + s.bias(w)
 		}
 		if best == nil || free < bestFree {
 			best, bestFree = at, free
@@ -283,7 +314,7 @@
 	need := s.spec.Charge()
 	order := slices.Clone(group)
 	slices.SortStableFunc(order, func(a, b *worker) int {
-		return cmp.Compare(leftover(a, job.Resources{}), leftover(b, job.Resources{}))
+		return cmp.Compare(leftover(a, job.Resources{})+s.bias(a), leftover(b, job.Resources{})+s.bias(b))
 	})
 	var at []*worker
 	for _, w := range order {
--- a/internal/core/dispatch/preempt.go
+++ b/internal/core/dispatch/preempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -69,12 +70,7 @@
 
 // preempt frees room for urgent tasks by stopping what loses least.
 func (c *Core) preempt(now Now, s *step, tasks []*task) {
-	var usable []*worker
-	for _, w := range c.sorted {
-		if w.fits(s) && w.usable(now.Mono) {
-			usable = append(usable, w)
-		}
-	}
+	usable := c.usableFor(now, s)
 	groups := [][]*worker{usable}
 	if s.spec.SameRack && s.spec.Gang {
 		groups = append(byRack(usable), usable)
@@ -96,6 +92,10 @@
 		c.note(Note{What: "no room to free", Job: s.job.spec.ID})
 		return
 	}
+	if best.cost > c.acceptableLoss(now, s) {
+		c.wakeAt(now, now.Mono+patienceStep)
+		return
+	}
 	p := &plan{at: map[*task]*worker{}, until: now.Mono + planTime}
 	for i, t := range tasks {
 		p.at[t] = best.at[i]
@@ -111,6 +111,30 @@
 	c.wakeAt(now, p.until+time.Millisecond)
 }
 
+const (
+	// patience is how long urgent work waits for places that cost less: its objective
+	// leaves it about half its work, over a second.
+	patience = 700 * time.Millisecond
+	// patienceStep is how often it looks again.
+	patienceStep = 100 * time.Millisecond
+	// cheapLoss is the loss that is accepted at once, as a share of the urgent work.
+	cheapLoss = 1.0
+	// uncoveredLoss is the most that work beyond a guarantee may make others lose, as a
+	// share of its own: by the price of lost work, about what it earns.
+	uncoveredLoss = 2.0
+)
+
+// acceptableLoss is the work in core-seconds that s may make others lose now.
+func (c *Core) acceptableLoss(now Now, s *step) float64 {
+	if now.Mono-s.readySince < patience {
+		return cheapLoss * s.job.work
+	}
+	if s.job.covered {
+		return math.Inf(1)
+	}
+	return uncoveredLoss * s.job.work
+}
+
 // eviction is a set of runs whose end makes room for tasks.
 type eviction struct {
 	at      []*worker
--- a/internal/core/dispatch/settle.go
+++ b/internal/core/dispatch/settle.go
@@ -9,10 +9,14 @@
 // SetWorkers takes in the platform's list of workers.
 func (c *Core) SetWorkers(now Now, list []WorkerInfo) {
 	named := make(map[string]bool, len(list))
+	before := len(c.sorted)
 	for _, info := range list {
 		named[info.ID] = true
 		c.setWorker(now, info)
 	}
+	if before != len(c.sorted) {
+		c.setSides()
+	}
 	for _, w := range c.sorted {
 		if w.listed && !named[w.ID] {
 			w.listed = false
--- a/internal/core/dispatch/world.go
+++ b/internal/core/dispatch/world.go
@@ -193,6 +193,8 @@
 	misses  int
 	pauseTo time.Duration
 	health  health
+	// side is where the worker stands between urgent work and work that must not stop.
+	side float64
 }
 
 func (w *worker) free() job.Resources {
