dispatch: urgent work is packed together, and what it may cost others goes by its worth

Cause: urgent gangs that fit into a rack ran on several, three times as long, because small urgent tasks stood on most workers.

--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -24,6 +24,8 @@
 	dirty bool
 	// guaranteed is the accelerators that each organisation owns.
 	guaranteed map[string]int64
+	// urgentMean is the mean work of the first priority's jobs, in core-seconds.
+	urgentMean float64
 	// holds is the room that is kept for gangs in this cycle, for reserved of them.
 	holds    map[*worker]*hold
 	reserved int
@@ -79,6 +81,12 @@
 		}
 		j.occ = append(j.occ, o)
 	}
+	if spec.Priority == firstPriority {
+		if c.urgentMean == 0 {
+			c.urgentMean = j.work
+		}
+		c.urgentMean += meanShare * (j.work - c.urgentMean)
+	}
 	return j
 }
 
@@ -153,6 +161,9 @@
 	r.task.cur = r
 	r.worker.runs[r] = true
 	r.worker.used = r.worker.used.Plus(r.need)
+	if r.task.step.job.spec.Priority == firstPriority {
+		r.worker.urgent = r.worker.urgent.Plus(r.need)
+	}
 	r.task.step.job.live++
 }
 
@@ -163,6 +174,9 @@
 	}
 	delete(r.worker.runs, r)
 	r.worker.used = r.worker.used.Minus(r.need)
+	if r.task.step.job.spec.Priority == firstPriority {
+		r.worker.urgent = r.worker.urgent.Minus(r.need)
+	}
 	r.task.step.job.live--
 	if r.task.cur == r {
 		r.task.cur = nil
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -106,7 +107,7 @@
 		if s.spec.MaxPerWorker > 0 && s.onWorker(w) >= s.spec.MaxPerWorker {
 			continue
 		}
-		score := leftover(w, need) + s.bias(w)
+		score := s.score(w, need)
 		if !onRack {
 			score += 100
 		}
@@ -120,6 +121,25 @@
 	return best
 }
 
+// packWeight is how strongly urgent work keeps together. It goes before best fit: an
+// urgent task on a worker that others fill would keep a whole worker from urgent gangs,
+// which can stop everything but urgent work.
+const packWeight = 8.0
+
+// score orders workers for a task of s; the lowest is best.
+func (s *step) score(w *worker, need job.Resources) float64 {
+	score := leftover(w, need) + s.bias(w)
+	if s.job.spec.Priority == firstPriority {
+		score += packWeight * w.urgentLeft(need)
+	}
+	return score
+}
+
+// urgentLeft is the share of w's accelerators that urgent work could still take.
+func (w *worker) urgentLeft(need job.Resources) float64 {
+	return share(w.Capacity.Accelerators-w.urgent.Accelerators-need.Accelerators, w.Capacity.Accelerators)
+}
+
 // sideWeight is how strongly work keeps to its side of the fleet, beside best fit.
 const sideWeight = 4.0
 
@@ -170,7 +190,12 @@
 	c.put(r)
 	c.record(t)
 	c.batch.starts = append(c.batch.starts, r)
-	c.note(Note{What: "placed", Task: t.id.String(), Run: number, Worker: w.ID})
+	c.note(Note{What: "placed", Task: t.id.String(), Run: number, Worker: w.ID, Why: t.step.inputs(now, w)})
+}
+
+// inputs tells what a placement was decided on.
+func (s *step) inputs(now Now, w *worker) string {
+	return fmt.Sprintf("priority %d, covered %t, waited %v, estimate %v, gang %t, one rack %t, data %q, label %q, rack %s", s.job.spec.Priority, s.job.covered, (now.Mono - s.readySince).Round(time.Millisecond), s.spec.Estimate, s.spec.Gang, s.spec.SameRack, s.spec.DataRack, s.spec.Label, w.Rack)
 }
 
 // placeGang places all tasks of a gang or none.
@@ -237,7 +262,7 @@
 		}
 		free := 0.0
 		for _, w := range group {
-			free += leftover(w, job.Resources{}) + s.bias(w)
+			free += s.score(w, job.Resources{})
 		}
 		if best == nil || free < bestFree {
 			best, bestFree = at, free
@@ -314,7 +339,7 @@
 	need := s.spec.Charge()
 	order := slices.Clone(group)
 	slices.SortStableFunc(order, func(a, b *worker) int {
-		return cmp.Compare(leftover(a, job.Resources{})+s.bias(a), leftover(b, job.Resources{})+s.bias(b))
+		return cmp.Compare(s.score(a, job.Resources{}), s.score(b, job.Resources{}))
 	})
 	var at []*worker
 	for _, w := range order {
--- a/internal/core/dispatch/preempt.go
+++ b/internal/core/dispatch/preempt.go
@@ -112,27 +112,36 @@
 }
 
 const (
-	// patience is how long urgent work waits for places that cost less: its objective
-	// leaves it about half its work, over a second.
-	patience = 700 * time.Millisecond
+	// patienceShare and maxPatience bound the wait of urgent work for places that cost
+	// less, stops counted: its objective leaves it about half its work, of which the
+	// estimate is often wrong by nearly as much.
+	patienceShare = 0.2
+	maxPatience   = 700 * time.Millisecond
 	// patienceStep is how often it looks again.
 	patienceStep = 100 * time.Millisecond
 	// cheapLoss is the loss that is accepted at once, as a share of the urgent work.
 	cheapLoss = 1.0
-	// uncoveredLoss is the most that work beyond a guarantee may make others lose, as a
-	// share of its own: by the price of lost work, about what it earns.
-	uncoveredLoss = 2.0
+	// uncoveredLoss is the most that work beyond a guarantee may make others lose, in
+	// parts of its own size: by the operators' price lists, urgent work earns ten times
+	// what the same work costs that is thrown away, and others are delayed besides.
+	uncoveredLoss = 4.0
+	// sizeShare is the part of a job's worth that goes by its work; the rest is the same
+	// for all jobs of a kind.
+	sizeShare = 0.7
+	// meanShare is the weight of the newest job in the mean of urgent work.
+	meanShare = 0.05
 )
 
 // acceptableLoss is the work in core-seconds that s may make others lose now.
 func (c *Core) acceptableLoss(now Now, s *step) float64 {
+	patience := min(time.Duration(patienceShare*float64(s.spec.Estimate)), maxPatience) - c.set.StopTime
 	if now.Mono-s.readySince < patience {
-		return cheapLoss * s.job.work
+		return cheapLoss * ((1-sizeShare)*c.urgentMean + sizeShare*s.job.work)
 	}
 	if s.job.covered {
 		return math.Inf(1)
 	}
-	return uncoveredLoss * s.job.work
+	return uncoveredLoss * ((1-sizeShare)*c.urgentMean + sizeShare*s.job.work)
 }
 
 // eviction is a set of runs whose end makes room for tasks.
@@ -142,6 +151,10 @@
 	cost    float64
 }
 
+// packLoss is the loss in core-seconds that is taken on to keep urgent work together on
+// workers that it already has.
+const packLoss = 200.0
+
 // evict finds places for n tasks of s in a group, or nil.
 func (c *Core) evict(now Now, s *step, n int, group []*worker) *eviction {
 	need := s.spec.Charge()
@@ -154,14 +167,15 @@
 	for range n {
 		var best *worker
 		var bestVictims []*run
-		bestCost := 0.0
+		bestCost, bestRank := 0.0, 0.0
 		for _, w := range group {
 			if s.spec.MaxPerWorker > 0 && s.onWorker(w)+count(e.at, w) >= s.spec.MaxPerWorker {
 				continue
 			}
 			victims, cost, ok := c.victims(now, s, w, free[w], need, chosen)
-			if ok && (best == nil || cost < bestCost || cost == bestCost && leftover(w, need) < leftover(best, need)) {
-				best, bestVictims, bestCost = w, victims, cost
+			rank := cost + packLoss*w.urgentLeft(need)
+			if ok && (best == nil || rank < bestRank || rank == bestRank && leftover(w, need) < leftover(best, need)) {
+				best, bestVictims, bestCost, bestRank = w, victims, cost, rank
 			}
 		}
 		if best == nil {
--- a/internal/core/dispatch/world.go
+++ b/internal/core/dispatch/world.go
@@ -172,6 +172,8 @@
 	listed bool
 	labels map[string]bool
 	used   job.Resources
+	// urgent is the part of used that runs of the first priority take.
+	urgent job.Resources
 	// reserved is held for plans that wait for room.
 	reserved job.Resources
 	runs     map[*run]bool
--- a/internal/sim/orders.go
+++ b/internal/sim/orders.go
@@ -7,9 +7,6 @@
 	"agatewinch/internal/core/job"
 )
 
-// stopTime is how long a worker takes to stop a run.
-const stopTime = 200 * time.Millisecond
-
 // start carries out an order to begin a run, and checks what must never happen.
 func (w *World) start(k *Worker, s dispatch.Start, epoch int64) dispatch.Outcome {
 	if k.Info.Born != s.Born {
@@ -162,9 +159,9 @@
 	if e == nil || e.stopAt > 0 {
 		return dispatch.Accepted
 	}
-	e.stopAt = w.now + stopTime
+	e.stopAt = w.now + w.Settings.StopTime
 	born := k.born
-	w.at(stopTime, func() {
+	w.at(w.Settings.StopTime, func() {
 		if k.runs[key] != e || k.born != born {
 			return
 		}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -6,15 +6,13 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-
-	"agatewinch/internal/core/job"
 )
 
 // play runs a load on a fleet of 48 workers for the traffic and the time to finish it.
-func play(seed uint64, classes []Class, capacity job.Resources, scale float64, bursts []Burst, f Faults) (*World, Load) {
-	w := New(seed, DefaultSettings(), Fleet(48, capacity))
+func play(seed uint64, s Site, scale float64, bursts []Burst, f Faults) (*World, Load) {
+	w := New(seed, s.Settings, Fleet(48, s.Capacity))
 	w.Faults = f
-	l := Load{Classes: classes, Bursts: bursts, Length: 34 * time.Second, Scale: scale, Lead: 5 * time.Second}
+	l := Load{Classes: s.Classes, Bursts: bursts, Length: 34 * time.Second, Scale: scale, Lead: 5 * time.Second}
 	w.Submit(l)
 	w.Run(70 * time.Second)
 	return w, l
@@ -37,11 +35,11 @@
 		for seed := uint64(1); seed <= 6; seed++ {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
 				t.Parallel()
-				classes, capacity := Launches()
+				site := Launches()
 				if seed%2 == 0 {
-					classes, capacity = Leadline()
+					site = Leadline()
 				}
-				w, _ := play(seed, classes, capacity, 0.8, nil, f)
+				w, _ := play(seed, site, 0.8, nil, f)
 				assert.Equal(t, len(w.Broken), 0, "%v", first(w.Broken, 5))
 				assert.Assert(t, w.Runs > 100, "only %d runs began", w.Runs)
 			})
@@ -57,8 +55,7 @@
 	for seed := uint64(1); seed <= 6; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			classes, capacity := Launches()
-			w, _ := play(seed, classes, capacity, 0.4, nil, Faults{LostAnswer: 0.05, Late: 0.03, Takeover: 9 * time.Second, Crash: 9 * time.Second})
+			w, _ := play(seed, Launches(), 0.4, nil, Faults{LostAnswer: 0.05, Late: 0.03, Takeover: 9 * time.Second, Crash: 9 * time.Second})
 			w.Faults = Faults{}
 			w.Run(160 * time.Second)
 			for id, p := range w.jobs {
@@ -71,15 +68,15 @@
 func TestReport(t *testing.T) {
 	for _, site := range []struct {
 		name string
-		load func() ([]Class, job.Resources)
+		load func() Site
 	}{{"launches", Launches}, {"leadline", Leadline}} {
 		for _, scale := range []float64{0.6, 1, 1.2} {
 			sum, wasted := 0.0, 0.0
 			rows := map[string]float64{}
-			const seeds = 12
+			const seeds = 24
 			for seed := uint64(1); seed <= seeds; seed++ {
-				classes, capacity := site.load()
-				w, l := play(seed, classes, capacity, scale, []Burst{{classes[1].Name, 2 * time.Second, 6 * time.Second, 2}, {classes[2].Name, 3 * time.Second, 5 * time.Second, 2.3}}, Faults{})
+				s := site.load()
+				w, l := play(seed, s, scale, []Burst{{s.Classes[1].Name, 2 * time.Second, 6 * time.Second, 2}, {s.Classes[2].Name, 3 * time.Second, 5 * time.Second, 2.3}}, Faults{})
 				r, share := w.Results(l)
 				for _, x := range r {
 					rows[x.Class] += x.Share / seeds
--- a/internal/sim/sites.go
+++ b/internal/sim/sites.go
@@ -7,10 +7,17 @@
 	"agatewinch/internal/core/job"
 )
 
+// Site is a load with the workers that it is made for.
+type Site struct {
+	Settings dispatch.Settings
+	Capacity job.Resources
+	Classes  []Class
+}
+
 // Launches is the load of the launch log site: large gangs that fill a worker's memory,
 // urgent checks, and wide summaries.
-func Launches() ([]Class, job.Resources) {
-	return []Class{
+func Launches() Site {
+	return Site{Settings: settings(200 * time.Millisecond), Capacity: job.Resources{CPU: 64000, MemMB: 131072, Accelerators: 8}, Classes: []Class{
 		{
 			Name: "sheet-reconcile", Priority: 1, Attempts: 4, Stretch: 3, Objective: time.Second, Worth: 3, LateWorth: 1.5,
 			Rate: 0.63, Work: 8500 * time.Millisecond, WorkSpread: 0.3, LongestWork: 11 * time.Second, Width: 5, WidthSpread: 0.8, MaxWidth: 30,
@@ -28,13 +35,13 @@
 			Steps: 1.3, CPU: 5600, MemMB: 11000, Accelerators: []int64{1}, Checkpoints: 0.45, Poison: 0.01, Flaky: 0.005, Cancel: 0.15,
 			EstimateOff: 0.2, Filled: 7,
 		},
-	}, job.Resources{CPU: 64000, MemMB: 131072, Accelerators: 8}
+	}}
 }
 
 // Leadline is the load of the pipe renewal site, with smaller workers and lateness that
 // earns next to nothing.
-func Leadline() ([]Class, job.Resources) {
-	return []Class{
+func Leadline() Site {
+	return Site{Settings: settings(400 * time.Millisecond), Capacity: job.Resources{CPU: 32000, MemMB: 65536, Accelerators: 8}, Classes: []Class{
 		{
 			Name: "pipe-survey", Priority: 1, Attempts: 2, Stretch: 3, Objective: time.Second, Worth: 3, LateWorth: 0.3,
 			Rate: 0.86, Work: 8500 * time.Millisecond, WorkSpread: 0.3, LongestWork: 11 * time.Second, Width: 4, WidthSpread: 0.8, MaxWidth: 24,
@@ -52,10 +59,10 @@
 			Steps: 1.3, CPU: 2800, MemMB: 4100, Accelerators: []int64{1}, Checkpoints: 0.45, Poison: 0.03, Flaky: 0.005, Cancel: 0.15,
 			EstimateOff: 0.2, Filled: 9,
 		},
-	}, job.Resources{CPU: 32000, MemMB: 65536, Accelerators: 8}
+	}}
 }
 
-// DefaultSettings are the bounds of both sites.
-func DefaultSettings() dispatch.Settings {
-	return dispatch.Settings{Lease: 8 * time.Second, HoldWait: 2 * time.Second, UnheardLease: 5 * time.Second, SpreadFactor: 3, StopTime: stopTime}
+// settings are the bounds of a site, where a stop takes the given time.
+func settings(stop time.Duration) dispatch.Settings {
+	return dispatch.Settings{Lease: 8 * time.Second, HoldWait: 2 * time.Second, UnheardLease: 5 * time.Second, SpreadFactor: 3, StopTime: stop}
 }
