dispatch: work with time to spare leaves a rack to urgent work

Ruled out: a longer wait for cheap places, which costs more than it saves. The simulator now repeats to the letter: maps are walked in order.

--- a/internal/core/dispatch/order.go
+++ b/internal/core/dispatch/order.go
@@ -46,6 +46,12 @@
 				c.wakeAt(now, now.Mono+time.Duration(o.dueMs-now.UnixMs)*time.Millisecond)
 				continue
 			}
+			if !o.ready {
+				o.ready, o.readySince = true, now.Mono
+				if o.dueMs == 0 {
+					o.readySince -= time.Duration(now.UnixMs-j.spec.AcceptedMs) * time.Millisecond
+				}
+			}
 			for _, s := range o.steps {
 				if s.done < len(s.tasks) && s.turn() {
 					if !s.ready {
@@ -120,6 +126,21 @@
 	return most
 }
 
+// slack is how long s can still wait so that its job ends within its objective, by the
+// estimates of what is left of it.
+func (c *Core) slack(now Now, s *step) time.Duration {
+	j := s.job
+	left, chain := time.Duration(0), time.Duration(0)
+	for _, o := range s.occ.steps {
+		chain += o.spec.Estimate
+		if o.done < len(o.tasks) {
+			left += o.spec.Estimate
+		}
+	}
+	due := s.occ.readySince + time.Duration(j.spec.Stretch*float64(chain)) + j.spec.Objective
+	return due - left - now.Mono
+}
+
 func uncovered(s *step) int {
 	if s.job.covered {
 		return 0
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -179,9 +179,19 @@
 
 // mayUse reports whether a reservation leaves w to a task of s.
 func (c *Core) mayUse(now Now, s *step, w *worker) bool {
-	return s.job.spec.Priority == firstPriority || c.holds[w].allows(now, s)
+	if s.job.spec.Priority == firstPriority {
+		return true
+	}
+	if w.side < urgentSide && c.slack(now, s) > 0 {
+		return false
+	}
+	return c.holds[w].allows(now, s)
 }
 
+// urgentSide is the part of the fleet that work with time to spare leaves to urgent work,
+// which then begins without having to stop anything.
+const urgentSide = 0.125
+
 // place decides a run; its order goes out once the record is in the log.
 func (c *Core) place(now Now, t *task, w *worker, number int) {
 	t.number = number
--- a/internal/core/dispatch/preempt.go
+++ b/internal/core/dispatch/preempt.go
@@ -290,6 +290,9 @@
 	// stopCost is the loss of a stop in core-seconds beside the work itself: the place,
 	// and the order.
 	stopCost = 10
+	// urgentLoss is added for each urgent task that is stopped, since its job is then
+	// late: about what an urgent task earns, by the price of lost work.
+	urgentLoss = 1000
 )
 
 // lossOf is the work in core-seconds that is thrown away if r is stopped.
@@ -304,6 +307,9 @@
 			at = min(at, checkpointLoss)
 		}
 		sum += stopCost + at.Seconds()*m.need.Cores()
+		if r.task.step.job.spec.Priority == firstPriority {
+			sum += urgentLoss
+		}
 	}
 	return sum
 }
--- a/internal/core/dispatch/world.go
+++ b/internal/core/dispatch/world.go
@@ -144,7 +144,9 @@
 	index int
 	dueMs int64
 	steps []*step
-	done  int
+	// readySince is when the occurrence was due, or its job accepted.
+	readySince time.Duration
+	ready      bool
 }
 
 type jobRun struct {
--- a/internal/sim/orders.go
+++ b/internal/sim/orders.go
@@ -1,6 +1,8 @@
 package sim
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"agatewinch/internal/core/dispatch"
@@ -100,7 +102,8 @@
 	for _, m := range g.members {
 		racks[m.Info.Rack] = true
 	}
-	for i, m := range g.members {
+	for i := range step.Count {
+		m := g.members[i]
 		id := e.id
 		id.Index = i
 		if x := m.runs[runKey{id.String(), e.key.run}]; x != nil {
@@ -119,7 +122,8 @@
 	if how != job.EndDone {
 		how = job.EndBroken
 	}
-	for i, m := range g.members {
+	for _, i := range slices.Sorted(maps.Keys(g.members)) {
+		m := g.members[i]
 		id := e.id
 		id.Index = i
 		if x := m.runs[runKey{id.String(), e.key.run}]; x != nil && x != e {
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -100,7 +100,7 @@
 // report is the answer to a look.
 func (w *Worker) report(now time.Duration) dispatch.Report {
 	r := dispatch.Report{Born: w.Info.Born, ClockMs: w.clockMs(now)}
-	for _, e := range w.runs {
+	for _, e := range sorted(w.runs) {
 		r.Running = append(r.Running, dispatch.RunningTask{Task: e.key.task, Run: e.key.run, Percent: e.percent(now, w)})
 	}
 	for _, e := range w.ended {
