--- a/internal/core/dispatch/settle.go
+++ b/internal/core/dispatch/settle.go
@@ -377,7 +377,7 @@
 // emitHolds looks at the workers on which something runs, or may.
 func (c *Core) emitHolds(now Now) {
 	for _, w := range c.sorted {
-		if w.holding || now.Mono < w.holdAt || w.Address == "" {
+		if w.holding || now.Mono < w.holdAt || w.Address == "" || w.recordingEnds(now, c.set.Lease) {
 			continue
 		}
 		wait, need := c.holdNeed(w)
@@ -395,6 +395,12 @@
 	}
 }
 
+// recordingEnds reports whether a look would only list ends again that are on their way
+// into the log. The lease is renewed all the same when half of it is over.
+func (w *worker) recordingEnds(now Now, lease time.Duration) bool {
+	return w.settled > w.noted && w.leaseMs-w.clockAtLeast(now.Mono) > lease.Milliseconds()/2
+}
+
 func (c *Core) holdNeed(w *worker) (time.Duration, bool) {
 	wait, need := c.set.HoldWait, false
 	for r := range w.runs {
