--- /dev/null
+++ b/internal/core/dispatch/bed_test.go
@@ -0,0 +1,132 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"agatewinch/internal/core/job"
+)
+
+// bed drives a core by hand: each worker is a list of what it was told.
+type bed struct {
+	t      *testing.T
+	core   *Core
+	now    time.Duration
+	starts []Start
+	stops  []Stop
+	holds  []Hold
+	notes  []Note
+	ends   map[string]int64
+}
+
+func newBed(t *testing.T) *bed {
+	b := &bed{t: t, ends: map[string]int64{}}
+	b.core = New(Settings{Lease: 8 * time.Second, HoldWait: 2 * time.Second, UnheardLease: 5 * time.Second, SpreadFactor: 3, StopTime: 200 * time.Millisecond})
+	return b
+}
+
+func (b *bed) clock() Now { return Now{Mono: b.now, UnixMs: b.now.Milliseconds()} }
+
+// fleet lists n workers of 8 accelerators in racks of six.
+func (b *bed) fleet(n int, capacity job.Resources) []WorkerInfo {
+	var list []WorkerInfo
+	for i := range n {
+		list = append(list, WorkerInfo{
+			ID: fmt.Sprintf("w%d", i), Address: fmt.Sprintf("192.0.2.%d:1", i), Service: "service", Rack: fmt.Sprintf("r%d", i/6),
+			Labels: []string{"a"}, Capacity: capacity, Born: 1, ClockMs: b.now.Milliseconds() + 1,
+		})
+	}
+	return list
+}
+
+// step carries out what the core wants: records become durable at once.
+func (b *bed) step() {
+	for {
+		a := b.core.TakeActions(b.clock())
+		b.starts = append(b.starts, a.Starts...)
+		b.stops = append(b.stops, a.Stops...)
+		b.holds = append(b.holds, a.Holds...)
+		b.notes = append(b.notes, a.Notes...)
+		batch := b.core.TakeBatch()
+		if batch == nil {
+			return
+		}
+		b.core.Recorded(b.clock(), batch)
+	}
+}
+
+// pass lets time go by with ticks.
+func (b *bed) pass(d time.Duration) {
+	for end := b.now + d; b.now < end; {
+		b.now = min(end, b.now+250*time.Millisecond)
+		b.core.Tick(b.clock())
+		b.step()
+	}
+}
+
+// accept answers all starts, and lists them as running in the next looks.
+func (b *bed) accept() []Start {
+	started := b.starts
+	b.starts = nil
+	for _, s := range started {
+		b.core.Started(b.clock(), s, Accepted)
+	}
+	b.step()
+	return started
+}
+
+// end lists the end of a run in the answer to the worker's open look.
+func (b *bed) end(s Start, how job.End) {
+	b.ends[s.Worker]++
+	b.report(s.Worker, Report{Born: s.Born, ClockMs: b.now.Milliseconds() + 1, Ended: []EndedTask{{Number: b.ends[s.Worker], Task: s.Task.String(), Run: s.Run, How: how}}})
+}
+
+// report answers the worker's open look. What it does not list stays as it is.
+func (b *bed) report(id string, r Report) {
+	b.t.Helper()
+	for i, h := range b.holds {
+		if h.Worker == id {
+			b.holds = append(b.holds[:i:i], b.holds[i+1:]...)
+			w := b.core.workers[id]
+			if r.Running == nil {
+				for run := range w.runs {
+					if !listed(r.Ended, run) && run.seen {
+						r.Running = append(r.Running, RunningTask{Task: run.task.id.String(), Run: run.number, Percent: run.percent + 1})
+					}
+				}
+			}
+			b.core.Held(b.clock(), h, r)
+			b.step()
+			return
+		}
+	}
+	b.t.Fatalf("worker %s is not being looked at", id)
+}
+
+func listed(ended []EndedTask, r *run) bool {
+	for _, e := range ended {
+		if e.Task == r.task.id.String() && e.Run == r.number {
+			return true
+		}
+	}
+	return false
+}
+
+// single is a job of one step.
+func single(id string, priority, count int, need job.Resources) *job.Job {
+	return &job.Job{ID: id, Org: "org", Service: "service", Priority: priority, Attempts: 3, Stretch: 3, Objective: time.Second,
+		Steps: []job.Step{{Count: count, Need: need, Estimate: 5 * time.Second}}}
+}
+
+func gang(id string, priority, count int, need job.Resources) *job.Job {
+	j := single(id, priority, count, need)
+	j.Steps[0].Gang = true
+	return j
+}
+
+func (b *bed) add(j *job.Job) {
+	j.AcceptedMs = b.now.Milliseconds()
+	b.core.AddJob(b.clock(), j, nil)
+	b.step()
+}
--- /dev/null
+++ b/internal/core/dispatch/dispatch_test.go
@@ -0,0 +1,428 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"agatewinch/internal/core/job"
+)
+
+var (
+	whole = job.Resources{CPU: 8000, MemMB: 8000, Accelerators: 8}
+	one   = job.Resources{CPU: 1000, MemMB: 1000, Accelerators: 1}
+)
+
+func TestStartGoesOutOnlyAfterItsRecord(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(1, whole))
+	j := single("j", 0, 1, one)
+	b.core.AddJob(b.clock(), j, nil)
+	a := b.core.TakeActions(b.clock())
+	assert.Equal(t, len(a.Starts), 0)
+	batch := b.core.TakeBatch()
+	assert.Equal(t, len(batch.Tasks), 1)
+	assert.Assert(t, batch.Tasks[0].Record.Active)
+	b.core.Recorded(b.clock(), batch)
+	assert.Equal(t, len(b.core.TakeActions(b.clock()).Starts), 1)
+}
+
+// The load: a worker leaves while its task runs. Looks that are not answered must not
+// lengthen the lease.
+func TestTaskOfAGoneWorkerRunsElsewhereAfterOneLease(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(2, whole))
+	b.add(single("j", 1, 1, one))
+	lost := b.accept()[0]
+	var rest []WorkerInfo
+	for _, info := range b.fleet(2, whole) {
+		if info.ID != lost.Worker {
+			rest = append(rest, info)
+		}
+	}
+	b.core.SetWorkers(b.clock(), rest)
+	for range 60 {
+		holds := b.holds
+		b.holds = nil
+		for _, h := range holds {
+			b.core.HoldFailed(b.clock(), h, Unanswered)
+		}
+		b.pass(250 * time.Millisecond)
+	}
+	assert.Equal(t, len(b.starts), 1)
+	assert.Assert(t, b.starts[0].Worker != lost.Worker)
+	assert.Equal(t, b.starts[0].Run, 2)
+}
+
+// The load: a takeover while a worker that is no longer listed may still run a task.
+func TestAdoptedRunOnAnUnlistedWorkerLapses(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(1, whole))
+	j := single("j", 1, 1, one)
+	id := job.TaskID{Job: "j"}
+	b.core.AddJob(b.clock(), j, map[string]job.TaskRecord{id.String(): {Run: 1, Worker: "gone", Born: 7, Active: true, Began: true}})
+	b.step()
+	b.pass(8 * time.Second)
+	assert.Equal(t, len(b.starts), 0, "the former decider may still hold the worker")
+	b.pass(8 * time.Second)
+	assert.Equal(t, len(b.starts), 1)
+	assert.Equal(t, b.starts[0].Run, 2)
+}
+
+// The load: a takeover. What runs is adopted, not started again, and its room stays taken
+// before its worker is heard.
+func TestAdoptedRunsKeepTheirRoomAndGoOn(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(1, whole))
+	id := job.TaskID{Job: "j"}
+	b.core.AddJob(b.clock(), single("j", 1, 1, whole), map[string]job.TaskRecord{id.String(): {Run: 3, Worker: "w0", Born: 1, Active: true}})
+	b.add(single("k", 1, 1, one))
+	assert.Equal(t, len(b.starts), 0)
+	b.report("w0", Report{Born: 1, ClockMs: 10, Running: []RunningTask{{Task: id.String(), Run: 3, Percent: 40}}})
+	assert.Equal(t, len(b.starts)+len(b.stops), 0)
+	b.report("w0", Report{Born: 1, ClockMs: 20, Ended: []EndedTask{{Number: 1, Task: id.String(), Run: 3, How: job.EndDone}}})
+	assert.Equal(t, len(b.starts), 1)
+	assert.Equal(t, b.starts[0].Task.Job, "k")
+}
+
+// The load: a start whose answer is lost. The next run waits for proof that the first is over.
+func TestUnansweredStartIsStoppedBeforeTheNextRun(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(2, whole))
+	b.add(single("j", 1, 1, one))
+	first := b.starts[0]
+	b.starts = nil
+	b.core.Started(b.clock(), first, Unanswered)
+	b.step()
+	assert.Equal(t, len(b.stops), 1)
+	b.now += time.Second
+	b.step()
+	assert.Equal(t, len(b.starts), 0)
+	// A look that was sent before the stop was answered proves nothing.
+	early := b.holds[0]
+	b.core.Stopped(b.clock(), b.stops[0], Accepted)
+	b.core.Held(b.clock(), early, Report{Born: 1, ClockMs: 1200})
+	b.step()
+	assert.Equal(t, len(b.starts), 0)
+	b.now += time.Second
+	b.step()
+	b.holds = b.holds[len(b.holds)-1:]
+	b.report(first.Worker, Report{Born: 1, ClockMs: 2200, Running: []RunningTask{}})
+	b.pass(time.Second)
+	assert.Equal(t, len(b.starts), 1)
+	assert.Equal(t, b.starts[0].Run, 2)
+}
+
+func TestAWorkersNewLifeEndsWhatRanOnIt(t *testing.T) {
+	b := newBed(t)
+	list := b.fleet(1, whole)
+	b.core.SetWorkers(b.clock(), list)
+	b.add(single("j", 1, 1, one))
+	b.accept()
+	list[0].Born = 2
+	b.core.SetWorkers(b.clock(), list)
+	b.pass(time.Second)
+	assert.Equal(t, len(b.starts), 1)
+	assert.Equal(t, b.starts[0].Born, int64(2))
+}
+
+func TestFailedTaskIsTriedElsewhereAndEndsItsJobAfterAllAttempts(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(4, whole))
+	b.add(single("j", 1, 1, one))
+	seen := map[string]bool{}
+	for n := 1; n <= 3; n++ {
+		s := b.accept()[0]
+		assert.Equal(t, s.Run, n)
+		assert.Assert(t, !seen[s.Worker])
+		seen[s.Worker] = true
+		b.end(s, job.EndFailed)
+	}
+	assert.Equal(t, len(b.starts), 0)
+	assert.Equal(t, b.notes[len(b.notes)-1].Why, string(job.Failed))
+}
+
+func TestGangStartsWhollyOrNotAtAll(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(2, whole))
+	b.add(gang("g", 1, 3, whole))
+	assert.Equal(t, len(b.starts), 0)
+	b.core.SetWorkers(b.clock(), b.fleet(3, whole))
+	b.step()
+	assert.Equal(t, len(b.starts), 3)
+}
+
+func TestLostMemberStopsTheRestOfItsGang(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(2, whole))
+	b.add(gang("g", 1, 2, whole))
+	s := b.accept()
+	b.end(s[0], job.EndFailed)
+	assert.Equal(t, len(b.stops), 1)
+	assert.Equal(t, b.stops[0].Worker, s[1].Worker)
+	b.pass(time.Second)
+	assert.Equal(t, len(b.starts), 0, "a member of the first run is not over")
+	b.end(s[1], job.EndStopped)
+	b.pass(time.Second)
+	assert.Equal(t, len(b.starts), 2)
+	assert.Equal(t, b.starts[0].Run, 2)
+}
+
+// The load: urgent gangs on a fleet that others fill. The room of a plan is used as soon
+// as the last of the stopped runs has ended.
+func TestUrgentGangBeginsWhenTheStoppedRunsHaveEnded(t *testing.T) {
+	b := newBed(t)
+	b.core.SetGuarantees(map[string]int64{"org": 40})
+	b.core.SetWorkers(b.clock(), b.fleet(6, whole))
+	b.add(single("low", 2, 48, one))
+	running := map[string]Start{}
+	for _, s := range b.accept() {
+		running[s.Task.String()] = s
+	}
+	assert.Equal(t, len(running), 48)
+	urgent := gang("urgent", 0, 5, job.Resources{CPU: 3000, MemMB: 3000, Accelerators: 3})
+	urgent.Steps[0].SameRack = true
+	b.add(urgent)
+	b.pass(time.Second)
+	assert.Equal(t, len(b.stops), 15, "three on each of five workers, no more")
+	for _, s := range b.stops {
+		assert.Equal(t, len(b.starts), 0)
+		b.end(running[s.Task.String()], job.EndStopped)
+	}
+	assert.Equal(t, len(b.starts), 5)
+}
+
+func TestPlanIsDroppedWhenItsWorkerGoes(t *testing.T) {
+	b := newBed(t)
+	b.core.SetGuarantees(map[string]int64{"org": 8})
+	b.core.SetWorkers(b.clock(), b.fleet(2, whole))
+	b.add(single("low", 2, 16, one))
+	b.accept()
+	b.add(single("urgent", 0, 1, whole))
+	b.pass(time.Second)
+	planned := b.stops[0].Worker
+	var rest []WorkerInfo
+	for _, info := range b.fleet(2, whole) {
+		if info.ID != planned {
+			rest = append(rest, info)
+		}
+	}
+	b.stops = nil
+	b.core.SetWorkers(b.clock(), rest)
+	b.pass(time.Second)
+	elsewhere := 0
+	for _, s := range b.stops {
+		if s.Worker != planned {
+			elsewhere++ // the others repeat stops that were not answered
+		}
+	}
+	assert.Equal(t, elsewhere, 8)
+}
+
+// The load: urgent work beyond one organisation's guarantee when another calls on its own.
+func TestCoveredWorkTakesRoomFromUncovered(t *testing.T) {
+	b := newBed(t)
+	b.core.SetGuarantees(map[string]int64{"owner": 8})
+	b.core.SetWorkers(b.clock(), b.fleet(1, whole))
+	b.add(single("borrower", 0, 1, whole))
+	borrowed := b.accept()[0]
+	owned := single("owned", 0, 1, whole)
+	owned.Org = "owner"
+	b.add(owned)
+	b.pass(time.Second)
+	assert.Equal(t, len(b.stops), 1)
+	b.end(borrowed, job.EndStopped)
+	assert.Equal(t, b.starts[0].Task.Job, "owned")
+}
+
+// The load: small tasks that would take each place before the last one of a gang is free.
+func TestSmallTasksLeaveTheRoomThatAGangWaitsFor(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(2, whole))
+	first := single("first", 1, 2, whole)
+	b.add(first)
+	s := b.accept()
+	b.add(gang("gang", 1, 2, whole))
+	small := single("small", 2, 16, one)
+	small.Steps[0].Estimate = time.Minute
+	b.add(small)
+	b.end(s[0], job.EndDone)
+	assert.Equal(t, len(b.starts), 0, "the place is kept for the gang")
+	b.end(s[1], job.EndDone)
+	assert.Equal(t, len(b.starts), 2)
+	assert.Equal(t, b.starts[0].Task.Job, "gang")
+}
+
+// The load: a log that is slow. A worker lists an end again until it is acknowledged, so
+// that each look before the record would come back at once.
+func TestNoLookWhileEndsAreBeingRecorded(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(1, whole))
+	b.add(single("j", 1, 2, one))
+	s := b.accept()
+	b.core.Held(b.clock(), b.holds[0], Report{Born: 1, ClockMs: 5, Running: []RunningTask{{Task: s[1].Task.String(), Run: 1}},
+		Ended: []EndedTask{{Number: 1, Task: s[0].Task.String(), Run: 1, How: job.EndDone}}})
+	a := b.core.TakeActions(b.clock())
+	assert.Equal(t, len(a.Holds), 0)
+	b.core.Recorded(b.clock(), b.core.TakeBatch())
+	a = b.core.TakeActions(b.clock())
+	assert.Equal(t, len(a.Holds), 1)
+	assert.Equal(t, a.Holds[0].Ack, int64(1))
+}
+
+func TestEndIsAcknowledgedOnlyOnceRecorded(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(1, whole))
+	b.add(single("j", 1, 1, one))
+	s := b.accept()[0]
+	h := b.holds[0]
+	b.core.Held(b.clock(), h, Report{Born: 1, ClockMs: 5, Ended: []EndedTask{{Number: 4, Task: s.Task.String(), Run: 1, How: job.EndDone}}})
+	b.now += 6 * time.Second // half of the lease is over: a look goes out, and still acknowledges nothing
+	a := b.core.TakeActions(b.clock())
+	for _, h := range a.Holds {
+		assert.Equal(t, h.Ack, int64(0))
+	}
+}
+
+func TestCancelledJobStopsAndStartsNoMore(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(1, whole))
+	b.add(single("j", 1, 12, one))
+	running := b.accept()
+	assert.Equal(t, len(running), 8)
+	b.core.CancelJob(b.clock(), "j")
+	b.step()
+	assert.Equal(t, len(b.stops), 8)
+	for _, s := range running {
+		b.end(s, job.EndStopped)
+	}
+	assert.Equal(t, len(b.starts), 0)
+}
+
+func TestDrainingWorkerGetsNothingNew(t *testing.T) {
+	b := newBed(t)
+	list := b.fleet(1, whole)
+	list[0].Draining = true
+	b.core.SetWorkers(b.clock(), list)
+	b.add(single("j", 0, 1, one))
+	assert.Equal(t, len(b.starts), 0)
+}
+
+// The load: a worker begins to drain between a placement and its record.
+func TestStartIsDroppedWhenItsWorkerDrainsBeforeTheRecord(t *testing.T) {
+	b := newBed(t)
+	list := b.fleet(1, whole)
+	b.core.SetWorkers(b.clock(), list)
+	b.core.AddJob(b.clock(), single("j", 0, 1, one), nil)
+	b.core.TakeActions(b.clock())
+	batch := b.core.TakeBatch()
+	list[0].Draining = true
+	b.core.SetWorkers(b.clock(), list)
+	b.core.Recorded(b.clock(), batch)
+	assert.Equal(t, len(b.core.TakeActions(b.clock()).Starts), 0)
+}
+
+func TestStepWaitsForTheStepsBeforeIt(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(1, whole))
+	j := single("j", 1, 2, one)
+	j.Steps = append(j.Steps, job.Step{Count: 1, Need: one, After: []int{0}})
+	b.add(j)
+	s := b.accept()
+	assert.Equal(t, len(s), 2)
+	b.end(s[0], job.EndDone)
+	assert.Equal(t, len(b.starts), 0)
+	b.end(s[1], job.EndDone)
+	assert.Equal(t, b.starts[0].Task.Step, 1)
+}
+
+func TestOccurrenceWaitsForItsTime(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(1, whole))
+	j := single("j", 1, 1, one)
+	j.Times, j.FirstDueMs, j.IntervalMs = 2, 3000, 2000
+	b.add(j)
+	b.pass(2750 * time.Millisecond)
+	assert.Equal(t, len(b.starts), 0)
+	b.pass(500 * time.Millisecond)
+	assert.Equal(t, len(b.starts), 1)
+	b.pass(2 * time.Second)
+	assert.Equal(t, len(b.starts), 2)
+	assert.Equal(t, b.starts[1].Task.Occurrence, 1)
+}
+
+func TestNoMoreTasksOnAWorkerThanTheStepAllows(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(2, whole))
+	j := single("j", 1, 5, one)
+	j.Steps[0].MaxPerWorker = 2
+	b.add(j)
+	assert.Equal(t, len(b.starts), 4)
+}
+
+func TestTaskRunsOnlyOnWorkersWithItsLabel(t *testing.T) {
+	b := newBed(t)
+	list := b.fleet(2, whole)
+	list[1].Labels = []string{"b"}
+	b.core.SetWorkers(b.clock(), list)
+	j := single("j", 1, 3, one)
+	j.Steps[0].Label = "b"
+	b.add(j)
+	for _, s := range b.starts {
+		assert.Equal(t, s.Worker, "w1")
+	}
+	assert.Equal(t, len(b.starts), 3)
+}
+
+// The load: a worker on which tasks stand still though it answers.
+func TestStalledTaskMovesToAnotherWorker(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(2, whole))
+	b.add(single("j", 1, 1, one))
+	s := b.accept()[0]
+	for range 4 {
+		b.now += 2 * time.Second
+		b.core.Held(b.clock(), b.holds[len(b.holds)-1], Report{Born: 1, ClockMs: b.now.Milliseconds(), Running: []RunningTask{{Task: s.Task.String(), Run: 1, Percent: 7}}})
+		b.core.Tick(b.clock())
+		b.step()
+	}
+	assert.Assert(t, len(b.stops) > 0)
+	assert.Equal(t, b.stops[0].Task, s.Task)
+	b.end(s, job.EndStopped)
+	assert.Equal(t, len(b.starts), 1)
+	assert.Assert(t, b.starts[0].Worker != s.Worker)
+}
+
+// The load: a worker that fails everything, beside sound ones.
+func TestWorkerThatFailsDifferentJobsIsQuarantined(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(1, whole))
+	for _, id := range []string{"a", "b", "c"} {
+		b.add(single(id, 1, 1, one))
+	}
+	for _, s := range b.accept() {
+		b.starts = nil
+		b.end(s, job.EndFailed)
+	}
+	assert.Equal(t, len(b.starts), 0)
+	b.pass(quarantineFirst + time.Second)
+	assert.Assert(t, len(b.starts) > 0, "a quarantine ends")
+}
+
+func TestReplayGivesTheSameOrders(t *testing.T) {
+	play := func() []Start {
+		b := newBed(t)
+		b.core.SetWorkers(b.clock(), b.fleet(12, whole))
+		for i, id := range []string{"a", "b", "c", "d", "e", "f"} {
+			b.add(gang(id, i%3, 1+i, one))
+		}
+		return b.starts
+	}
+	first, second := play(), play()
+	assert.Equal(t, len(first), len(second))
+	for i := range first {
+		assert.Equal(t, first[i].Task, second[i].Task)
+		assert.Equal(t, first[i].Worker, second[i].Worker)
+	}
+}
--- a/internal/core/dispatch/order.go
+++ b/internal/core/dispatch/order.go
@@ -15,6 +15,9 @@
 	c.wake = 0
 	c.cover()
 	steps := c.readySteps(now)
+	if len(steps) > 0 {
+		c.wakeForWorkers(now)
+	}
 	for _, s := range steps {
 		if s.plan != nil {
 			c.runPlan(now, s)
@@ -34,6 +37,15 @@
 	}
 }
 
+// wakeForWorkers has the next cycle run when a worker may be used again.
+func (c *Core) wakeForWorkers(now Now) {
+	for _, w := range c.sorted {
+		if until := max(w.pauseTo, w.health.until); until > now.Mono {
+			c.wakeAt(now, until)
+		}
+	}
+}
+
 // readySteps returns the steps whose turn has come, first things first.
 func (c *Core) readySteps(now Now) []*step {
 	var ready []*step
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -153,12 +153,19 @@
 	return sideWeight * (1 - w.side)
 }
 
+// leastRacks is the smallest fleet that is parted into sides: below it a rack is too
+// large a part to be left to urgent work.
+const leastRacks = 4
+
 // setSides gives each worker its side, by rack: from zero to one.
 func (c *Core) setSides() {
 	groups := byRack(c.sorted)
 	for i, g := range groups {
 		for _, w := range g {
-			w.side = float64(i) / float64(len(groups))
+			w.side = 1
+			if len(groups) >= leastRacks {
+				w.side = float64(i) / float64(len(groups))
+			}
 		}
 	}
 }
--- a/internal/entry/role.go
+++ b/internal/entry/role.go
@@ -14,10 +14,10 @@
 
 const (
 	// renewEvery is how often the holder of the deciding role appends at least.
-	renewEvery = 700 * time.Millisecond
+	renewEvery = 500 * time.Millisecond
 	// silence is how long nothing may come from the holder before another host takes
 	// over: three renewals, with the time that an append may take.
-	silence = 2400 * time.Millisecond
+	silence = 1900 * time.Millisecond
 	// rankSpread spreads the hosts' claims, so that one of them comes first.
 	rankSpread = 400 * time.Millisecond
 	// watchEvery is how often a standby looks for silence.
--- /dev/null
+++ b/internal/sharedlog/memlog/memlog.go
@@ -0,0 +1,161 @@
+// Package memlog is the shared log in memory, with faults that can be switched on. It
+// stands in for the platform's log in tests.
+package memlog
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"agatewinch/internal/sharedlog"
+)
+
+// Log is a log in memory.
+type Log struct {
+	mu     sync.Mutex
+	topics map[sharedlog.Topic]*topic
+	grown  chan struct{}
+	fails  func(call string, t sharedlog.Topic) error
+	loses  func(t sharedlog.Topic) bool
+}
+
+// SetFault has f asked before each call; what it returns is the call's error.
+func (l *Log) SetFault(f func(call string, t sharedlog.Topic) error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fails = f
+}
+
+// LoseAnswers has f asked after each append that took effect.
+func (l *Log) LoseAnswers(f func(t sharedlog.Topic) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.loses = f
+}
+
+type topic struct {
+	records  []sharedlog.Record
+	first    int64
+	epoch    int64
+	sequence int64
+	answers  map[sharedlog.Fence]int64
+}
+
+// New returns an empty log.
+func New() *Log {
+	return &Log{topics: map[sharedlog.Topic]*topic{}, grown: make(chan struct{})}
+}
+
+func (l *Log) topic(t sharedlog.Topic) *topic {
+	if l.topics[t] == nil {
+		l.topics[t] = &topic{epoch: -1, answers: map[sharedlog.Fence]int64{}}
+	}
+	return l.topics[t]
+}
+
+func (l *Log) fault(call string, t sharedlog.Topic) error {
+	l.mu.Lock()
+	f := l.fails
+	l.mu.Unlock()
+	if f == nil {
+		return nil
+	}
+	return f(call, t)
+}
+
+func (t *topic) end() int64 { return t.first + int64(len(t.records)) }
+
+// Append implements sharedlog.Log.
+func (l *Log) Append(_ context.Context, name sharedlog.Topic, records []sharedlog.Record, opt sharedlog.AppendOptions) (int64, error) {
+	if err := l.fault("append", name); err != nil {
+		return 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.topic(name)
+	if f := opt.Fence; f != nil {
+		if at, ok := t.answers[*f]; ok {
+			return at, nil // a repeat receives its first answer, whoever sends it
+		}
+		if f.Epoch < t.epoch {
+			return 0, sharedlog.ErrFenced
+		}
+		if f.Epoch == t.epoch && f.Sequence != t.sequence+1 {
+			return 0, &sharedlog.SequenceError{Expected: t.sequence + 1}
+		}
+	}
+	if opt.At != nil && *opt.At != t.end() {
+		return 0, &sharedlog.ConflictError{End: t.end()}
+	}
+	at := t.end()
+	for i, r := range records {
+		r.Offset = at + int64(i)
+		t.records = append(t.records, r)
+	}
+	if f := opt.Fence; f != nil {
+		t.epoch, t.sequence = f.Epoch, f.Sequence
+		t.answers[*f] = at
+	}
+	close(l.grown)
+	l.grown = make(chan struct{})
+	if l.loses != nil && l.loses(name) {
+		return 0, sharedlog.ErrUnknown
+	}
+	return at, nil
+}
+
+// Read implements sharedlog.Log.
+func (l *Log) Read(ctx context.Context, name sharedlog.Topic, from int64, wait time.Duration) (sharedlog.ReadResult, error) {
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for {
+		if err := l.fault("read", name); err != nil {
+			return sharedlog.ReadResult{}, err
+		}
+		l.mu.Lock()
+		t := l.topic(name)
+		end, first, grown := t.end(), t.first, l.grown
+		var records []sharedlog.Record
+		if from >= first && from < end {
+			records = slices.Clone(t.records[from-first:])
+		}
+		l.mu.Unlock()
+		if from < first {
+			return sharedlog.ReadResult{}, sharedlog.ErrTrimmed
+		}
+		if len(records) > 0 || wait == 0 {
+			return sharedlog.ReadResult{Records: records, End: end}, nil
+		}
+		select {
+		case <-grown:
+		case <-deadline.C:
+			return sharedlog.ReadResult{End: end}, nil
+		case <-ctx.Done():
+			return sharedlog.ReadResult{}, sharedlog.ErrUnknown
+		}
+	}
+}
+
+// Newest implements sharedlog.Log.
+func (l *Log) Newest(_ context.Context, name sharedlog.Topic) ([]sharedlog.Record, int64, error) {
+	if err := l.fault("newest", name); err != nil {
+		return nil, 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.topic(name)
+	newest := map[string]sharedlog.Record{}
+	for _, r := range t.records {
+		newest[r.Key] = r
+		if len(r.Value) == 0 {
+			delete(newest, r.Key)
+		}
+	}
+	var items []sharedlog.Record
+	for _, k := range slices.Sorted(maps.Keys(newest)) {
+		items = append(items, newest[k])
+	}
+	return items, t.end(), nil
+}
