entry: counters and histograms on the metrics address; log lines bounded by a token bucket

Change: expvar with histograms by organisation and queue on the first free port; 1,000 lines a second, what is dropped is counted and said.

--- a/cmd/agatewinch-host/main.go
+++ b/cmd/agatewinch-host/main.go
@@ -4,11 +4,13 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -36,6 +38,8 @@
 	memoryShare = 0.5
 	// gcPercent trades memory, of which there is plenty, for processor time.
 	gcPercent = 400
+	// metricsName is the name of the histograms on the metrics address.
+	metricsName = "agatewinch"
 )
 
 func main() {
@@ -79,8 +83,13 @@
 	defer cancel()
 	front := &http.Server{Handler: platform.NewFront(host), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	ready := &http.Server{Handler: platform.NewReadiness(host.Ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	servers := map[*http.Server]string{front: set.Listen, ready: set.ReadyListen}
+	if set.FirstPort > 0 {
+		host.Metrics().Publish(metricsName)
+		servers[&http.Server{Handler: expvar.Handler(), ReadHeaderTimeout: headerTimeout}] = net.JoinHostPort(set.IP, strconv.Itoa(set.FirstPort))
+	}
 	g, ctx := errgroup.WithContext(ctx)
-	for server, address := range map[*http.Server]string{front: set.Listen, ready: set.ReadyListen} {
+	for server, address := range servers {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			return trace.Wrap(err)
@@ -96,7 +105,7 @@
 	event.Info(out, event.ProcessStarted, "listen", set.Listen, "zone", set.Zone)
 	g.Go(func() error {
 		waitForStop(ctx, out)
-		stopGracefully(set, host, front, ready, out)
+		stopGracefully(set, host, front, servers, out)
 		cancel()
 		return nil
 	})
@@ -127,7 +136,7 @@
 }
 
 // stopGracefully leaves the balancer's view, gives up the role and ends open requests.
-func stopGracefully(set entry.Settings, host *entry.Host, front, ready *http.Server, out logr.Logger) {
+func stopGracefully(set entry.Settings, host *entry.Host, front *http.Server, servers map[*http.Server]string, out logr.Logger) {
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), set.Grace-stopMargin)
 	defer cancel()
@@ -136,8 +145,10 @@
 	if err := front.Shutdown(ctx); err != nil {
 		event.Error(out, err, event.ProcessStopped, "what", "open requests were cut off")
 	}
-	if err := ready.Close(); err != nil {
-		event.Error(out, err, event.ProcessStopped)
+	for server := range servers {
+		if err := server.Close(); err != nil {
+			event.Error(out, err, event.ProcessStopped)
+		}
 	}
 	event.Info(out, event.ProcessStopped)
 }
--- a/internal/core/dispatch/world.go
+++ b/internal/core/dispatch/world.go
@@ -156,7 +156,6 @@
 	end        job.State
 	endDurable bool
 	occ        []*occurrence
-	occDone    int
 	live       int
 	arrived    time.Duration
 	// seq is the order in which the jobs came.
--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -8,6 +8,7 @@
 	"agatewinch/internal/core/dispatch"
 	"agatewinch/internal/event"
 	"agatewinch/internal/ledger"
+	"agatewinch/internal/metrics"
 	"agatewinch/internal/sharedlog"
 )
 
@@ -172,6 +173,7 @@
 		event.Info(d.host.out, event.Decision, "what", n.What, "job", n.Job, "task", n.Task, "run", n.Run, "worker", n.Worker, "why", n.Why, "epoch", d.epoch)
 	}
 	for _, s := range actions.Starts {
+		d.observeStart(s)
 		go func() {
 			o := d.host.workers.Start(ctx, s, d.epoch)
 			d.post(func(now dispatch.Now) { d.checkFence(o, s.Worker); d.core.Started(now, s, o) })
@@ -199,6 +201,16 @@
 	d.append(ctx)
 }
 
+// observeStart measures the time from a job's acceptance to its first order.
+func (d *decider) observeStart(s dispatch.Start) {
+	if s.Run != 1 || s.Task.Step != 0 || s.Task.Index != 0 {
+		return
+	}
+	if e, ok := d.host.ledger.Find(s.Task.Job); ok && e.Job != nil {
+		d.host.metrics.Observe(e.Job.Org, e.Job.Queue, metrics.Start, time.Since(time.UnixMilli(e.Job.AcceptedMs)))
+	}
+}
+
 // checkFence gives the role up when a worker has seen a higher epoch.
 func (d *decider) checkFence(o dispatch.Outcome, worker string) {
 	if o == dispatch.Fenced {
@@ -250,6 +262,9 @@
 		add(ledger.TaskRecord(t.ID, t.Record))
 	}
 	for _, e := range b.Ends {
+		if entry, ok := d.host.ledger.Find(e.ID); ok && entry.Job != nil {
+			d.host.metrics.Observe(entry.Job.Org, entry.Job.Queue, metrics.Completion, time.Duration(e.AtMs-entry.Job.AcceptedMs)*time.Millisecond)
+		}
 		add(ledger.EndRecord(e.ID, ledger.Ended{State: e.State, AtMs: e.AtMs}))
 	}
 	for _, id := range b.Dropped {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -310,13 +310,14 @@
 }
 
 func TestLogLinesAreDroppedNotWaitedFor(t *testing.T) {
-	w := &lineWriter{lines: make(chan []byte, 2), done: make(chan struct{})}
-	for range 5 {
-		n, err := w.Write([]byte("line\n"))
-		assert.NilError(t, err)
-		assert.Equal(t, n, 5)
+	for _, w := range []*lineWriter{newLineWriter(2, 100), newLineWriter(100, 2)} {
+		for range 5 {
+			n, err := w.Write([]byte("line\n"))
+			assert.NilError(t, err)
+			assert.Equal(t, n, 5)
+		}
+		assert.Equal(t, w.dropped.Load(), int64(3))
 	}
-	assert.Equal(t, w.dropped.Load(), int64(3))
 }
 
 var errTest = errors.New("test")
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -12,6 +12,7 @@
 	"agatewinch/internal/catalog"
 	"agatewinch/internal/event"
 	"agatewinch/internal/ledger"
+	"agatewinch/internal/metrics"
 	"agatewinch/internal/sharedlog"
 )
 
@@ -25,7 +26,8 @@
 	out     logr.Logger
 	// incarnation tells the lives of the process apart.
 	incarnation int64
-	began       time.Time
+
+	metrics *metrics.Registry
 
 	ledger *ledger.Ledger
 	jobs   []*follower
@@ -53,7 +55,7 @@
 func New(set Settings, p Parts) *Host {
 	h := &Host{
 		set: set, log: p.Log, source: p.Catalog, list: p.List, workers: p.Workers, out: p.Out,
-		incarnation: time.Now().UnixMilli(), began: time.Now(), ledger: ledger.New(), jobsSignal: make(chan struct{}, 1),
+		incarnation: time.Now().UnixMilli(), metrics: metrics.New(metrics.SourceEntry), ledger: ledger.New(), jobsSignal: make(chan struct{}, 1),
 	}
 	for _, t := range ledger.TopicsJobs {
 		h.jobs = append(h.jobs, newFollower(h, t, h.signalJobs))
@@ -64,6 +66,9 @@
 	return h
 }
 
+// Metrics are the host's counters and histograms.
+func (h *Host) Metrics() *metrics.Registry { return h.metrics }
+
 func (h *Host) signalJobs() {
 	select {
 	case h.jobsSignal <- struct{}{}:
--- a/internal/entry/logger.go
+++ b/internal/entry/logger.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"github.com/go-logr/logr"
+	"golang.org/x/time/rate"
 
 	"agatewinch/internal/event"
 )
@@ -12,18 +13,30 @@
 // maxLines bounds the lines that wait to be written; more are dropped and counted.
 const maxLines = 4096
 
+// linesPerSecond and lineBurst bound the lines of a process. A takeover writes some
+// hundred at once; the heaviest days write about a hundred a second.
+const (
+	linesPerSecond = 1000
+	lineBurst      = 4000
+)
+
 // writeBytes is how much is written at a time.
 const writeBytes = 32 << 10
 
 // lineWriter hands lines to a goroutine, so that a slow reader never blocks a decision.
 type lineWriter struct {
 	lines   chan []byte
+	limit   *rate.Limiter
 	dropped atomic.Int64
 	done    chan struct{}
 }
 
 // Write implements io.Writer; each call is one line.
 func (w *lineWriter) Write(p []byte) (int, error) {
+	if !w.limit.Allow() {
+		w.dropped.Add(1)
+		return len(p), nil
+	}
 	line := make([]byte, len(p))
 	copy(line, p)
 	select {
@@ -34,9 +47,13 @@
 	return len(p), nil
 }
 
+func newLineWriter(waiting, burst int) *lineWriter {
+	return &lineWriter{lines: make(chan []byte, waiting), limit: rate.NewLimiter(linesPerSecond, burst), done: make(chan struct{})}
+}
+
 // NewLogger returns a logger that never blocks, and a function that writes what is left.
 func NewLogger(out io.Writer) (logr.Logger, func()) {
-	w := &lineWriter{lines: make(chan []byte, maxLines), done: make(chan struct{})}
+	w := newLineWriter(maxLines, lineBurst)
 	logger := event.NewLogger(w, event.FormatJSON)
 	go w.run(out, logger)
 	return logger, func() {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -126,6 +126,7 @@
 
 // Refused implements Service.
 func (h *Host) Refused(method, path string, status int, err *errkind.Error) {
+	h.metrics.Error(err.Kind)
 	event.Info(h.out, event.RequestRefused, "method", method, "path", path, "status", status, "kind", string(err.Kind), "why", err.Message, "log_age_ms", h.logAge().Milliseconds())
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -42,6 +42,7 @@
 const (
 	SourceGate      = "gate"
 	SourceScheduler = "scheduler"
+	SourceEntry     = "entry"
 )
 
 // Other stands for organisations and classes beyond MaxSeries.
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -18,15 +18,13 @@
 
 // execution is a run that a worker carries out.
 type execution struct {
-	key     runKey
-	id      job.TaskID
-	need    job.Resources
-	began   time.Duration
-	left    time.Duration
-	done    time.Duration
-	stopAt  time.Duration
-	gang    bool
-	resumed time.Duration
+	key    runKey
+	id     job.TaskID
+	need   job.Resources
+	began  time.Duration
+	done   time.Duration
+	stopAt time.Duration
+	gang   bool
 }
 
 // Worker is the model of one worker.
@@ -41,16 +39,15 @@
 	// Gone workers have left for good.
 	Gone bool
 
-	born     time.Duration
-	epoch    int64
-	leaseMs  int64
-	runs     map[runKey]*execution
-	lastRun  map[string]int
-	ended    []dispatch.EndedTask
-	number   int64
-	acked    int64
-	waiting  []func()
-	rejected int
+	born    time.Duration
+	epoch   int64
+	leaseMs int64
+	runs    map[runKey]*execution
+	lastRun map[string]int
+	ended   []dispatch.EndedTask
+	number  int64
+	acked   int64
+	waiting []func()
 }
 
 func (w *Worker) clockMs(now time.Duration) int64 { return (now - w.born).Milliseconds() + 1 }
