--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -394,6 +394,21 @@
 	assert.Assert(t, b.starts[0].Worker != s.Worker)
 }
 
+// The load: a worker that fails part of what it starts. A gang's next run goes elsewhere.
+func TestGangAvoidsTheWorkerOnWhichItFailed(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(3, whole))
+	b.add(gang("g", 1, 2, whole))
+	s := b.accept()
+	b.end(s[0], job.EndFailed)
+	b.end(s[1], job.EndBroken)
+	b.pass(time.Second)
+	assert.Equal(t, len(b.starts), 2)
+	for _, again := range b.starts {
+		assert.Assert(t, again.Worker != s[0].Worker)
+	}
+}
+
 // The load: a worker that fails everything, beside sound ones.
 func TestWorkerThatFailsDifferentJobsIsQuarantined(t *testing.T) {
 	b := newBed(t)
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -255,14 +255,32 @@
 	}
 }
 
-// findGang returns a worker for each task of s, or nil.
+// findGang returns a worker for each task of s, or nil. It takes a worker on which the gang
+// has failed only if there is no other way.
 func (c *Core) findGang(now Now, s *step) []*worker {
-	var usable []*worker
+	var sound, all []*worker
 	for _, w := range c.usableFor(now, s) {
-		if c.mayUse(now, s, w) {
-			usable = append(usable, w)
+		if !c.mayUse(now, s, w) {
+			continue
+		}
+		all = append(all, w)
+		if !s.failedAt(w) {
+			sound = append(sound, w)
+		}
+	}
+	if len(sound) < len(all) {
+		if at := c.findGangIn(now, s, sound); at != nil {
+			return at
 		}
 	}
+	return c.findGangIn(now, s, all)
+}
+
+func (s *step) failedAt(w *worker) bool {
+	return s.fails > 0 && slices.ContainsFunc(s.tasks, func(t *task) bool { return t.failedAt(w) })
+}
+
+func (c *Core) findGangIn(now Now, s *step, usable []*worker) []*worker {
 	if !s.spec.SameRack {
 		return assign(s, usable)
 	}
