--- a/cmd/agatewinchctl/exit.go
+++ b/cmd/agatewinchctl/exit.go
@@ -47,6 +47,7 @@
 	errkind.Conflict:         exitConflict,
 	errkind.RequestMismatch:  exitConflict,
 	errkind.NotFound:         exitNotFound,
+	errkind.JobUnknown:       exitNotFound,
 	errkind.UnknownOrg:       exitNotFound,
 	errkind.UnknownClass:     exitNotFound,
 	errkind.NeverRunnable:    exitJobFailed,
--- a/cmd/agatewinchctl/main.go
+++ b/cmd/agatewinchctl/main.go
@@ -81,7 +81,7 @@
 		return a.checkFlags()
 	}
 	root.AddCommand(a.applyCmd(), a.diffCmd(), a.getCmd(), a.listCmd(), a.statusCmd(), a.topCmd(),
-		a.explainCmd(), a.cancelCmd(), a.drainCmd(), a.submitCmd())
+		a.explainCmd(), a.cancelCmd(), a.drainCmd(), a.submitCmd(), a.traceCmd())
 	return root
 }
 
