--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -170,6 +170,38 @@
 	assert.Equal(t, hosts[0].ledger.Role().Epoch, int64(1))
 }
 
+// The fault: two hosts append their claims of one epoch at the same time.
+func TestOneOfTwoClaimsAtOnceWins(t *testing.T) {
+	log := memlog.New()
+	var meet sync.WaitGroup
+	meet.Add(2)
+	log.SetFault(func(call string, topic sharedlog.Topic) error {
+		if call == "append" && topic == ledger.TopicState {
+			meet.Done()
+			meet.Wait()
+		}
+		return nil
+	})
+	var won atomic.Int64
+	var claims sync.WaitGroup
+	for i := range 2 {
+		h := newHost(log, &workers{}, fmt.Sprintf("host-%d", i))
+		h.setCatalog((&catalog.Catalog{Version: 1}).Index())
+		for _, f := range append(h.jobs, h.state) {
+			assert.NilError(t, f.load(context.Background()))
+			assert.NilError(t, f.step(context.Background(), 0))
+		}
+		h.role.seenAt = time.Now().Add(-time.Minute)
+		claims.Go(func() {
+			if _, ok := h.role.claim(context.Background()); ok {
+				won.Add(1)
+			}
+		})
+	}
+	claims.Wait()
+	assert.Equal(t, won.Load(), int64(1))
+}
+
 // The fault: the first partition of submissions is away; others are not.
 func TestSubmissionGoesToAPartitionThatTakesIt(t *testing.T) {
 	log := memlog.New()
