--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -79,6 +79,14 @@
 	// gone silent is noticed only after it, and a cancellation has to reach the decider
 	// within three seconds.
 	readWait = 1500 * time.Millisecond
+	// followPause lets records come together on a host that does not decide; each read is
+	// priced, and there are many hosts. A caller's question is answered from a read of
+	// its own.
+	followPause = 250 * time.Millisecond
+	// freshTime is how old a read may be for a caller's question, and freshenTimeout how
+	// long one is waited for: several times the log's usual answer time.
+	freshTime      = 20 * time.Millisecond
+	freshenTimeout = 300 * time.Millisecond
 	// catalogWait is shorter, since the configuration has to be in force in two seconds.
 	catalogWait = time.Second
 	// retryFirst and retryMax space the calls to a log that does not answer.
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -50,12 +50,16 @@
 			}
 			continue
 		}
+		before := f.position()
 		if err := f.step(ctx, readWait); err != nil {
 			f.fail(err)
 			sleep(ctx, retry.NextBackOff())
 			continue
 		}
 		retry.Reset()
+		if f.position() != before && !f.host.role.isLeading() {
+			sleep(ctx, followPause) // the next records are read together
+		}
 	}
 	return nil
 }
@@ -137,6 +141,22 @@
 	}
 }
 
+// freshen reads what is new, if the topic was not read a moment ago. A log that does not
+// answer is not waited for: what is known is shown.
+func (f *follower) freshen(ctx context.Context) {
+	f.mu.Lock()
+	skip := f.paused || f.lost || time.Since(f.contact) < freshTime
+	f.mu.Unlock()
+	if skip {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, freshenTimeout)
+	defer cancel()
+	if err := f.catchUp(ctx); err != nil {
+		f.fail(err)
+	}
+}
+
 // catchUp reads to the end of the topic.
 func (f *follower) catchUp(ctx context.Context) error {
 	for {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -75,6 +75,10 @@
 	if owner != org && !q.Public {
 		return "", errkind.New(errkind.JobUnknown, "no such job")
 	}
+	if state == job.Pending || state == job.Running {
+		h.state.freshen(ctx)
+		state, _, _ = h.lookUp(id)
+	}
 	return state, nil
 }
 
