entry: ended jobs leave the log whole; dead fields removed

Found by reading the code. Change: the ends follow once the submissions are gone; a test plays it on memlog. Fields that nobody reads are gone from the settings and the core.

--- a/internal/core/dispatch/actions.go
+++ b/internal/core/dispatch/actions.go
@@ -80,10 +80,8 @@
 	// Dropped lists tasks of ended jobs whose keys are no longer needed.
 	Dropped []job.TaskID
 
-	number int
 	starts []*run
 	acks   map[*worker]int64
-	ended  []*jobRun
 }
 
 func (b *Batch) empty() bool {
--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -17,8 +17,6 @@
 	sorted []*worker
 	tasks  map[string]*task
 	batch  *Batch
-	sent   map[int]*Batch
-	number int
 	out    Actions
 	// dirty says that something changed that placing depends on.
 	dirty bool
@@ -35,14 +33,13 @@
 
 // New returns a core that knows nothing.
 func New(set Settings) *Core {
-	c := &Core{set: set, jobs: map[string]*jobRun{}, workers: map[string]*worker{}, tasks: map[string]*task{}, sent: map[int]*Batch{}, guaranteed: map[string]int64{}}
+	c := &Core{set: set, jobs: map[string]*jobRun{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}}
 	c.openBatch()
 	return c
 }
 
 func (c *Core) openBatch() {
-	c.number++
-	c.batch = &Batch{number: c.number, acks: map[*worker]int64{}}
+	c.batch = &Batch{acks: map[*worker]int64{}}
 }
 
 // SetGuarantees says how many accelerators each organisation owns.
@@ -59,7 +56,7 @@
 
 func (c *Core) newJob(now Now, spec *job.Job, tasks map[string]job.TaskRecord) *jobRun {
 	c.seq++
-	j := &jobRun{spec: spec, arrived: now.Mono, seq: c.seq}
+	j := &jobRun{spec: spec, seq: c.seq}
 	c.jobs[spec.ID] = j
 	for k := range spec.Occurrences() {
 		o := &occurrence{index: k}
@@ -125,7 +122,7 @@
 		return
 	}
 	j := c.newJob(now, spec, tasks)
-	j.end, j.endDurable = state, true
+	j.end = state
 	c.forgetIfOver(j)
 }
 
@@ -246,7 +243,6 @@
 	}
 	j.end = state
 	c.batch.Ends = append(c.batch.Ends, JobEnd{ID: j.spec.ID, State: state, AtMs: now.UnixMs})
-	c.batch.ended = append(c.batch.ended, j)
 	c.note(Note{What: "end", Job: j.spec.ID, Why: string(state)})
 	for _, o := range j.occ {
 		for _, s := range o.steps {
@@ -312,22 +308,17 @@
 		return nil
 	}
 	b := c.batch
-	c.sent[b.number] = b
 	c.openBatch()
 	return b
 }
 
 // Recorded says that a batch is in the log: what depended on it goes out.
 func (c *Core) Recorded(now Now, b *Batch) {
-	delete(c.sent, b.number)
 	for w, n := range b.acks {
 		if c.workers[w.ID] == w {
 			w.noted = max(w.noted, n)
 		}
 	}
-	for _, j := range b.ended {
-		j.endDurable = true
-	}
 	for _, r := range b.starts {
 		c.launch(now, r)
 	}
--- a/internal/core/dispatch/world.go
+++ b/internal/core/dispatch/world.go
@@ -89,8 +89,9 @@
 	worker *worker
 	phase  phase
 	need   job.Resources
-	// fromSaved is the checkpoint that the run resumed from.
-	began   time.Duration
+	// began is when the run was placed, or adopted.
+	began time.Duration
+	// saved is the newest checkpoint that is known.
 	saved   string
 	percent int
 	// percentAt is when percent last grew.
@@ -152,12 +153,10 @@
 type jobRun struct {
 	spec      *job.Job
 	cancelled bool
-	// end is the state that the job ends in, set once; endDurable once it is recorded.
-	end        job.State
-	endDurable bool
-	occ        []*occurrence
-	live       int
-	arrived    time.Duration
+	// end is the state that the job ends in, set once.
+	end  job.State
+	occ  []*occurrence
+	live int
 	// seq is the order in which the jobs came.
 	seq int
 	// covered says that the organisation's guarantee holds for the job.
--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -24,6 +24,8 @@
 	lookWait = 2 * time.Second
 	// sweepEvery is how often ended jobs are looked for that need not be shown any more.
 	sweepEvery = 10 * time.Second
+	// sweepJobs bounds the jobs that are dropped at a time.
+	sweepJobs = 500
 	// sweepMargin is added to the time that ended jobs are shown.
 	sweepMargin = 30 * time.Second
 	// releaseTime bounds the giving up of the role at a planned stop.
@@ -45,7 +47,9 @@
 	appendedAt time.Time
 	superseded string
 	sweptAt    time.Time
-	catalog    int64
+	// expired are ended jobs whose submissions have been dropped.
+	expired []string
+	catalog int64
 }
 
 // maxEvents bounds the outcomes that wait for the core; calls in flight are fewer.
@@ -225,10 +229,14 @@
 		return
 	}
 	batch := d.core.TakeBatch()
-	if batch == nil && time.Since(d.appendedAt) < renewEvery {
+	if batch == nil && len(d.expired) == 0 && time.Since(d.appendedAt) < renewEvery {
 		return
 	}
 	records := d.records(batch)
+	for _, id := range d.expired {
+		records = append(records, ledger.DropEnd(id))
+	}
+	d.expired = nil
 	if len(records) == 0 {
 		rec, err := ledger.RoleRecord(ledger.Role{Epoch: d.epoch, Holder: d.host.set.Host, Incarnation: d.host.incarnation})
 		if err != nil {
@@ -354,27 +362,32 @@
 	return "planned stop"
 }
 
-// sweep drops ended jobs that nobody may ask for any more.
+// sweep drops ended jobs that nobody may ask for any more: the submissions first, then the
+// ends, so that no submission is ever left without its end.
 func (d *decider) sweep(ctx context.Context) {
 	if time.Since(d.sweptAt) < sweepEvery {
 		return
 	}
 	d.sweptAt = time.Now()
-	before := time.Now().Add(-d.host.set.KeepEnded - sweepMargin).UnixMilli()
+	var ids []string
 	var jobs []sharedlog.Record
+	before := d.sweptAt.Add(-d.host.set.KeepEnded - sweepMargin).UnixMilli()
 	d.host.ledger.Each(func(id string, e *ledger.Entry) {
-		if e.Ended != nil && e.Ended.AtMs < before {
+		if e.Ended != nil && e.Ended.AtMs < before && len(ids) < sweepJobs {
+			ids = append(ids, id)
 			jobs = append(jobs, ledger.DropJob(id)...)
 		}
 	})
-	if len(jobs) == 0 {
+	if len(ids) == 0 {
 		return
 	}
 	go func() {
 		for _, topic := range ledger.TopicsJobs {
 			if _, err := d.host.log.Append(ctx, topic, jobs, sharedlog.AppendOptions{}); err != nil {
 				event.Error(d.host.out, err, event.LogWriteError, "what", "sweep", "topic", topic.String())
+				return
 			}
 		}
+		d.post(func(dispatch.Now) { d.expired = append(d.expired, ids...) })
 	}()
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,8 +33,6 @@
 	KeepEnded time.Duration
 	// SpreadFactor is how much slower work is away from its rack.
 	SpreadFactor float64
-	// DutyLease is how long one holder at a time may order machines about.
-	DutyLease time.Duration
 	// MemoryMB is the memory of the process.
 	MemoryMB int64
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -321,6 +321,36 @@
 	assert.Equal(t, state, job.Cancelled)
 }
 
+func TestEndedJobsThatNeedNotBeShownLeaveTheLog(t *testing.T) {
+	log := memlog.New()
+	h := newHost(log, &workers{}, "host")
+	ctx := context.Background()
+	j := submission("0000000000000001")
+	submitted, err := ledger.JobRecord(j)
+	assert.NilError(t, err)
+	ended, err := ledger.EndRecord(j.ID, ledger.Ended{State: job.Succeeded, AtMs: time.Now().Add(-time.Hour).UnixMilli()})
+	assert.NilError(t, err)
+	for topic, r := range map[sharedlog.Topic]sharedlog.Record{ledger.TopicsJobs[1]: submitted, ledger.TopicState: ended} {
+		_, err = log.Append(ctx, topic, []sharedlog.Record{r}, sharedlog.AppendOptions{})
+		assert.NilError(t, err)
+		h.fold([]sharedlog.Record{r})
+	}
+	assert.NilError(t, h.state.load(ctx))
+	d := newDecider(h, sharedlog.Fence{Epoch: 1}, 0)
+	d.sweptAt = time.Time{}
+	d.sweep(ctx)
+	(<-d.events)(d.now())
+	d.append(ctx)
+	(<-d.events)(d.now())
+	for _, topic := range append(ledger.TopicsJobs, ledger.TopicState) {
+		left, _, err := log.Newest(ctx, topic)
+		assert.NilError(t, err)
+		assert.Equal(t, len(left), 0, "%s", topic)
+	}
+	_, known := h.ledger.Find(j.ID)
+	assert.Assert(t, !known)
+}
+
 func TestConfigurationThatCannotBeConfirmedIsNotUsed(t *testing.T) {
 	h := newHost(memlog.New(), &workers{}, "host")
 	_, err := h.Catalog()
