--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -236,6 +236,33 @@
 	assert.Equal(t, b.starts[0].Task.Job, "owned")
 }
 
+// The load: urgent gangs beside work that has time to spare. They begin without a stop.
+func TestWorkWithTimeToSpareLeavesRacksToUrgentWork(t *testing.T) {
+	b := newBed(t)
+	b.core.SetGuarantees(map[string]int64{"org": 48})
+	b.core.SetWorkers(b.clock(), b.fleet(48, whole))
+	low := single("low", 2, 500, one)
+	low.Steps[0].Estimate = 10 * time.Second
+	b.add(low)
+	assert.Equal(t, len(b.accept()), 36*8, "a quarter of the racks is left")
+	urgent := gang("urgent", 0, 6, whole)
+	urgent.Steps[0].SameRack = true
+	b.add(urgent)
+	assert.Equal(t, len(b.starts), 6)
+	assert.Equal(t, len(b.stops), 0)
+}
+
+func TestWorkWithoutTimeToSpareTakesAllRacks(t *testing.T) {
+	b := newBed(t)
+	b.now = time.Minute
+	b.core.SetWorkers(b.clock(), b.fleet(48, whole))
+	late := single("late", 2, 500, one)
+	late.AcceptedMs = 1
+	b.core.AddJob(b.clock(), late, nil)
+	b.step()
+	assert.Equal(t, len(b.starts), 48*8)
+}
+
 // The load: small tasks that would take each place before the last one of a gang is free.
 func TestSmallTasksLeaveTheRoomThatAGangWaitsFor(t *testing.T) {
 	b := newBed(t)
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -204,7 +204,7 @@
 	if s.job.spec.Priority == firstPriority {
 		return true
 	}
-	if w.side < urgentSide && c.slack(now, s) > 0 {
+	if w.side < urgentSide && c.slack(now, s) > time.Duration(slackMargin*float64(s.spec.Estimate)) {
 		return false
 	}
 	return c.holds[w].allows(now, s)
@@ -212,7 +212,11 @@
 
 // urgentSide is the part of the fleet that work with time to spare leaves to urgent work,
 // which then begins without having to stop anything.
-const urgentSide = 0.125
+const urgentSide = 0.25
+
+// slackMargin is kept of the time to spare, as a share of the estimate, which may be short
+// by a fifth.
+const slackMargin = 0.3
 
 // place decides a run; its order goes out once the record is in the log.
 func (c *Core) place(now Now, t *task, w *worker, number int) {
