entry: a host claims the role only if it knows the jobs of all recorded tasks

It passed those tasks over, took their room as free, and started them again from nothing when the submissions came. Ruled out: acknowledging before the record (the end was never recorded; the worker's end was acknowledged by the successor, which did not know the task). Change: no claim while a recorded task's job is unknown; a job that is read late keeps its tasks' records. Both tests fail without it.

--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -159,7 +159,7 @@
 		if !ok || e.Job == nil || e.Ended != nil {
 			continue
 		}
-		d.core.AddJob(now, e.Job, nil)
+		d.core.AddJob(now, e.Job, d.host.ledger.Tasks(id))
 		if e.Cancelled {
 			d.core.CancelJob(now, id)
 		}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -202,6 +202,56 @@
 	assert.Equal(t, won.Load(), int64(1))
 }
 
+// The fault: the partitions of submissions are away while that of tasks is not. A host that
+// took over then would not know what the recorded tasks take.
+func TestHostThatDoesNotKnowTheJobsOfTasksDoesNotClaim(t *testing.T) {
+	log := memlog.New()
+	h := newHost(log, &workers{runs: map[string]time.Time{}}, "host")
+	h.setCatalog((&catalog.Catalog{Version: 1}).Index())
+	ctx := context.Background()
+	j := submission("0000000000000001")
+	running, err := ledger.TaskRecord(job.TaskID{Job: j.ID}, job.TaskRecord{Run: 1, Worker: "w0", Born: 1, Active: true})
+	assert.NilError(t, err)
+	_, err = log.Append(ctx, ledger.TopicState, []sharedlog.Record{running}, sharedlog.AppendOptions{})
+	assert.NilError(t, err)
+	for _, f := range append(h.jobs, h.state) {
+		assert.NilError(t, f.load(ctx))
+		assert.NilError(t, f.step(ctx, 0))
+	}
+	h.role.seenAt, h.role.seen = time.Now().Add(-time.Minute), h.ledger.Changes()
+	_, ok := h.role.claim(ctx)
+	assert.Assert(t, !ok)
+
+	submitted, err := ledger.JobRecord(j)
+	assert.NilError(t, err)
+	_, err = log.Append(ctx, ledger.TopicsJobs[2], []sharedlog.Record{submitted}, sharedlog.AppendOptions{})
+	assert.NilError(t, err)
+	h.role.seenAt, h.role.seen = time.Now().Add(-time.Minute), h.ledger.Changes()
+	_, ok = h.role.claim(ctx)
+	assert.Assert(t, ok)
+}
+
+// The fault: a job's submission is read after its tasks' records.
+func TestJobThatIsReadLateKeepsItsTasks(t *testing.T) {
+	w := &workers{runs: map[string]time.Time{}}
+	h := newHost(memlog.New(), w, "host")
+	j := submission("0000000000000001")
+	j.Service = "service"
+	for i := range j.Steps[0].Count {
+		r, err := ledger.TaskRecord(job.TaskID{Job: j.ID, Index: i}, job.TaskRecord{Run: 1, Worker: "w0", Born: 1, Active: true})
+		assert.NilError(t, err)
+		h.fold([]sharedlog.Record{r})
+	}
+	d := newDecider(h, sharedlog.Fence{Epoch: 1}, 0)
+	d.restore()
+	submitted, err := ledger.JobRecord(j)
+	assert.NilError(t, err)
+	h.fold([]sharedlog.Record{submitted})
+	d.takeJobs()
+	assert.Equal(t, len(d.core.TakeActions(d.now()).Starts), 0)
+	assert.Assert(t, d.core.TakeBatch() == nil, "nothing is placed")
+}
+
 // The fault: the first partition of submissions is away; others are not.
 func TestSubmissionGoesToAPartitionThatTakesIt(t *testing.T) {
 	log := memlog.New()
--- a/internal/entry/role.go
+++ b/internal/entry/role.go
@@ -111,7 +111,7 @@
 	if err := h.state.catchUp(ctx); err != nil {
 		return sharedlog.Fence{}, false
 	}
-	if !r.free() {
+	if !r.free() || !h.knowsAllTasks(ctx) {
 		return sharedlog.Fence{}, false
 	}
 	at := h.state.position()
@@ -142,6 +142,20 @@
 	return sharedlog.Fence{}, false
 }
 
+// knowsAllTasks reports whether this host knows the jobs of all recorded tasks. One that
+// does not would take their room as free, and start them again once it reads the jobs.
+func (h *Host) knowsAllTasks(ctx context.Context) bool {
+	if h.ledger.Complete() {
+		return true
+	}
+	for _, f := range h.jobs {
+		if err := f.catchUp(ctx); err != nil {
+			f.fail(err)
+		}
+	}
+	return h.ledger.Complete()
+}
+
 func (r *role) lead(ctx context.Context, fence sharedlog.Fence) {
 	epoch := fence.Epoch
 	event.Info(r.host.out, event.SchedulerActive, "epoch", epoch)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -254,6 +254,30 @@
 	return c, true
 }
 
+// Tasks returns a copy of the records of a job's tasks.
+func (l *Ledger) Tasks(id string) map[string]job.TaskRecord {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	e := l.entries[id]
+	if e == nil {
+		return nil
+	}
+	return maps.Clone(e.Tasks)
+}
+
+// Complete reports whether the submission of every job with tasks has been read. They come
+// from other partitions, which may be away alone; without them nobody knows what the tasks take.
+func (l *Ledger) Complete() bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	for _, e := range l.entries {
+		if e.Job == nil && len(e.Tasks) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // StateOf returns what a caller is shown of a job.
 func (l *Ledger) StateOf(id string) (state job.State, queue string, ok bool) {
 	l.mu.RLock()
