--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -270,6 +270,24 @@
 	})
 }
 
+// The fault: the first partition takes calls and does not answer.
+func TestSilentPartitionHoldsNoSubmission(t *testing.T) {
+	log := memlog.New()
+	hosts, _ := run(t, log, 1)
+	silent := make(chan struct{})
+	t.Cleanup(func() { close(silent) })
+	log.SetFault(func(call string, topic sharedlog.Topic) error {
+		if topic == ledger.TopicsJobs[0] && call == "append" {
+			<-silent
+			return sharedlog.ErrUnknown
+		}
+		return nil
+	})
+	for i := range 2 * maxAppends {
+		assert.NilError(t, hosts[0].Submit(context.Background(), &queue, "org", submission(fmt.Sprintf("%016x", i+1))))
+	}
+}
+
 func TestSubmissionIsRefusedOnlyIfItCannotBeInTheLog(t *testing.T) {
 	for name, c := range map[string]struct {
 		fail error
