dispatch: three eighths of the racks for urgent work; no job held up by others of its kind

Cause: a step that leaves racks to urgent work marked its kind of task as without room, so that a later job of that kind, with no time to spare, was passed over in the same cycle. Gangs looked at no data rack.

--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -14,13 +14,20 @@
 	service, label, rack string
 	need                 job.Resources
 	most                 int
+	// priority, spare and estimate decide what reservations leave to the task.
+	priority int
+	spare    bool
+	estimate time.Duration
 }
 
 // fullShapes remembers the shapes for which no worker had room in this cycle.
 type fullShapes map[shape]bool
 
-func (s *step) shape() shape {
-	return shape{s.job.spec.Service, s.spec.Label, s.spec.DataRack, s.spec.Charge(), s.spec.MaxPerWorker}
+func (c *Core) shapeOf(now Now, s *step) shape {
+	return shape{
+		service: s.job.spec.Service, label: s.spec.Label, rack: s.spec.DataRack, need: s.spec.Charge(), most: s.spec.MaxPerWorker,
+		priority: s.job.spec.Priority, spare: c.hasSpare(now, s), estimate: s.spec.Estimate,
+	}
 }
 
 // fits reports whether w may run tasks of s at all.
@@ -59,7 +66,8 @@
 
 // placeTasks places the tasks of a step that are independent of each other.
 func (c *Core) placeTasks(now Now, s *step, full fullShapes) {
-	if full[s.shape()] {
+	kind := c.shapeOf(now, s)
+	if full[kind] {
 		return
 	}
 	waiting := c.waiting(now, s)
@@ -71,7 +79,7 @@
 				return
 			}
 			if len(t.failedOn) == 0 && s.spec.DataRack == "" {
-				full[s.shape()] = true
+				full[kind] = true
 			}
 			return
 		}
@@ -101,8 +109,8 @@
 		if !w.fits(s) || !w.free().Fits(need) || !w.usable(now.Mono) || !c.mayUse(now, s, w) {
 			continue
 		}
-		onRack := s.spec.DataRack == "" || w.Rack == s.spec.DataRack
-		if !onRack && !anyRack {
+		near := s.spec.DataRack == "" || w.Rack == s.spec.DataRack
+		if !near && !anyRack {
 			continue
 		}
 		if s.spec.MaxPerWorker > 0 && s.onWorker(w) >= s.spec.MaxPerWorker {
@@ -112,7 +120,7 @@
 			continue
 		}
 		score := s.score(w, need)
-		if !onRack {
+		if !near {
 			score += offRackScore
 		}
 		if best == nil || score < bestScore {
@@ -204,15 +212,20 @@
 	if s.job.spec.Priority == firstPriority {
 		return true
 	}
-	if w.side < urgentSide && c.slack(now, s) > time.Duration(slackMargin*float64(s.spec.Estimate)) {
+	if w.side < urgentSide && c.hasSpare(now, s) {
 		return false
 	}
 	return c.holds[w].allows(now, s)
 }
 
+// hasSpare reports whether s can wait and still be done in time.
+func (c *Core) hasSpare(now Now, s *step) bool {
+	return c.slack(now, s) > time.Duration(slackMargin*float64(s.spec.Estimate))
+}
+
 // urgentSide is the part of the fleet that work with time to spare leaves to urgent work,
 // which then begins without having to stop anything.
-const urgentSide = 0.25
+const urgentSide = 0.375
 
 // slackMargin is kept of the time to spare, as a share of the estimate, which may be short
 // by a fifth.
@@ -298,6 +311,14 @@
 }
 
 func (c *Core) findGangIn(now Now, s *step, usable []*worker) []*worker {
+	if s.spec.DataRack != "" {
+		if at := assign(s, onRack(usable, s.spec.DataRack)); at != nil {
+			return at
+		}
+		if roomFor(s, onRack(usable, s.spec.DataRack)) >= len(s.tasks) && c.waitsForRack(now, s) {
+			return nil
+		}
+	}
 	if !s.spec.SameRack {
 		return assign(s, usable)
 	}
@@ -323,13 +344,33 @@
 	if best != nil {
 		return best
 	}
-	if possible && now.Mono-s.readySince < c.spreadWait(s) {
-		c.wakeAt(now, s.readySince+c.spreadWait(s))
+	if possible && c.waitsForRack(now, s) {
 		return nil
 	}
 	return assign(s, usable)
 }
 
+// waitsForRack reports whether a gang still waits for a rack that could hold it.
+func (c *Core) waitsForRack(now Now, s *step) bool {
+	until := s.readySince + c.spreadWait(s)
+	if now.Mono >= until {
+		return false
+	}
+	c.wakeAt(now, until)
+	return true
+}
+
+// onRack returns the workers of one rack.
+func onRack(workers []*worker, rack string) []*worker {
+	var out []*worker
+	for _, w := range workers {
+		if w.Rack == rack {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
 // spreadWait is how long a gang waits for one rack before it runs on several, where it
 // takes several times as long.
 func (c *Core) spreadWait(s *step) time.Duration {
