--- /dev/null
+++ b/internal/core/dispatch/gang.go
@@ -0,0 +1,209 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"agatewinch/internal/core/job"
+)
+
+// placeGang places all tasks of a gang or none.
+func (c *Core) placeGang(now Now, s *step, full fullShapes) {
+	for _, t := range s.tasks {
+		if t.cur != nil {
+			return // an earlier run is not over everywhere
+		}
+	}
+	waiting := c.waiting(now, s)
+	if len(waiting) < len(s.tasks) {
+		return
+	}
+	at := c.findGang(now, s)
+	if at == nil {
+		if s.job.spec.Priority == firstPriority {
+			c.preempt(now, s, waiting)
+		} else {
+			c.reserve(now, s, c.holds)
+		}
+		return
+	}
+	c.startGang(now, s, at)
+}
+
+func (c *Core) startGang(now Now, s *step, at []*worker) {
+	for _, t := range s.tasks {
+		s.number = max(s.number, t.number)
+	}
+	s.number++
+	saved := ""
+	for _, t := range s.tasks {
+		if t.saved != "" {
+			saved = t.saved // any member's checkpoint is valid for the gang
+		}
+	}
+	for i, t := range s.tasks {
+		t.saved = saved
+		c.place(now, t, at[i], s.number)
+	}
+}
+
+// findGang returns a worker for each task of s, or nil. It takes a worker on which the gang
+// has failed only if there is no other way.
+func (c *Core) findGang(now Now, s *step) []*worker {
+	var sound, all []*worker
+	for _, w := range c.usableFor(now, s) {
+		if !c.mayUse(now, s, w) {
+			continue
+		}
+		all = append(all, w)
+		if !s.failedAt(w) {
+			sound = append(sound, w)
+		}
+	}
+	if roomFor(s, sound) >= len(s.tasks) {
+		return c.findGangIn(now, s, sound)
+	}
+	return c.findGangIn(now, s, all)
+}
+
+func (s *step) failedAt(w *worker) bool {
+	return s.fails > 0 && slices.ContainsFunc(s.tasks, func(t *task) bool { return t.failedAt(w) })
+}
+
+func (c *Core) findGangIn(now Now, s *step, usable []*worker) []*worker {
+	if s.spec.DataRack != "" {
+		if at := assign(s, onRack(usable, s.spec.DataRack)); at != nil {
+			return at
+		}
+		if roomFor(s, onRack(usable, s.spec.DataRack)) >= len(s.tasks) && c.waitsForRack(now, s) {
+			return nil
+		}
+	}
+	if !s.spec.SameRack {
+		return assign(s, usable)
+	}
+	var best []*worker
+	bestFree := 0.0
+	possible := false
+	for _, group := range byRack(usable) {
+		if roomFor(s, group) >= len(s.tasks) {
+			possible = true
+		}
+		at := assign(s, group)
+		if at == nil {
+			continue
+		}
+		free := 0.0
+		for _, w := range group {
+			free += s.score(w, job.Resources{})
+		}
+		if best == nil || free < bestFree {
+			best, bestFree = at, free
+		}
+	}
+	if best != nil {
+		return best
+	}
+	if possible && c.waitsForRack(now, s) {
+		return nil
+	}
+	return assign(s, usable)
+}
+
+// waitsForRack reports whether a gang still waits for a rack that could hold it.
+func (c *Core) waitsForRack(now Now, s *step) bool {
+	until := s.readySince + c.spreadWait(s)
+	if now.Mono >= until {
+		return false
+	}
+	c.wakeAt(now, until)
+	return true
+}
+
+// onRack returns the workers of one rack.
+func onRack(workers []*worker, rack string) []*worker {
+	var out []*worker
+	for _, w := range workers {
+		if w.Rack == rack {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// spreadWait is how long a gang waits for one rack before it runs on several, where it
+// takes several times as long.
+func (c *Core) spreadWait(s *step) time.Duration {
+	if s.job.spec.Priority == firstPriority {
+		return urgentSpreadWait
+	}
+	return min(time.Duration(float64(s.spec.Estimate)*(c.set.SpreadFactor-1)), maxSpreadWait)
+}
+
+const (
+	// urgentSpreadWait leaves most of the reclaim time for the start itself.
+	urgentSpreadWait = time.Second
+	// maxSpreadWait bounds the wait of other gangs for one rack.
+	maxSpreadWait = 12 * time.Second
+)
+
+// byRack groups workers by rack, in the order of rack names.
+func byRack(workers []*worker) [][]*worker {
+	groups := map[string][]*worker{}
+	for _, w := range workers {
+		groups[w.Rack] = append(groups[w.Rack], w)
+	}
+	names := make([]string, 0, len(groups))
+	for n := range groups {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	out := make([][]*worker, 0, len(names))
+	for _, n := range names {
+		out = append(out, groups[n])
+	}
+	return out
+}
+
+// roomFor counts the tasks of s that a group could hold if it were empty.
+func roomFor(s *step, group []*worker) int {
+	n := 0
+	for _, w := range group {
+		n += timesFit(w.Capacity, s.spec.Charge(), s.spec.MaxPerWorker)
+	}
+	return n
+}
+
+func timesFit(room, need job.Resources, most int) int {
+	n := 1 << 20
+	for _, d := range [3][2]int64{{room.CPU, need.CPU}, {room.MemMB, need.MemMB}, {room.Accelerators, need.Accelerators}} {
+		if d[1] > 0 {
+			n = min(n, int(max(0, d[0])/d[1]))
+		}
+	}
+	if most > 0 {
+		n = min(n, most)
+	}
+	return n
+}
+
+// assign fills the workers with least room first; it returns nil if not all tasks fit.
+func assign(s *step, group []*worker) []*worker {
+	need := s.spec.Charge()
+	order := slices.Clone(group)
+	slices.SortStableFunc(order, func(a, b *worker) int {
+		return cmp.Compare(s.score(a, job.Resources{}), s.score(b, job.Resources{}))
+	})
+	var at []*worker
+	for _, w := range order {
+		n := timesFit(w.free(), need, s.spec.MaxPerWorker)
+		for range n {
+			at = append(at, w)
+			if len(at) == len(s.tasks) {
+				return at
+			}
+		}
+	}
+	return nil
+}
--- a/internal/core/dispatch/preempt.go
+++ b/internal/core/dispatch/preempt.go
@@ -313,28 +313,3 @@
 	}
 	return sum
 }
-
-// stallTime is how long a run's progress may stand still; a worker is looked at every
-// two seconds, so that this takes two looks without progress.
-const stallTime = 3500 * time.Millisecond
-
-// watchStalled moves tasks that make no progress to other workers.
-func (c *Core) watchStalled(now Now) {
-	for _, w := range c.sorted {
-		if w.misses > 0 {
-			continue
-		}
-		for _, r := range c.runsOf(w) {
-			if r.phase != running || r.task.step.spec.LongRunning || w.holdAt <= r.percentAt+stallTime || r.percent >= 100 || r.seenAt+stallTime > w.holdAt {
-				continue
-			}
-			c.note(Note{What: "stalled", Task: r.task.id.String(), Run: r.number, Worker: w.ID})
-			r.task.failedOn = append(r.task.failedOn, w.ID)
-			w.health.quarantine(now.Mono)
-			c.stop(now, r, "stalled")
-			if r.task.step.spec.Gang {
-				c.breakGang(now, r.task.step, r.number)
-			}
-		}
-	}
-}
