dispatch: racks are left to urgent work only while it comes

Ruled out: a lost job (its submission was read) and the takeover at 44 s. Change: racks are left for 4 s after the newest urgent job, and a cycle is due when that or the time to spare ends. The test fails without the change.

--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -22,6 +22,9 @@
 	dirty bool
 	// guaranteed is the accelerators that each organisation owns.
 	guaranteed map[string]int64
+	// urgentAt is when the newest job of the first priority came, if any has.
+	urgentAt   time.Duration
+	urgentSeen bool
 	// urgentMean is the mean work of the first priority's jobs, in core-seconds.
 	urgentMean float64
 	// holds is the room that is kept for gangs in this cycle, for reserved of them.
@@ -79,6 +82,7 @@
 		j.occ = append(j.occ, o)
 	}
 	if spec.Priority == firstPriority {
+		c.urgentAt, c.urgentSeen = now.Mono, true
 		if c.urgentMean == 0 {
 			c.urgentMean = j.work
 		}
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -241,6 +241,8 @@
 	b := newBed(t)
 	b.core.SetGuarantees(map[string]int64{"org": 48})
 	b.core.SetWorkers(b.clock(), b.fleet(48, whole))
+	b.add(single("first", 0, 1, one))
+	b.accept()
 	low := single("low", 2, 500, one)
 	low.Steps[0].Estimate = 10 * time.Second
 	b.add(low)
@@ -252,6 +254,24 @@
 	assert.Equal(t, len(b.stops), 0)
 }
 
+// The load: a wide gang that comes when the urgent traffic has ended. It must not wait on an
+// idle fleet.
+func TestNoRacksAreLeftWhenNoUrgentWorkComes(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(24, whole))
+	b.add(gang("wide", 1, 24, whole))
+	assert.Equal(t, len(b.accept()), 24)
+
+	b = newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(24, whole))
+	b.add(single("urgent", 0, 1, one))
+	b.end(b.accept()[0], job.EndDone)
+	b.add(gang("wide", 1, 24, whole))
+	assert.Equal(t, len(b.starts), 0)
+	b.pass(urgentRecent + 250*time.Millisecond)
+	assert.Equal(t, len(b.starts), 24)
+}
+
 func TestWorkWithoutTimeToSpareTakesAllRacks(t *testing.T) {
 	b := newBed(t)
 	b.now = time.Minute
@@ -426,6 +446,8 @@
 	b := newBed(t)
 	b.now = time.Minute
 	b.core.SetWorkers(b.clock(), b.fleet(24, whole))
+	b.add(single("first", 0, 1, one))
+	b.end(b.accept()[0], job.EndDone)
 	b.add(single("spare", 2, 200, one))
 	assert.Equal(t, len(b.accept()), 12*8)
 	late := single("late", 2, 200, one)
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -25,7 +25,7 @@
 func (c *Core) shapeOf(now Now, s *step) shape {
 	return shape{
 		service: s.job.spec.Service, label: s.spec.Label, rack: s.spec.DataRack, need: s.spec.Charge(), most: s.spec.MaxPerWorker,
-		priority: s.job.spec.Priority, spare: c.hasSpare(now, s), estimate: s.spec.Estimate,
+		priority: s.job.spec.Priority, spare: c.leavesRacks(now, s), estimate: s.spec.Estimate,
 	}
 }
 
@@ -145,17 +145,32 @@
 	if s.job.spec.Priority == firstPriority {
 		return true
 	}
-	if w.side < urgentSide && c.hasSpare(now, s) {
+	if w.side < urgentSide && c.leavesRacks(now, s) {
 		return false
 	}
 	return c.holds[w].allows(now, s)
 }
 
-// hasSpare reports whether s can wait and still be done in time.
-func (c *Core) hasSpare(now Now, s *step) bool {
-	return c.slack(now, s) > time.Duration(slackMargin*float64(s.spec.Estimate))
+// leavesRacks reports whether s can wait and still be done in time, while urgent work comes.
+// Without urgent work there is nothing to leave racks to.
+func (c *Core) leavesRacks(now Now, s *step) bool {
+	spare := c.slack(now, s) - time.Duration(slackMargin*float64(s.spec.Estimate))
+	until := now.Mono + spare
+	if !c.urgentSeen {
+		return false
+	}
+	until = min(until, c.urgentAt+urgentRecent)
+	if until <= now.Mono {
+		return false
+	}
+	c.wakeAt(now, until)
+	return true
 }
 
+// urgentRecent is how long after the newest urgent job racks are left to the next one: the
+// urgent work of both sites comes more than once a second.
+const urgentRecent = 4 * time.Second
+
 // urgentSide is the part of the fleet that work with time to spare leaves to urgent work,
 // which then begins without having to stop anything.
 const urgentSide = 0.375
