scheduler: a planned stop returns only once the role is put down

Cause: the election clears its hold of the role before it has the scheduler deactivate it; Stop looked at the election alone and could return between the two, while the zone was still served. Ruled out: the hand-over timeout (the failure came after 0.42 s, the timeout is 3 s) and a standby that was not seen (the test starts it first). With a pause of 100 ms between the two steps, on a scratch copy, TestPlannedStopHandsOverAndWaitersAreSentOn fails after 0.47 s at the assertion that the role is not served. Change: Stop waits for both.

--- a/internal/scheduler/role.go
+++ b/internal/scheduler/role.go
@@ -120,7 +120,8 @@
 	s.election.Stop()
 	s.waitUntil(ctx, handOverTimeout, func() bool {
 		active, _ := s.election.Active()
-		return !active || !s.hasStandby()
+		// The election lets go of the role before its work here has ended.
+		return !active && !s.serving.Load() || !s.hasStandby()
 	})
 	s.waitUntil(ctx, flushTimeout, func() bool { return s.unwritten.Load() == 0 || !s.election.LogUp() })
 }
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -404,6 +404,38 @@
 	assert.Equal(t, c.fleet.startsOf(req.Job.ID), 2)
 }
 
+// TestPlannedStopReturnsOnlyOnceTheRoleIsPutDown holds the loop up while the election
+// gives the role away: until the loop has put it down, this process still serves it.
+func TestPlannedStopReturnsOnlyOnceTheRoleIsPutDown(t *testing.T) {
+	c := newCluster(t)
+	first := c.start("h1")
+	c.serving(first)
+	c.start("h2")
+	held, release := make(chan struct{}), make(chan struct{})
+	first.post(t.Context(), func() {
+		close(held)
+		<-release
+	})
+	<-held
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		first.Stop(t.Context())
+	}()
+	c.eventually("the election gives the role away", func() bool {
+		active, _ := first.election.Active()
+		return !active
+	})
+	select {
+	case <-stopped:
+		t.Error("Stop returned while the role was still served")
+	case <-time.After(10 * stopPoll):
+	}
+	close(release)
+	<-stopped
+	assert.Assert(t, !first.serving.Load())
+}
+
 // TestTwoActiveSchedulersRunANonIdempotentJobOnce cuts the first holder off from the log,
 // the workers and its peer, so that both hold the role with the same accepted job; then
 // the first is joined again, workers first or log first.
