dispatch: workers that were cut off are used again; late ends are recorded; no long waits on a quiet fleet

Cause: a worker with two unanswered calls is not used until it answers a look, and looks go only where something runs. A worker born again kept its misses too. Read beside it: an end of a run that had been taken as lost was acknowledged but not recorded, so that a successor would run the task again; a task could wait 6 s for its data's rack, and behind reservations, while the fleet stood idle. Ruled out: silent connections after a cut (all workers that were looked at again answered within 5 s of its end). Change: unreachable workers that are listed are looked at once a second; a new life clears the misses; late ends are recorded; on a quiet fleet (no job for 5 s, under 0.6 in use) waits for a rack end after 1.5 s and reservations hold nothing up.

--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -25,6 +25,8 @@
 	// urgentAt is when the newest job of the first priority came, if any has.
 	urgentAt   time.Duration
 	urgentSeen bool
+	// arrivedAt is when the newest job came.
+	arrivedAt time.Duration
 	// urgentMean is the mean work of the first priority's jobs, in core-seconds.
 	urgentMean float64
 	// holds is the room that is kept for gangs in this cycle, for reserved of them.
@@ -61,6 +63,7 @@
 	c.seq++
 	j := &jobRun{spec: spec, seq: c.seq}
 	c.jobs[spec.ID] = j
+	c.arrivedAt = now.Mono
 	for k := range spec.Occurrences() {
 		o := &occurrence{index: k}
 		if spec.Times > 0 {
--- a/internal/core/dispatch/gang.go
+++ b/internal/core/dispatch/gang.go
@@ -113,7 +113,7 @@
 
 // waitsForRack reports whether a gang still waits for a rack that could hold it.
 func (c *Core) waitsForRack(now Now, s *step) bool {
-	until := s.readySince + c.spreadWait(s)
+	until := s.readySince + c.rackPatience(now, c.spreadWait(s))
 	if now.Mono >= until {
 		return false
 	}
--- a/internal/core/dispatch/hold.go
+++ b/internal/core/dispatch/hold.go
@@ -14,11 +14,19 @@
 	}
 	w.holding = false
 	w.holdAt = now.Mono + holdRetry
+	if len(w.runs) == 0 {
+		w.holdAt = now.Mono + probeRetry
+	}
 	if w.Born != h.Born {
 		return
 	}
+	c.missed(w, o)
+}
+
+// missed counts a call that a worker did not answer.
+func (c *Core) missed(w *worker, o Outcome) {
 	w.misses++
-	if w.misses == 2 {
+	if w.misses == maxMisses {
 		c.note(Note{What: "worker unreachable", Worker: w.ID, Why: o.String()})
 	}
 }
@@ -37,7 +45,7 @@
 	if rep.Born != w.Born {
 		return
 	}
-	if w.misses >= 2 {
+	if w.unreachable() {
 		c.note(Note{What: "worker reachable", Worker: w.ID})
 	}
 	if w.misses > 0 {
@@ -86,6 +94,7 @@
 			c.stop(now, t.cur, "done by another run")
 		}
 		c.markDone(now, t)
+		c.record(t) // the end is acknowledged with this batch
 		c.checkDone(now, t.step.job)
 	}
 }
@@ -107,8 +116,12 @@
 			r.percent, r.percentAt = row.Percent, now.Mono
 		}
 		c.beginRun(now, r)
-		if r.phase == running && t.step.job.closed() && !t.done {
+		switch {
+		case r.phase != running:
+		case t.step.job.closed() && !t.done:
 			c.stop(now, r, "job over")
+		case t.done && !t.step.spec.Gang:
+			c.stop(now, r, "done by another run")
 		}
 	}
 	return listed
@@ -183,5 +196,8 @@
 	if !need && w.noted > w.acked {
 		return 0, true
 	}
+	if !need && w.unreachable() && w.listed && !w.Draining {
+		return 0, true // nothing else would tell that it can be used again
+	}
 	return wait, need
 }
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -99,9 +99,12 @@
 	var best *worker
 	var bestScore float64
 	need := s.spec.Charge()
-	anyRack := s.spec.DataRack == "" || now.Mono-s.readySince >= c.offRackWait(s)
+	anyRack := s.spec.DataRack == ""
 	if !anyRack {
-		c.wakeAt(now, s.readySince+c.offRackWait(s))
+		wait := c.rackPatience(now, c.offRackWait(s))
+		if anyRack = now.Mono-s.readySince >= wait; !anyRack {
+			c.wakeAt(now, s.readySince+wait)
+		}
 	}
 	avoid := c.elsewhere(now, s, t)
 	for _, w := range c.sorted {
@@ -148,7 +151,43 @@
 	if w.side < urgentSide && c.leavesRacks(now, s) {
 		return false
 	}
-	return c.holds[w].allows(now, s)
+	return c.holds[w].allows(now, s) || c.quiet(now)
+}
+
+const (
+	// quietAfter is how long no job may have come for the fleet to count as quiet: several
+	// times the usual distance between jobs.
+	quietAfter = 5 * time.Second
+	// quietUse is the share of the fleet in use, of the scarcest resource, below which it
+	// counts as quiet.
+	quietUse = 0.6
+	// quietRackWait is how long work waits for one rack on a quiet fleet.
+	quietRackWait = 1500 * time.Millisecond
+)
+
+// quiet reports whether no new work comes and much of the fleet is idle. Nothing is then
+// kept waiting for a better place for long: the load is the rest of a day, when what waits
+// would only wait.
+func (c *Core) quiet(now Now) bool {
+	if until := c.arrivedAt + quietAfter; now.Mono < until {
+		c.wakeAt(now, until)
+		return false
+	}
+	var used, all job.Resources
+	for _, w := range c.sorted {
+		if w.listed {
+			used, all = used.Plus(w.used), all.Plus(w.Capacity)
+		}
+	}
+	return max(share(used.CPU, all.CPU), share(used.MemMB, all.MemMB), share(used.Accelerators, all.Accelerators)) < quietUse
+}
+
+// rackPatience shortens a wait for one rack on a quiet fleet.
+func (c *Core) rackPatience(now Now, wait time.Duration) time.Duration {
+	if wait > quietRackWait && c.quiet(now) {
+		return quietRackWait
+	}
+	return wait
 }
 
 // leavesRacks reports whether s can wait and still be done in time, while urgent work comes.
--- /dev/null
+++ b/internal/core/dispatch/quiet_test.go
@@ -0,0 +1,48 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"agatewinch/internal/core/job"
+)
+
+// The load: the end of a day. No job comes, most of the fleet is idle, and the rack that a
+// task's data lies on is full: the task runs elsewhere before long.
+func TestNoLongWaitForARackOnAQuietFleet(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(24, whole))
+	full := single("full", 1, 6, whole)
+	full.Steps[0].DataRack = "r0"
+	b.add(full)
+	assert.Equal(t, len(b.accept()), 6)
+	j := single("j", 1, 1, one)
+	j.Steps[0].DataRack = "r0"
+	j.Steps = append([]job.Step{{Count: 1, Need: one}}, j.Steps...)
+	j.Steps[1].After = []int{0}
+	b.add(j)
+	first := b.accept()[0]
+	b.pass(6 * time.Second)
+	b.end(first, job.EndDone)
+	assert.Equal(t, len(b.starts), 0)
+	b.pass(2 * time.Second)
+	assert.Equal(t, len(b.starts), 1)
+}
+
+// The load: as above, with room kept for a gang that waits for what a task could use.
+func TestReservationsHoldNothingUpOnAQuietFleet(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(2, job.Resources{CPU: 64000, MemMB: 64000, Accelerators: 8}))
+	b.add(single("busy", 1, 1, job.Resources{CPU: 1000, MemMB: 1000, Accelerators: 2}))
+	b.accept()
+	g := gang("g", 1, 2, job.Resources{CPU: 1000, MemMB: 1000, Accelerators: 8})
+	b.add(g)
+	long := single("long", 2, 1, job.Resources{CPU: 1000, MemMB: 1000, Accelerators: 1})
+	long.Steps[0].Estimate = 20 * time.Second
+	b.add(long)
+	assert.Equal(t, len(b.starts), 0)
+	b.pass(quietAfter + time.Second)
+	assert.Equal(t, len(b.starts), 1)
+}
--- a/internal/core/dispatch/settle.go
+++ b/internal/core/dispatch/settle.go
@@ -62,7 +62,7 @@
 	w.Born = born
 	w.ClockMs, w.clockAt, w.leaseMs, w.adoptedUntil = 0, now.Mono, 0, 0
 	w.settled, w.noted, w.acked = 0, 0, 0
-	w.heard = false
+	w.heard, w.misses = false, 0
 	for _, r := range c.runsOf(w) {
 		c.settle(now, r, job.EndLost, r.saved)
 	}
@@ -88,7 +88,7 @@
 	case Accepted:
 		c.beginRun(now, r)
 	case Unanswered:
-		r.worker.misses++
+		c.missed(r.worker, o)
 		c.stop(now, r, "start unanswered")
 	case RefusedRoom, Refused:
 		c.settle(now, r, job.EndVoid, r.task.saved)
--- a/internal/core/dispatch/world.go
+++ b/internal/core/dispatch/world.go
@@ -40,6 +40,12 @@
 	// holdRetry is the pause after a look that was not answered; a third of the
 	// shortest lease leaves several tries.
 	holdRetry = 300 * time.Millisecond
+	// probeRetry is the pause between looks at a worker that does not answer and on which
+	// nothing can run any more: each look is priced.
+	probeRetry = time.Second
+	// maxMisses is how many calls in a row may stay without an answer before a worker is
+	// taken as unreachable; a single answer may be lost.
+	maxMisses = 2
 	// stopRetry is the pause after a stop that was not answered.
 	stopRetry = 250 * time.Millisecond
 	// unhealthyPause keeps work off a worker that refused a start.
@@ -205,9 +211,11 @@
 
 // usable reports whether new work may be placed on w.
 func (w *worker) usable(now time.Duration) bool {
-	return w.listed && !w.Draining && now >= w.pauseTo && w.misses < 2 && !w.health.quarantined(now) && !w.hasAdopted()
+	return w.listed && !w.Draining && now >= w.pauseTo && !w.unreachable() && !w.health.quarantined(now) && !w.hasAdopted()
 }
 
+func (w *worker) unreachable() bool { return w.misses >= maxMisses }
+
 func (w *worker) hasAdopted() bool {
 	if w.heard || w.adoptedUntil == 0 {
 		return false
