entry: a question asked just before its job's end is answered with the end

Urgent work has about a second to spare. Change: a question about a job that runs waits for records for 100 ms at most; it ends the host's pause between reads, and the host reads in steps of 25 ms meanwhile. No read of its own any more. TestQuestionAskedJustBeforeTheEndIsAnsweredWithIt fails before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -78,13 +78,13 @@
 	// within three seconds.
 	readWait = 1500 * time.Millisecond
 	// followPause lets records come together on a host that does not decide; each read is
-	// priced, and there are many hosts. A caller's question is answered from a read of
-	// its own.
+	// priced, and there are many hosts. A caller's question ends the pause.
 	followPause = 250 * time.Millisecond
-	// freshTime is how old a read may be for a caller's question, and freshenTimeout how
-	// long one is waited for: several times the log's usual answer time.
-	freshTime      = 20 * time.Millisecond
-	freshenTimeout = 300 * time.Millisecond
+	// stateWait is how long a caller's question waits for a change of its job: several
+	// times what an end takes from the worker through the log.
+	stateWait = 100 * time.Millisecond
+	// askedWait is how long one read waits while a question waits for it.
+	askedWait = 25 * time.Millisecond
 	// catalogWait is shorter, since the configuration has to be in force in two seconds.
 	catalogWait = time.Second
 	// retryFirst and retryMax space the calls to a log that does not answer.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -152,6 +152,47 @@
 	assert.Equal(t, len(w.starts), 2)
 }
 
+// The load: callers ask as soon as their job's last task has ended, which is before its end
+// is in the log, and again only a while later.
+func TestQuestionAskedJustBeforeTheEndIsAnsweredWithIt(t *testing.T) {
+	for name, paused := range map[string]bool{"standby": false, "holder of the role": true} {
+		t.Run(name, func(t *testing.T) {
+			ctx, log := t.Context(), memlog.New()
+			h := newHost(log, &workers{}, "host")
+			j := submission("0000000000000001")
+			j.Org = "org"
+			rec, err := ledger.JobRecord(j)
+			assert.NilError(t, err)
+			_, err = log.Append(ctx, ledger.TopicsJobs[0], []sharedlog.Record{rec}, sharedlog.AppendOptions{})
+			assert.NilError(t, err)
+			for _, f := range append(h.jobs, h.state) {
+				assert.NilError(t, f.load(ctx))
+				assert.NilError(t, f.step(ctx, 0))
+			}
+			if paused {
+				h.state.pause()
+			} else {
+				following, stop := context.WithCancel(ctx)
+				var wait sync.WaitGroup
+				wait.Go(func() { assert.Check(t, h.state.run(following)) })
+				t.Cleanup(func() { stop(); wait.Wait() })
+			}
+			time.AfterFunc(stateWait/4, func() {
+				end, err := ledger.EndRecord(j.ID, ledger.Ended{State: job.Succeeded, AtMs: 1})
+				assert.Check(t, err)
+				at, err := log.Append(ctx, ledger.TopicState, []sharedlog.Record{end}, sharedlog.AppendOptions{})
+				assert.Check(t, err)
+				if paused {
+					h.state.ingest(at, []sharedlog.Record{end}, at+1)
+				}
+			})
+			state, err := h.State(ctx, &queue, "org", j.ID)
+			assert.NilError(t, err)
+			assert.Equal(t, state, job.Succeeded)
+		})
+	}
+}
+
 // The fault: the log answers a repeated epoch and sequence as it did the first time.
 func TestOnlyOneHostWinsAnEpoch(t *testing.T) {
 	hosts, _ := run(t, memlog.New(), 8)
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -26,12 +26,17 @@
 	// paused followers leave the topic to its only writer, which folds what it appends.
 	paused bool
 	resume chan struct{}
+	// folded is closed, and replaced, when records were folded.
+	folded chan struct{}
+	// waiters counts the questions that wait for records, and wake ends a pause for them.
+	waiters int
+	wake    chan struct{}
 	// changed is signalled after records were folded.
 	changed func()
 }
 
 func newFollower(h *Host, topic sharedlog.Topic, changed func()) *follower {
-	return &follower{host: h, topic: topic, next: -1, resume: make(chan struct{}, 1), changed: changed}
+	return &follower{host: h, topic: topic, next: -1, resume: make(chan struct{}, 1), folded: make(chan struct{}), wake: make(chan struct{}, 1), changed: changed}
 }
 
 func newBackoff() *backoff.ExponentialBackOff {
@@ -51,14 +56,14 @@
 			continue
 		}
 		before := f.position()
-		if err := f.step(ctx, readWait); err != nil {
+		if err := f.step(ctx, f.readWait()); err != nil {
 			f.fail(err)
 			sleep(ctx, retry.NextBackOff())
 			continue
 		}
 		retry.Reset()
 		if f.position() != before && !f.host.role.isLeading() {
-			sleep(ctx, followPause) // the next records are read together
+			f.pauseReads(ctx)
 		}
 	}
 	return nil
@@ -118,6 +123,10 @@
 		f.caughtUp = true
 	}
 	f.answered()
+	if len(records) > 0 {
+		close(f.folded)
+		f.folded = make(chan struct{})
+	}
 	f.mu.Unlock()
 	if len(records) > 0 && f.changed != nil {
 		f.changed()
@@ -141,19 +150,62 @@
 	}
 }
 
-// freshen reads what is new, if the topic was not read a moment ago. A log that does not
-// answer is not waited for: what is known is shown.
-func (f *follower) freshen(ctx context.Context) {
+// await returns when records were folded, and reports whether it is worth waiting for more.
+// A log that does not answer is not waited for: what is known is shown.
+func (f *follower) await(ctx context.Context) bool {
 	f.mu.Lock()
-	skip := f.paused || f.lost || time.Since(f.contact) < freshTime
+	folded, lost := f.folded, f.lost
+	f.waiters++
 	f.mu.Unlock()
-	if skip {
+	defer func() {
+		f.mu.Lock()
+		f.waiters--
+		f.mu.Unlock()
+	}()
+	if lost {
+		return false
+	}
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+	select {
+	case <-folded:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// readWait is how long the next read waits for a record. A read that reaches the log at the
+// moment of an append may not be told of it: while a question waits, reads are short.
+func (f *follower) readWait() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.waiters > 0 {
+		return askedWait
+	}
+	return readWait
+}
+
+// pauseReads lets records come together, unless a caller's question waits for them.
+func (f *follower) pauseReads(ctx context.Context) {
+	f.mu.Lock()
+	wanted := f.waiters > 0
+	f.mu.Unlock()
+	if wanted {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, freshenTimeout)
-	defer cancel()
-	if err := f.catchUp(ctx); err != nil {
-		f.fail(err)
+	select { // a question that has been answered asks for no more
+	case <-f.wake:
+	default:
+	}
+	t := time.NewTimer(followPause)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-f.wake:
+	case <-ctx.Done():
 	}
 }
 
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -75,12 +75,24 @@
 		return "", errkind.New(errkind.JobUnknown, "no such job")
 	}
 	if state == job.Pending || state == job.Running {
-		h.state.freshen(ctx)
-		state, _, _ = h.lookUp(id)
+		state = h.awaitChange(ctx, id, state)
 	}
 	return state, nil
 }
 
+// awaitChange returns the state of a job once it is another one, or after a short wait.
+// Callers ask as soon as their job's last task has ended, and again only a while later.
+func (h *Host) awaitChange(ctx context.Context, id string, state job.State) job.State {
+	ctx, cancel := context.WithTimeout(ctx, stateWait)
+	defer cancel()
+	for {
+		more := h.state.await(ctx)
+		if now, _, ok := h.lookUp(id); !more || (ok && now != state) {
+			return now
+		}
+	}
+}
+
 func (h *Host) lookUp(id string) (job.State, string, bool) {
 	state, _, ok := h.ledger.StateOf(id)
 	if !ok {
