dispatch, entry: cuts cost a look, not a lease; a holder that workers do not answer gives the role up

A refused start paused its task for 0.3 s, where its worker is paused already. A connection that could not be opened counted as the worker's answer. A holder in a cut zone kept the role while hosts elsewhere reached the workers. Change: one call without an answer makes a worker unreachable until it answers a look, which goes out at once; when a second one of a zone does not answer, the others of that zone that were not heard for 0.5 s are looked at first; runs of a former holder are over once a look with the new epoch does not list them; the task of a refused start is placed again at once; a holder that most workers have not answered for a second gives the role up and leaves it to others for 6 s. Before: the four new tests fail.

--- a/internal/core/dispatch/actions.go
+++ b/internal/core/dispatch/actions.go
@@ -135,4 +135,6 @@
 	OtherLife
 	// Fenced says that a higher epoch has been seen.
 	Fenced
+	// NoConnection says that the worker could not be reached: nothing was sent.
+	NoConnection
 )
--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -29,6 +29,8 @@
 	arrivedAt time.Duration
 	// urgentMean is the mean work of the first priority's jobs, in core-seconds.
 	urgentMean float64
+	// doubted is when each zone's workers were last looked at because some did not answer.
+	doubted map[string]time.Duration
 	// holds is the room that is kept for gangs in this cycle, for reserved of them.
 	holds    map[*worker]*hold
 	reserved int
@@ -38,7 +40,7 @@
 
 // New returns a core that knows nothing.
 func New(set Settings) *Core {
-	c := &Core{set: set, jobs: map[string]*jobRun{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}}
+	c := &Core{set: set, jobs: map[string]*jobRun{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, doubted: map[string]time.Duration{}}
 	c.openBatch()
 	return c
 }
@@ -114,7 +116,7 @@
 			// That life of the worker is over.
 			return
 		}
-		c.put(&run{task: t, number: r.Run, worker: w, phase: adopted, need: t.step.spec.Charge(), began: now.Mono, percentAt: now.Mono, saved: r.Checkpoint})
+		c.put(&run{task: t, number: r.Run, worker: w, phase: adopted, inherited: true, need: t.step.spec.Charge(), began: now.Mono, percentAt: now.Mono, saved: r.Checkpoint})
 		w.adoptedUntil = max(w.adoptedUntil, now.Mono+c.set.UnheardLease+time.Duration(float64(c.set.Lease)/slowestClock)+lapseMargin)
 	}
 }
--- a/internal/core/dispatch/hold.go
+++ b/internal/core/dispatch/hold.go
@@ -14,20 +14,12 @@
 	}
 	w.holding = false
 	w.holdAt = now.Mono + holdRetry
-	if len(w.runs) == 0 {
-		w.holdAt = now.Mono + probeRetry
-	}
 	if w.Born != h.Born {
 		return
 	}
-	c.missed(w, o)
-}
-
-// missed counts a call that a worker did not answer.
-func (c *Core) missed(w *worker, o Outcome) {
-	w.misses++
-	if w.misses == maxMisses {
-		c.note(Note{What: "worker unreachable", Worker: w.ID, Why: o.String()})
+	c.missed(now, w, o)
+	if len(w.runs) == 0 {
+		w.holdAt = now.Mono + probeRetry
 	}
 }
 
@@ -45,13 +37,7 @@
 	if rep.Born != w.Born {
 		return
 	}
-	if w.unreachable() {
-		c.note(Note{What: "worker reachable", Worker: w.ID})
-	}
-	if w.misses > 0 {
-		w.misses = 0
-		c.dirty = true
-	}
+	c.answered(now, w)
 	if !w.heard {
 		w.heard = true
 		c.dirty = true
@@ -144,7 +130,7 @@
 			continue
 		}
 		switch {
-		case r.phase == adopted:
+		case r.phase == adopted, r.phase == stopping && r.inherited && !r.seen:
 			// The hold carried this decider's epoch: an older start is refused now.
 			c.settle(now, r, job.EndVoid, r.task.saved)
 		case r.phase == stopping && r.stopAcked && r.stopAckedAt <= h.sentAt:
@@ -183,6 +169,9 @@
 }
 
 func (c *Core) holdNeed(w *worker) (time.Duration, bool) {
+	if w.unreachable() && w.listed && !w.Draining {
+		return 0, true // only an answer tells that it can be used again
+	}
 	wait, need := c.set.HoldWait, false
 	for r := range w.runs {
 		switch {
@@ -196,8 +185,5 @@
 	if !need && w.noted > w.acked {
 		return 0, true
 	}
-	if !need && w.unreachable() && w.listed && !w.Draining {
-		return 0, true // nothing else would tell that it can be used again
-	}
 	return wait, need
 }
--- a/internal/core/dispatch/reach_test.go
+++ b/internal/core/dispatch/reach_test.go
@@ -21,6 +21,70 @@
 	}
 }
 
+// listIn lists the bed's workers with a zone for each six.
+func (b *bed) listIn(n int, capacity job.Resources) []WorkerInfo {
+	list := b.fleet(n, capacity)
+	for i := range list {
+		list[i].Zone = "zone-" + list[i].Rack
+	}
+	return list
+}
+
+// The load: a zone that is cut off while nothing runs there. After two workers did not
+// answer, a gang is placed elsewhere though the others of the zone have not been tried.
+func TestZoneOfUnreachableWorkersIsDoubted(t *testing.T) {
+	b := newBed(t)
+	b.now = time.Minute
+	b.core.SetWorkers(b.clock(), b.listIn(12, whole))
+	b.add(gang("g", 1, 2, whole))
+	first := b.starts
+	b.starts = nil
+	zone := b.core.workers[first[0].Worker].Zone
+	assert.Equal(t, b.core.workers[first[1].Worker].Zone, zone)
+	for _, s := range first {
+		b.core.Started(b.clock(), s, NoConnection)
+		b.step()
+	}
+	assert.Assert(t, len(b.holds) >= 6, "all workers of the zone are looked at")
+	assert.Equal(t, len(b.starts), 2)
+	for _, s := range b.starts {
+		assert.Assert(t, b.core.workers[s.Worker].Zone != zone)
+	}
+	answering, listed := b.core.Reach()
+	assert.Equal(t, answering, 6)
+	assert.Equal(t, listed, 12)
+}
+
+// The load: a takeover between a gang's record and its start. That no member is there is
+// known from the first look at each worker; the gang need not wait for stops.
+func TestGangThatItsFormerDeciderDidNotStartBeginsAtOnce(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(2, whole))
+	records := map[string]job.TaskRecord{}
+	for i, w := range []string{"w0", "w1"} {
+		records[job.TaskID{Job: "g", Index: i}.String()] = job.TaskRecord{Run: 1, Worker: w, Born: 1, Active: true}
+	}
+	b.core.AddJob(b.clock(), gang("g", 0, 2, whole), records)
+	b.step()
+	b.report("w0", Report{Born: 1, ClockMs: 10, Running: []RunningTask{}})
+	b.report("w1", Report{Born: 1, ClockMs: 10, Running: []RunningTask{}})
+	assert.Equal(t, len(b.starts), 2)
+	assert.Equal(t, b.starts[0].Run, 2)
+}
+
+// The load: a worker that refuses a start. The task goes elsewhere at once.
+func TestRefusedStartIsPlacedElsewhereAtOnce(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(2, whole))
+	b.add(single("j", 0, 1, one))
+	first := b.starts[0]
+	b.starts = nil
+	b.core.Started(b.clock(), first, RefusedUnhealthy)
+	b.step()
+	assert.Equal(t, len(b.starts), 1)
+	assert.Assert(t, b.starts[0].Worker != first.Worker)
+}
+
 // The load: workers that are cut off until all that they ran has lapsed, and then heal. They
 // stay listed all the while, and nothing that runs there asks for a look.
 func TestWorkerThatWasCutOffIsUsedAgain(t *testing.T) {
--- a/internal/core/dispatch/settle.go
+++ b/internal/core/dispatch/settle.go
@@ -83,22 +83,21 @@
 	if !r.worker.runs[r] || r.worker.Born != s.Born {
 		return
 	}
+	if o != Unanswered && o != NoConnection {
+		c.answered(now, r.worker)
+	}
 	c.note(Note{What: "start answered", Task: s.Task.String(), Run: s.Run, Worker: s.Worker, Why: o.String()})
 	switch o {
 	case Accepted:
 		c.beginRun(now, r)
 	case Unanswered:
-		c.missed(r.worker, o)
+		c.missed(now, r.worker, o)
 		c.stop(now, r, "start unanswered")
-	case RefusedRoom, Refused:
-		c.settle(now, r, job.EndVoid, r.task.saved)
-		if o == RefusedRoom {
-			r.worker.pauseTo = now.Mono + unhealthyPause
-		}
-	case RefusedUnhealthy:
-		r.worker.pauseTo = now.Mono + unhealthyPause
+	case NoConnection:
+		c.missed(now, r.worker, o)
 		c.settle(now, r, job.EndVoid, r.task.saved)
-	case OtherLife:
+	case RefusedRoom, Refused, RefusedUnhealthy, OtherLife:
+		// The worker pauses, so that the task need not.
 		r.worker.pauseTo = now.Mono + unhealthyPause
 		c.settle(now, r, job.EndVoid, r.task.saved)
 	}
@@ -126,6 +125,7 @@
 		return
 	}
 	if o == Accepted {
+		c.answered(now, r.worker)
 		r.stopAcked, r.stopAckedAt = true, now.Mono
 		return
 	}
@@ -150,7 +150,7 @@
 			c.note(Note{What: "worker quarantined", Worker: r.worker.ID})
 		}
 		c.countFailure(s, t, r.number)
-	case job.EndVoid, job.EndLost, job.EndLapsed, job.EndAlone:
+	case job.EndLapsed, job.EndAlone:
 		t.notBefore = now.Mono + placementPause
 	}
 	if s.spec.Gang && how != job.EndDone && !t.done {
--- a/internal/core/dispatch/world.go
+++ b/internal/core/dispatch/world.go
@@ -40,12 +40,6 @@
 	// holdRetry is the pause after a look that was not answered; a third of the
 	// shortest lease leaves several tries.
 	holdRetry = 300 * time.Millisecond
-	// probeRetry is the pause between looks at a worker that does not answer and on which
-	// nothing can run any more: each look is priced.
-	probeRetry = time.Second
-	// maxMisses is how many calls in a row may stay without an answer before a worker is
-	// taken as unreachable; a single answer may be lost.
-	maxMisses = 2
 	// stopRetry is the pause after a stop that was not answered.
 	stopRetry = 250 * time.Millisecond
 	// unhealthyPause keeps work off a worker that refused a start.
@@ -94,7 +88,9 @@
 	number int
 	worker *worker
 	phase  phase
-	need   job.Resources
+	// inherited runs were ordered by a former decider.
+	inherited bool
+	need      job.Resources
 	// began is when the run was placed, or adopted.
 	began time.Duration
 	// saved is the newest checkpoint that is known.
@@ -198,7 +194,9 @@
 	acked   int64
 	holding bool
 	holdAt  time.Duration
+	// misses counts the calls in a row that were not answered, heardAt is the last answer.
 	misses  int
+	heardAt time.Duration
 	pauseTo time.Duration
 	health  health
 	// side is where the worker stands between urgent work and work that must not stop.
@@ -214,8 +212,6 @@
 	return w.listed && !w.Draining && now >= w.pauseTo && !w.unreachable() && !w.health.quarantined(now) && !w.hasAdopted()
 }
 
-func (w *worker) unreachable() bool { return w.misses >= maxMisses }
-
 func (w *worker) hasAdopted() bool {
 	if w.heard || w.adoptedUntil == 0 {
 		return false
--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -28,6 +28,12 @@
 	sweepJobs = 500
 	// sweepMargin is added to the time that ended jobs are shown.
 	sweepMargin = 30 * time.Second
+	// cutOffTime is how long most workers may not answer before the role is given up: a
+	// few looks at each.
+	cutOffTime = time.Second
+	// leastHeld is how long the role is held at least before it is given up for that:
+	// where nobody reaches the workers it must not go round.
+	leastHeld = 4 * time.Second
 	// releaseTime bounds the giving up of the role at a planned stop.
 	releaseTime = 1500 * time.Millisecond
 )
@@ -50,6 +56,8 @@
 	// expired are ended jobs whose submissions have been dropped.
 	expired []string
 	catalog int64
+	// cutOffAt is since when most workers have not answered this host; zero if they do.
+	cutOffAt time.Time
 }
 
 // maxEvents bounds the outcomes that wait for the core; calls in flight are fewer.
@@ -86,7 +94,7 @@
 		case <-ctx.Done():
 			return "process ends"
 		case <-stop:
-			return d.release(ctx)
+			return d.release(ctx, "planned stop")
 		case f := <-d.events:
 			f(d.now())
 			d.drainEvents()
@@ -94,6 +102,10 @@
 		case <-tick.C:
 			d.core.Tick(d.now())
 			d.sweep(ctx)
+			if d.cutOff() {
+				d.host.role.yield()
+				return d.release(ctx, "most workers do not answer this host")
+			}
 		}
 		if d.superseded != "" {
 			return d.superseded
@@ -336,15 +348,29 @@
 	}
 }
 
+// cutOff reports whether most workers have not answered this host for a while. The load: a
+// zone that is cut off with the holder in it, while hosts elsewhere reach the workers.
+func (d *decider) cutOff() bool {
+	answering, listed := d.core.Reach()
+	if 2*answering >= listed {
+		d.cutOffAt = time.Time{}
+		return false
+	}
+	if d.cutOffAt.IsZero() {
+		d.cutOffAt = time.Now()
+	}
+	return time.Since(d.cutOffAt) >= cutOffTime && time.Since(d.began) >= leastHeld
+}
+
 // release writes that the role is free once what is on its way has been recorded.
-func (d *decider) release(ctx context.Context) string {
+func (d *decider) release(ctx context.Context, why string) string {
 	deadline := time.After(releaseTime)
 	for d.appending {
 		select {
 		case f := <-d.events:
 			f(d.now())
 		case <-deadline:
-			return "planned stop; the log did not answer"
+			return why + "; the log did not answer"
 		}
 	}
 	if d.superseded != "" {
@@ -357,9 +383,9 @@
 	ctx, cancel := context.WithTimeout(ctx, releaseTime)
 	defer cancel()
 	if err := d.appendUntilKnown(ctx, []sharedlog.Record{rec}, d.sequence+1); err != nil {
-		return "planned stop; " + err.Error()
+		return why + "; " + err.Error()
 	}
-	return "planned stop"
+	return why
 }
 
 // sweep drops ended jobs that nobody may ask for any more: the submissions first, then the
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -39,11 +39,16 @@
 type workers struct {
 	mu     sync.Mutex
 	epoch  int64
-	runs   map[string]time.Time
+	runs   map[string]execution
 	ended  []dispatch.EndedTask
 	starts []string
 }
 
+type execution struct {
+	run   int
+	began time.Time
+}
+
 const workTime = 30 * time.Millisecond
 
 func (w *workers) List(context.Context) ([]dispatch.WorkerInfo, error) {
@@ -61,7 +66,7 @@
 	if w.fenced(epoch) {
 		return dispatch.Fenced
 	}
-	w.runs[s.Task.String()] = time.Now()
+	w.runs[s.Task.String()] = execution{s.Run, time.Now()}
 	w.starts = append(w.starts, s.Task.String())
 	return dispatch.Accepted
 }
@@ -83,13 +88,13 @@
 		return dispatch.Report{}, dispatch.Fenced
 	}
 	rep := dispatch.Report{Born: 1, ClockMs: 1}
-	for name, began := range w.runs {
-		if time.Since(began) > workTime {
+	for name, e := range w.runs {
+		if time.Since(e.began) > workTime {
 			delete(w.runs, name)
-			w.ended = append(w.ended, dispatch.EndedTask{Number: int64(len(w.ended) + 1), Task: name, Run: 1, How: job.EndDone})
+			w.ended = append(w.ended, dispatch.EndedTask{Number: int64(len(w.ended) + 1), Task: name, Run: e.run, How: job.EndDone})
 			continue
 		}
-		rep.Running = append(rep.Running, dispatch.RunningTask{Task: name, Run: 1, Percent: 1})
+		rep.Running = append(rep.Running, dispatch.RunningTask{Task: name, Run: e.run, Percent: 1})
 	}
 	for _, e := range w.ended {
 		if e.Number > h.Ack {
@@ -107,12 +112,17 @@
 // run starts hosts and stops them at the end of the test.
 func run(t *testing.T, log sharedlog.Log, n int) ([]*Host, *workers) {
 	t.Helper()
-	w := &workers{runs: map[string]time.Time{}}
+	return runWith(t, n, func(w *workers, name string) *Host { return newHost(log, w, name) })
+}
+
+func runWith(t *testing.T, n int, make func(w *workers, name string) *Host) ([]*Host, *workers) {
+	t.Helper()
+	w := &workers{runs: map[string]execution{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wait sync.WaitGroup
 	var hosts []*Host
 	for i := range n {
-		h := newHost(log, w, fmt.Sprintf("host-%d", i))
+		h := make(w, fmt.Sprintf("host-%d", i))
 		hosts = append(hosts, h)
 		wait.Go(func() { assert.Check(t, h.Run(ctx)) })
 	}
@@ -247,7 +257,7 @@
 // took over then would not know what the recorded tasks take.
 func TestHostThatDoesNotKnowTheJobsOfTasksDoesNotClaim(t *testing.T) {
 	log := memlog.New()
-	h := newHost(log, &workers{runs: map[string]time.Time{}}, "host")
+	h := newHost(log, &workers{runs: map[string]execution{}}, "host")
 	h.setCatalog((&catalog.Catalog{Version: 1}).Index())
 	ctx := context.Background()
 	j := submission("0000000000000001")
@@ -274,7 +284,7 @@
 
 // The fault: a job's submission is read after its tasks' records.
 func TestJobThatIsReadLateKeepsItsTasks(t *testing.T) {
-	w := &workers{runs: map[string]time.Time{}}
+	w := &workers{runs: map[string]execution{}}
 	h := newHost(memlog.New(), w, "host")
 	j := submission("0000000000000001")
 	j.Service = "service"
@@ -416,6 +426,60 @@
 	assert.Equal(t, other.role.unheard, time.Duration(0))
 }
 
+// cutWorkers cannot be reached from one host while cut.
+type cutWorkers struct {
+	*workers
+	cut atomic.Bool
+}
+
+func (w *cutWorkers) Start(ctx context.Context, s dispatch.Start, epoch int64) dispatch.Outcome {
+	if w.cut.Load() {
+		return dispatch.NoConnection
+	}
+	return w.workers.Start(ctx, s, epoch)
+}
+
+func (w *cutWorkers) Hold(ctx context.Context, h dispatch.Hold, epoch int64) (dispatch.Report, dispatch.Outcome) {
+	if w.cut.Load() {
+		return dispatch.Report{}, dispatch.NoConnection
+	}
+	return w.workers.Hold(ctx, h, epoch)
+}
+
+// The fault: the holder's zone is cut off from the workers, and the log is not.
+func TestHolderThatWorkersDoNotAnswerGivesTheRoleUp(t *testing.T) {
+	log := memlog.New()
+	links := map[*Host]*cutWorkers{}
+	hosts, w := runWith(t, 2, func(w *workers, name string) *Host {
+		link := &cutWorkers{workers: w}
+		h := newHost(log, w, name)
+		h.workers = link
+		links[h] = link
+		return h
+	})
+	ctx := context.Background()
+	leader := func() *Host {
+		for _, h := range hosts {
+			if h.role.isLeading() {
+				return h
+			}
+		}
+		return nil
+	}
+	eventually(t, func() bool { return leader() != nil })
+	first := leader()
+	links[first].cut.Store(true)
+	assert.NilError(t, hosts[0].Submit(ctx, &queue, "org", submission("0000000000000001")))
+	eventually(t, func() bool {
+		state, err := hosts[1].State(ctx, &queue, "org", "0000000000000001")
+		return err == nil && state == job.Succeeded
+	})
+	assert.Assert(t, leader() != first)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	assert.Equal(t, len(w.starts), 2)
+}
+
 func TestCancelledJobIsShownAsCancelledAfterARestartOfAll(t *testing.T) {
 	log := memlog.New()
 	hosts, _ := run(t, log, 1)
--- a/internal/entry/role.go
+++ b/internal/entry/role.go
@@ -26,6 +26,9 @@
 	// take its records. With the lease of workers it covers the log's usual outages; a
 	// successor has to wait for both before it gives up what it cannot reach.
 	holdWithoutLog = 5 * time.Second
+	// yieldTime is how long a host that workers do not answer leaves the role to others;
+	// cuts of the platform take five to ten seconds.
+	yieldTime = 6 * time.Second
 	// sequenceBits leaves room for the appends of one holder before the next host's range.
 	sequenceBits = 24
 )
@@ -43,6 +46,9 @@
 	released chan struct{}
 	stop     chan struct{}
 	stopOnce sync.Once
+	// yieldUntil keeps a host from claiming that gave the role up since workers do not
+	// answer it.
+	yieldUntil time.Time
 	// unheard bounds how long the former holder may go on renewing leases.
 	unheard time.Duration
 }
@@ -83,6 +89,9 @@
 	if n := r.host.ledger.Changes(); n != r.seen {
 		r.seen, r.seenAt = n, time.Now()
 	}
+	if time.Now().Before(r.yieldUntil) {
+		return false
+	}
 	if !caughtUp || !r.host.caughtUp() || r.host.newest() == nil {
 		return false
 	}
@@ -175,6 +184,13 @@
 	}
 }
 
+// yield leaves the role to others for a while.
+func (r *role) yield() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.yieldUntil = time.Now().Add(yieldTime)
+}
+
 func (r *role) setLeading(v bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
