--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -346,15 +346,14 @@
 	r.phase = starting
 	c.out.Starts = append(c.out.Starts, Start{
 		Target: w.target(), Task: r.task.id, Run: r.number, Payload: r.task.step.job.spec.Payload,
-		Checkpoint: r.saved, LeaseUntilMs: c.lease(now, w), ticket: r,
+		Checkpoint: r.saved, LeaseUntilMs: c.lease(now, w, startLease), ticket: r,
 	})
 }
 
-// lease returns the end of a new lease by the worker's clock.
-func (c *Core) lease(now Now, w *worker) int64 {
-	until := w.clockAtLeast(now.Mono) + c.set.Lease.Milliseconds()
-	w.leaseMs = max(w.leaseMs, until)
-	return until
+// lease returns the end of a lease by the worker's clock, which no order makes shorter.
+func (c *Core) lease(now Now, w *worker, length time.Duration) int64 {
+	w.leaseMs = max(w.leaseMs, w.clockAtLeast(now.Mono)+min(length, c.set.Lease).Milliseconds())
+	return w.leaseMs
 }
 
 // TakeActions returns the orders to carry out. It places waiting work first.
--- a/internal/core/dispatch/hold.go
+++ b/internal/core/dispatch/hold.go
@@ -156,7 +156,7 @@
 		if w.misses == 0 || until == 0 {
 			// A worker that does not answer gets no longer lease: what it runs has to end
 			// some time, so that it can be started elsewhere.
-			until = c.lease(now, w)
+			until = c.lease(now, w, c.set.Lease)
 		}
 		c.out.Holds = append(c.out.Holds, Hold{Target: w.target(), LeaseUntilMs: until, Ack: w.noted, Wait: wait, sentAt: now.Mono})
 	}
--- a/internal/core/dispatch/reach_test.go
+++ b/internal/core/dispatch/reach_test.go
@@ -72,6 +72,23 @@
 	assert.Equal(t, b.starts[0].Run, 2)
 }
 
+// The load: a worker without work that is cut off just before a start. Its task need not
+// wait for a lease as long as the one of work that goes on.
+func TestUnansweredStartOnAnIdleWorkerHoldsItsTaskUpForAShortLease(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(2, whole))
+	b.add(single("j", 1, 1, one))
+	first := b.starts[0]
+	b.starts = nil
+	b.core.Started(b.clock(), first, Unanswered)
+	b.step()
+	b.loseContact(startLease - time.Second)
+	assert.Equal(t, len(b.starts), 0)
+	b.loseContact(2 * time.Second)
+	assert.Equal(t, len(b.starts), 1)
+	assert.Equal(t, b.starts[0].Run, 2)
+}
+
 // The load: a worker that refuses a start. The task goes elsewhere at once.
 func TestRefusedStartIsPlacedElsewhereAtOnce(t *testing.T) {
 	b := newBed(t)
--- a/internal/core/dispatch/world.go
+++ b/internal/core/dispatch/world.go
@@ -40,6 +40,10 @@
 	// holdRetry is the pause after a look that was not answered; a third of the
 	// shortest lease leaves several tries.
 	holdRetry = 300 * time.Millisecond
+	// startLease is what a start leases for at least; the look that follows its answer
+	// leases for longer. A start that stays unanswered holds its task up for no more. It
+	// covers what a worker's clock may be ahead of what is known of it.
+	startLease = 3 * time.Second
 	// stopRetry is the pause after a stop that was not answered.
 	stopRetry = 250 * time.Millisecond
 	// unhealthyPause keeps work off a worker that refused a start.
