relay: a host that the log refuses passes requests on to its peers

A host that cannot read the log showed old states of jobs that had ended. Ruled out: the decider (by its log 90% of urgent jobs are in time; by the clients 80%). Change: internal/relay stands in front of the callers' handler. What this host cannot answer (log away, no configuration, unknown outcome, old state) goes to up to two peers as one message over the peers' WebSocket; a refusal is told only if no host may have taken the request. Hosts write their address into the log when they start, and the settings' seeds are peers before that (the role serves control for it). A host never answers by an older configuration than one it has passed on. A log that has just refused all reads is not tried for an append first, and while it does not answer it is read with short timeouts, so that its return is seen within a second.

--- a/cmd/agatewinch-host/main.go
+++ b/cmd/agatewinch-host/main.go
@@ -21,6 +21,8 @@
 
 	"agatewinch/internal/entry"
 	"agatewinch/internal/event"
+	"agatewinch/internal/peer"
+	"agatewinch/internal/relay"
 	"agatewinch/platform"
 )
 
@@ -81,13 +83,21 @@
 func serve(set entry.Settings, host *entry.Host, out logr.Logger) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	front := &http.Server{Handler: platform.NewFront(host), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	answers := platform.NewFront(host)
+	relayed := relay.New(host, answers, out)
+	defer relayed.Close()
+	front := &http.Server{Handler: relayed, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	ready := &http.Server{Handler: platform.NewReadiness(host.Ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	servers := map[*http.Server]string{front: set.Listen, ready: set.ReadyListen}
 	if set.FirstPort > 0 {
 		host.Metrics().Publish(metricsName)
 		servers[&http.Server{Handler: expvar.Handler(), ReadHeaderTimeout: headerTimeout}] = net.JoinHostPort(set.IP, strconv.Itoa(set.FirstPort))
 	}
+	if set.PeerListen != "" {
+		peers := http.NewServeMux()
+		peers.Handle(peer.Path, peer.Serve(relay.Serve(answers)))
+		servers[&http.Server{Handler: peers, ReadHeaderTimeout: headerTimeout}] = set.PeerListen
+	}
 	g, ctx := errgroup.WithContext(ctx)
 	for server, address := range servers {
 		l, err := net.Listen("tcp", address)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,10 @@
 	Host, IP, Zone string
 	// Listen and ReadyListen are the addresses for callers and for the balancer.
 	Listen, ReadyListen string
+	// PeerListen is where other hosts reach this one, and Seeds are where some of them may
+	// be reached before the log has been read.
+	PeerListen string
+	Seeds      []string
 	// FirstPort and LastPort are free for the system's own processes.
 	FirstPort, LastPort int
 	// Grace is the time between a request to stop and the end of the process.
@@ -49,6 +53,8 @@
 	Cancel(ctx context.Context, q *catalog.Queue, org, id string) error
 	// Waiting counts a queue's jobs of which no task has begun.
 	Waiting(ctx context.Context, q *catalog.Queue) (int, error)
+	// Behind reports whether what is known of jobs may be old: the log cannot be read.
+	Behind() bool
 	// Draining reports whether the host is stopping.
 	Draining() bool
 	// Refused is told of each request that fails.
@@ -90,6 +96,12 @@
 	// retryFirst and retryMax space the calls to a log that does not answer.
 	retryFirst = 50 * time.Millisecond
 	retryMax   = 500 * time.Millisecond
+	// probeTimeout bounds a read of a log that did not answer the last one: many times its
+	// usual answer time, and over twice its answer time when it is slow.
+	probeTimeout = 600 * time.Millisecond
+	// refusedTime is how long a refused read counts as a sign that appends fail too: two
+	// of the pauses between reads.
+	refusedTime = 2 * retryMax
 	// readyAge is how old the last answer of the log may be on a host that is ready.
 	readyAge = 4 * time.Second
 )
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -23,6 +23,8 @@
 	contact  time.Time
 	caughtUp bool
 	lost     bool
+	// failedAt is when the log last refused a read, or left one unanswered.
+	failedAt time.Time
 	// paused followers leave the topic to its only writer, which folds what it appends.
 	paused bool
 	resume chan struct{}
@@ -78,6 +80,12 @@
 	if _, read := f.age(); !read {
 		wait = 0 // nothing is answered before all has been read once
 	}
+	if f.isLost() {
+		wait = 0
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+	}
 	res, err := f.host.log.Read(ctx, f.topic, from, wait)
 	if errors.Is(err, sharedlog.ErrTrimmed) {
 		event.Info(f.host.out, event.JournalGap, "topic", f.topic.String(), "offset", from)
@@ -144,6 +152,7 @@
 func (f *follower) fail(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.failedAt = time.Now()
 	if !f.lost && !errors.Is(err, context.Canceled) {
 		f.lost = true
 		event.Error(f.host.out, err, event.LogLost, "topic", f.topic.String(), "offset", f.next)
@@ -233,6 +242,19 @@
 	return f.next
 }
 
+func (f *follower) isLost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost
+}
+
+// refused reports whether the log has just refused this host a read.
+func (f *follower) refused() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost && time.Since(f.failedAt) < refusedTime
+}
+
 func (f *follower) isPaused() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -35,9 +35,11 @@
 	writer *jobWriter
 	role   *role
 
-	mu         sync.Mutex
-	current    *catalog.Catalog
-	catalogAt  time.Time
+	mu        sync.Mutex
+	current   *catalog.Catalog
+	catalogAt time.Time
+	// required is the oldest version by which this host may answer.
+	required   int64
 	draining   atomic.Bool
 	jobsSignal chan struct{}
 }
@@ -86,6 +88,7 @@
 	g.Go(func() error { return h.followCatalog(ctx) })
 	g.Go(func() error { return h.writer.run(ctx) })
 	g.Go(func() error { return h.role.run(ctx) })
+	g.Go(func() error { return h.announce(ctx) })
 	return g.Wait()
 }
 
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -28,6 +28,9 @@
 	if h.current == nil {
 		return nil, retryLater(errkind.NoConfiguration, comeBack, "no configuration has been read yet")
 	}
+	if h.current.Version < h.required {
+		return nil, retryLater(errkind.NoConfiguration, comeBack, "a peer has a newer configuration")
+	}
 	if time.Since(h.catalogAt) > h.set.ApplyWithin+h.set.ApplyStretch-catalogMargin {
 		return nil, retryLater(errkind.NoConfiguration, comeBack, "the configuration cannot be confirmed")
 	}
@@ -46,6 +49,9 @@
 	if !h.caughtUp() {
 		return retryLater(errkind.LogUnavailable, comeBack, "this host has not read the log yet")
 	}
+	if h.cutOff() {
+		return retryLater(errkind.LogUnavailable, comeBack, "the log does not answer this host")
+	}
 	j.Queue, j.Org, j.Service = q.Name, org, q.Service
 	j.Priority, j.Attempts, j.Stretch, j.Objective = q.Priority, q.Attempts, q.Stretch, q.Objective
 	j.Advised = q.Advice != nil
@@ -126,6 +132,9 @@
 	if state == job.Succeeded || state == job.Failed || state == job.Cancelled {
 		return nil
 	}
+	if h.cutOff() {
+		return retryLater(errkind.LogUnavailable, comeBack, "the log does not answer this host")
+	}
 	err = h.writer.write(ctx, ledger.CancelRecord(id))
 	h.logRequest("cancel", id, q, err)
 	return err
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -32,6 +32,7 @@
 	keyTask   = "t/"
 	keyEnd    = "e/"
 	keyRole   = "role"
+	keyHost   = "h/"
 )
 
 // Role is the record of the deciding role.
@@ -44,6 +45,13 @@
 	Released bool `cbor:"4,keyasint,omitempty"`
 }
 
+// HostEntry is what a host writes of itself when it starts.
+type HostEntry struct {
+	// Address is where peers reach it.
+	Address string `cbor:"1,keyasint"`
+	Zone    string `cbor:"2,keyasint"`
+}
+
 // Ended is the record of a job's end.
 type Ended struct {
 	State job.State `cbor:"1,keyasint"`
@@ -65,6 +73,7 @@
 type Ledger struct {
 	mu      sync.RWMutex
 	entries map[string]*Entry
+	hosts   map[string]HostEntry
 	role    Role
 	// changes counts the state records that were folded.
 	changes uint64
@@ -72,7 +81,7 @@
 }
 
 // New returns an empty ledger.
-func New() *Ledger { return &Ledger{entries: map[string]*Entry{}} }
+func New() *Ledger { return &Ledger{entries: map[string]*Entry{}, hosts: map[string]HostEntry{}} }
 
 // JobRecord returns the record of a submission.
 func JobRecord(j *job.Job) (sharedlog.Record, error) { return encode(keyJob+j.ID, j) }
@@ -93,6 +102,9 @@
 // RoleRecord returns the record of the deciding role.
 func RoleRecord(r Role) (sharedlog.Record, error) { return encode(keyRole, r) }
 
+// HostRecord returns the record of a host.
+func HostRecord(name string, e HostEntry) (sharedlog.Record, error) { return encode(keyHost+name, e) }
+
 // DropTask returns the record that drops a task's key.
 func DropTask(id job.TaskID) sharedlog.Record { return sharedlog.Record{Key: keyTask + id.String()} }
 
@@ -149,6 +161,16 @@
 			l.entry(id).Cancelled = true
 			l.added = append(l.added, id)
 		}
+	case strings.HasPrefix(r.Key, keyHost):
+		var e HostEntry
+		if drop {
+			delete(l.hosts, r.Key[len(keyHost):])
+			return nil
+		}
+		if err := cbor.Unmarshal(r.Value, &e); err != nil {
+			return err
+		}
+		l.hosts[r.Key[len(keyHost):]] = e
 	case strings.HasPrefix(r.Key, keyTask):
 		l.changes++
 		return l.applyTask(r.Key[len(keyTask):], r.Value, drop)
@@ -225,6 +247,13 @@
 	return l.role
 }
 
+// Hosts returns the hosts that have written of themselves, by name.
+func (l *Ledger) Hosts() map[string]HostEntry {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return maps.Clone(l.hosts)
+}
+
 // Changes counts the records of the deciding role's holder that were folded.
 func (l *Ledger) Changes() uint64 {
 	l.mu.RLock()
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,156 @@
+package relay
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"agatewinch/internal/errkind"
+	"agatewinch/internal/peer"
+)
+
+// host stands in for the host behind a relay.
+type host struct {
+	peers    []string
+	required atomic.Int64
+}
+
+func (h *host) Peers() []string              { return h.peers }
+func (h *host) RequireVersion(version int64) { h.required.Store(version) }
+
+// answers returns a handler that counts its requests and answers them all the same.
+func answers(status int, headers map[string]string, asked *atomic.Int64) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		asked.Add(1)
+		for name, value := range headers {
+			w.Header().Set(name, value)
+		}
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(strconv.Itoa(status)))
+	})
+}
+
+func refuses(kind errkind.Kind) (int, map[string]string) {
+	return errkind.AnswerFor(kind).Status, map[string]string{HeaderKind: string(kind)}
+}
+
+// listen serves a peer and returns its address.
+func listen(t *testing.T, front http.Handler) string {
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, peer.Serve(Serve(front)))
+	s := httptest.NewServer(mux)
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// play sends one request to a host whose own answer is own, beside one peer.
+func play(t *testing.T, method string, own, other http.Handler) (*httptest.ResponseRecorder, *host) {
+	h := &host{}
+	if other != nil {
+		h.peers = []string{listen(t, other)}
+	}
+	r := New(h, own, logr.Discard())
+	t.Cleanup(r.Close)
+	rec := httptest.NewRecorder()
+	r.ServeHTTP(rec, httptest.NewRequest(method, "/q/0123456789abcdef", strings.NewReader(`{"spec":"text"}`)))
+	return rec, h
+}
+
+func TestRequestsThatThisHostCannotAnswerArePassedOn(t *testing.T) {
+	for _, kind := range []errkind.Kind{errkind.LogUnavailable, errkind.NoConfiguration, errkind.OutcomeUnknown} {
+		t.Run(string(kind), func(t *testing.T) {
+			var own, other atomic.Int64
+			status, headers := refuses(kind)
+			rec, h := play(t, http.MethodPost, answers(status, headers, &own), answers(200, map[string]string{HeaderVersion: "7"}, &other))
+			assert.Equal(t, rec.Code, 200)
+			assert.Equal(t, rec.Body.String(), "200")
+			assert.Equal(t, other.Load(), int64(1))
+			assert.Equal(t, h.required.Load(), int64(7))
+		})
+	}
+}
+
+func TestOtherAnswersAreNotPassedOn(t *testing.T) {
+	var own, other atomic.Int64
+	for _, status := range []int{200, 404, 401, 410, 429} {
+		rec, _ := play(t, http.MethodPost, answers(status, nil, &own), answers(200, nil, &other))
+		assert.Equal(t, rec.Code, status)
+	}
+	assert.Equal(t, other.Load(), int64(0))
+}
+
+func TestPeersBodyAndPathAreTheCallers(t *testing.T) {
+	var own atomic.Int64
+	status, headers := refuses(errkind.LogUnavailable)
+	var got *http.Request
+	var body []byte
+	rec, _ := play(t, http.MethodPost, answers(status, headers, &own), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got = r
+		body = make([]byte, 64)
+		n, _ := r.Body.Read(body)
+		body = body[:n]
+		w.WriteHeader(http.StatusOK)
+	}))
+	assert.Equal(t, rec.Code, 200)
+	assert.Equal(t, got.URL.Path, "/q/0123456789abcdef")
+	assert.Equal(t, got.Host, "example.com")
+	assert.Equal(t, string(body), `{"spec":"text"}`)
+}
+
+// The fault: a peer that may have taken the request, and whose answer is lost. "Not accepted"
+// can no longer be said.
+func TestRefusalIsNotToldWhenAPeerMayHaveTakenTheRequest(t *testing.T) {
+	var own atomic.Int64
+	status, headers := refuses(errkind.LogUnavailable)
+	silent := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(askTimeout + 200*time.Millisecond) })
+	rec, _ := play(t, http.MethodPost, answers(status, headers, &own), silent)
+	assert.Equal(t, rec.Code, http.StatusGatewayTimeout)
+	rec, _ = play(t, http.MethodGet, answers(status, headers, &own), silent)
+	assert.Equal(t, rec.Code, http.StatusServiceUnavailable)
+}
+
+// The fault: this host's own append may yet take effect, and the peer refuses.
+func TestUnknownOutcomeStaysUnknownWhenThePeerRefuses(t *testing.T) {
+	for _, kind := range []errkind.Kind{errkind.LogUnavailable, errkind.NotFound} {
+		var own, other atomic.Int64
+		status, headers := refuses(errkind.OutcomeUnknown)
+		peerStatus, peerHeaders := refuses(kind)
+		rec, _ := play(t, http.MethodPost, answers(status, headers, &own), answers(peerStatus, peerHeaders, &other))
+		assert.Equal(t, rec.Code, status)
+		assert.Equal(t, other.Load(), int64(1))
+	}
+}
+
+func TestOldStateIsShownIfNoPeerKnowsBetter(t *testing.T) {
+	var own, other atomic.Int64
+	old := answers(200, map[string]string{HeaderStale: "1"}, &own)
+	status, headers := refuses(errkind.LogUnavailable)
+	rec, _ := play(t, http.MethodGet, old, answers(status, headers, &other))
+	assert.Equal(t, rec.Code, 200)
+	rec, _ = play(t, http.MethodGet, old, nil)
+	assert.Equal(t, rec.Code, 200)
+	rec, _ = play(t, http.MethodGet, old, answers(410, nil, &other))
+	assert.Equal(t, rec.Code, 410)
+}
+
+// The load: the log is away for all. A peer that cannot serve either is not asked again at once.
+func TestPeersThatCannotServeEitherAreSpared(t *testing.T) {
+	var own, other atomic.Int64
+	status, headers := refuses(errkind.LogUnavailable)
+	h := &host{peers: []string{listen(t, answers(status, headers, &other))}}
+	r := New(h, answers(status, headers, &own), logr.Discard())
+	t.Cleanup(r.Close)
+	for range 5 {
+		rec := httptest.NewRecorder()
+		r.ServeHTTP(rec, httptest.NewRequest(http.MethodPost, "/q/0123456789abcdef", nil))
+		assert.Equal(t, rec.Code, http.StatusServiceUnavailable)
+	}
+	assert.Equal(t, other.Load(), int64(1))
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -32,6 +32,7 @@
 	KindHeartbeat Kind = "heartbeat"
 	KindConfig    Kind = "config"
 	KindDrain     Kind = "drain"
+	KindRelay     Kind = "relay"
 )
 
 // Envelope carries one request or one reply. A reply has the ID of its request.
