dispatch: urgent work stops others at once; gangs stop lower work at the last moment

The patience and its limit go; a gang that would be late otherwise stops work below its priority that loses no more than half of its own size.

--- a/internal/core/dispatch/preempt.go
+++ b/internal/core/dispatch/preempt.go
@@ -68,8 +68,8 @@
 	c.dirty = true
 }
 
-// preempt frees room for urgent tasks by stopping what loses least.
-func (c *Core) preempt(now Now, s *step, tasks []*task) {
+// preempt frees room for tasks by stopping what loses least. It reports whether it did.
+func (c *Core) preempt(now Now, s *step, tasks []*task) bool {
 	usable := c.usableFor(now, s)
 	groups := [][]*worker{usable}
 	if s.spec.SameRack && s.spec.Gang {
@@ -90,11 +90,10 @@
 	}
 	if best == nil {
 		c.note(Note{What: "no room to free", Job: s.job.spec.ID})
-		return
+		return false
 	}
-	if best.cost > c.acceptableLoss(now, s) {
-		c.wakeAt(now, now.Mono+patienceStep)
-		return
+	if best.cost > c.acceptableLoss(s) {
+		return false
 	}
 	p := &plan{at: map[*task]*worker{}, until: now.Mono + planTime}
 	for i, t := range tasks {
@@ -109,22 +108,31 @@
 		}
 	}
 	c.wakeAt(now, p.until+time.Millisecond)
+	return true
 }
 
+// lastMoment reports whether s is late unless it begins about now. The load: gangs behind a
+// flood of work of lower priority that already runs.
+func (c *Core) lastMoment(now Now, s *step) bool {
+	at := now.Mono + c.slack(now, s) - c.set.StopTime - lastMomentMargin
+	if now.Mono < at {
+		c.wakeAt(now, at)
+		return false
+	}
+	return now.Mono < at+2*lastMomentMargin
+}
+
+// lastMomentMargin is kept for the stops of others and for a second try.
+const lastMomentMargin = 1500 * time.Millisecond
+
 const (
-	// patienceShare and maxPatience bound the wait of urgent work for places that cost
-	// less, stops counted: its objective leaves it about half its work, of which the
-	// estimate is often wrong by nearly as much.
-	patienceShare = 0.2
-	maxPatience   = 700 * time.Millisecond
-	// patienceStep is how often it looks again.
-	patienceStep = 100 * time.Millisecond
-	// cheapLoss is the loss that is accepted at once, as a share of the urgent work.
-	cheapLoss = 1.0
-	// uncoveredLoss is the most that work beyond a guarantee may make others lose, in
-	// parts of its own size: by the operators' price lists, urgent work earns ten times
-	// what the same work costs that is thrown away, and others are delayed besides.
-	uncoveredLoss = 4.0
+	// uncoveredLoss is the most that urgent work beyond a guarantee may make others lose, in
+	// parts of its own size: by the operators' price lists urgent work earns several tens of
+	// times what the same work costs that is thrown away, and others are delayed besides.
+	uncoveredLoss = 16.0
+	// lateLoss is the most that other work may make work below it lose, as a share of its
+	// own size, once it would be late otherwise.
+	lateLoss = 0.5
 	// sizeShare is the part of a job's worth that goes by its work; the rest is the same
 	// for all jobs of a kind.
 	sizeShare = 0.7
@@ -132,13 +140,12 @@
 	meanShare = 0.05
 )
 
-// acceptableLoss is the work in core-seconds that s may make others lose now.
-func (c *Core) acceptableLoss(now Now, s *step) float64 {
-	patience := min(time.Duration(patienceShare*float64(s.spec.Estimate)), maxPatience) - c.set.StopTime
-	if now.Mono-s.readySince < patience {
-		return cheapLoss * ((1-sizeShare)*c.urgentMean + sizeShare*s.job.work)
-	}
-	if s.job.covered {
+// acceptableLoss is the work in core-seconds that s may make others lose.
+func (c *Core) acceptableLoss(s *step) float64 {
+	switch {
+	case s.job.spec.Priority != firstPriority:
+		return lateLoss * s.job.work
+	case s.job.covered:
 		return math.Inf(1)
 	}
 	return uncoveredLoss * ((1-sizeShare)*c.urgentMean + sizeShare*s.job.work)
--- /dev/null
+++ b/internal/core/dispatch/preempt_test.go
@@ -0,0 +1,65 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"agatewinch/internal/core/job"
+)
+
+// The load: urgent work beyond its organisation's guarantee on a full fleet. It has about a
+// second to spare, and what it stops has many.
+func TestUrgentWorkDoesNotWaitForCheaperPlaces(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(2, whole))
+	b.add(single("busy", 2, 2, whole))
+	b.accept()
+	b.pass(3 * time.Second)
+	u := gang("urgent", 0, 1, job.Resources{CPU: 4000, MemMB: 1000, Accelerators: 4})
+	u.Steps[0].Estimate = time.Second
+	b.add(u)
+	assert.Equal(t, len(b.stops), 1)
+}
+
+// The load: a gang behind a flood of work of lower priority that already runs. It waits while
+// it has time to spare, and then stops what loses little.
+func TestGangStopsLowerWorkAtTheLastMoment(t *testing.T) {
+	play := func(checkpoints bool) *bed {
+		b := newBed(t)
+		b.core.SetWorkers(b.clock(), b.fleet(2, whole))
+		flood := single("flood", 2, 16, one)
+		flood.Steps[0].Estimate = time.Minute
+		flood.Steps[0].Checkpoints = checkpoints
+		b.add(flood)
+		assert.Equal(t, len(b.accept()), 16)
+		b.add(gang("gang", 1, 2, job.Resources{CPU: 4000, MemMB: 4000, Accelerators: 4}))
+		// Its objective is three times its work of 5 s, and a second.
+		b.listen(8 * time.Second)
+		assert.Equal(t, len(b.stops), 0)
+		b.listen(3 * time.Second)
+		return b
+	}
+	assert.Equal(t, play(true).stopped(), 8)
+	assert.Equal(t, play(false).stopped(), 0, "work without checkpoints would lose more than the gang is worth")
+}
+
+// listen lets time go by while all workers answer their looks.
+func (b *bed) listen(d time.Duration) {
+	for end := b.now + d; b.now < end; {
+		b.pass(time.Second)
+		for _, h := range append([]Hold(nil), b.holds...) {
+			b.report(h.Worker, Report{Born: h.Born, ClockMs: b.now.Milliseconds() + 1})
+		}
+	}
+}
+
+// stopped counts the tasks that were told to stop, however often.
+func (b *bed) stopped() int {
+	tasks := map[job.TaskID]bool{}
+	for _, s := range b.stops {
+		tasks[s.Task] = true
+	}
+	return len(tasks)
+}
