relay, entry: no answer by an older configuration; hosts that the log refuses leave the balancer's view

Cause: cut off from the log, it had passed a request on to a peer with version 10, and the next one to a peer that was cut off too and still had 6, which that peer could answer by. A host refused to answer by an older version itself, but not to pass an older answer on. Ruled out: its own catalog (it answers 503 once a newer version is required). Change: a request that is passed on names the oldest version by which it may be answered; a peer with an older one refuses it before it does anything. TestPeerWithAnOlderConfigurationDoesNotAnswer fails without it.

--- a/cmd/agatewinch-host/main.go
+++ b/cmd/agatewinch-host/main.go
@@ -95,7 +95,7 @@
 	}
 	if set.PeerListen != "" {
 		peers := http.NewServeMux()
-		peers.Handle(peer.Path, peer.Serve(relay.Serve(answers)))
+		peers.Handle(peer.Path, peer.Serve(relay.Serve(host, answers)))
 		servers[&http.Server{Handler: peers, ReadHeaderTimeout: headerTimeout}] = set.PeerListen
 	}
 	g, ctx := errgroup.WithContext(ctx)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -385,6 +385,26 @@
 	assert.Equal(t, len(w.starts), 20)
 }
 
+// The fault: a zone that is cut off from the log. Its hosts leave the balancer's view soon,
+// so that callers are sent to other zones, and are back as soon as the log answers.
+func TestHostThatTheLogRefusesIsNotReady(t *testing.T) {
+	log := memlog.New()
+	source := &stillCatalog{}
+	h := newHost(log, &workers{runs: map[string]execution{}}, "host")
+	h.source = source
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	wait.Go(func() { assert.Check(t, h.Run(ctx)) })
+	t.Cleanup(func() { cancel(); wait.Wait() })
+	eventually(t, h.Ready)
+	began := time.Now()
+	log.SetFault(func(string, sharedlog.Topic) error { return sharedlog.ErrRefused })
+	eventually(t, func() bool { return !h.Ready() })
+	assert.Assert(t, time.Since(began) < readyAge)
+	log.SetFault(nil)
+	eventually(t, h.Ready)
+}
+
 func TestUnknownJobIsToldOnlyAfterReadingToTheEnd(t *testing.T) {
 	log := memlog.New()
 	hosts, _ := run(t, log, 1)
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -304,19 +304,16 @@
 // followCatalog keeps the newest configuration in force.
 func (h *Host) followCatalog(ctx context.Context) error {
 	retry := newBackoff()
-	lost := false
 	for ctx.Err() == nil {
 		c, err := h.source.Next(ctx, catalogWait)
 		if err != nil {
-			if !lost && ctx.Err() == nil {
-				lost = true
+			if ctx.Err() == nil && !h.catalogLost.Swap(true) {
 				event.Error(h.out, err, event.LogLost, "topic", "configuration")
 			}
 			sleep(ctx, retry.NextBackOff())
 			continue
 		}
-		if lost {
-			lost = false
+		if h.catalogLost.Swap(false) {
 			event.Info(h.out, event.LogRegained, "topic", "configuration")
 		}
 		retry.Reset()
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -39,9 +39,11 @@
 	current   *catalog.Catalog
 	catalogAt time.Time
 	// required is the oldest version by which this host may answer.
-	required   int64
-	draining   atomic.Bool
-	jobsSignal chan struct{}
+	required int64
+	// catalogLost says that the last read of the configuration failed.
+	catalogLost atomic.Bool
+	draining    atomic.Bool
+	jobsSignal  chan struct{}
 }
 
 // Parts are what a host is made of.
@@ -110,7 +112,7 @@
 	if _, err := h.Catalog(); err != nil {
 		return false
 	}
-	return h.caughtUp() && h.logAge() < readyAge
+	return h.caughtUp() && !h.catalogLost.Load() && !h.cutOff() && h.logAge() < readyAge
 }
 
 func (h *Host) caughtUp() bool {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -62,6 +62,16 @@
 	return append(near, far...)
 }
 
+// Version implements relay.Host.
+func (h *Host) Version() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.current == nil {
+		return h.required
+	}
+	return max(h.required, h.current.Version)
+}
+
 // RequireVersion implements relay.Host: a host that has passed on a newer configuration's
 // answer never answers by an older one.
 func (h *Host) RequireVersion(version int64) {
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -32,6 +32,8 @@
 	Header        http.Header `cbor:"4,keyasint"`
 	Body          []byte      `cbor:"5,keyasint,omitempty"`
 	RemoteAddress string      `cbor:"6,keyasint,omitempty"`
+	// LeastVersion is the oldest configuration by which the request may be answered.
+	LeastVersion int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Answer is what a host would have answered to the caller.
@@ -92,8 +94,9 @@
 	return rec.answer()
 }
 
-// Serve answers the requests that other hosts pass on. They are never passed on again.
-func Serve(front http.Handler) peer.Handler {
+// Serve answers the requests that other hosts pass on. They are never passed on again, and
+// refused if the sender knows of a newer configuration: it must not go back behind it.
+func Serve(host Host, front http.Handler) peer.Handler {
 	return func(ctx context.Context, kind wire.Kind, body cbor.RawMessage) (any, error) {
 		if kind != wire.KindRelay {
 			return nil, errkind.New(errkind.InvalidRequest, "unknown message kind %q", kind)
@@ -102,6 +105,9 @@
 		if err := wire.DecodeBody(body, &req); err != nil {
 			return nil, errkind.New(errkind.InvalidRequest, "malformed message")
 		}
+		if host.Version() < req.LeastVersion {
+			return &Answer{Status: http.StatusServiceUnavailable, Header: http.Header{HeaderKind: {string(errkind.NoConfiguration)}}}, nil
+		}
 		r, err := http.NewRequestWithContext(ctx, req.Method, "http://"+req.Host+req.Path, bytes.NewReader(req.Body))
 		if err != nil {
 			return nil, errkind.New(errkind.InvalidRequest, "malformed request")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -40,6 +40,8 @@
 type Host interface {
 	// Peers returns the addresses of other hosts, those to be asked first at the front.
 	Peers() []string
+	// Version is that of the newest configuration that the host knows of.
+	Version() int64
 	// RequireVersion has the host answer by no older configuration than that.
 	RequireVersion(version int64)
 }
@@ -102,7 +104,7 @@
 // refusal stands only if no host may have taken the request.
 func (r *Relay) ask(req *http.Request, body []byte, own *Answer) *Answer {
 	unknown := own.kind() == errkind.OutcomeUnknown
-	message := Request{Method: req.Method, Host: req.Host, Path: req.URL.RequestURI(), Header: req.Header, Body: body, RemoteAddress: req.RemoteAddr}
+	message := Request{Method: req.Method, Host: req.Host, Path: req.URL.RequestURI(), Header: req.Header, Body: body, RemoteAddress: req.RemoteAddr, LeastVersion: r.host.Version()}
 	for _, address := range r.pick() {
 		answer, err := r.call(req.Context(), address, &message)
 		r.note(req, address, own, answer, err)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -20,9 +20,11 @@
 type host struct {
 	peers    []string
 	required atomic.Int64
+	version  int64
 }
 
 func (h *host) Peers() []string              { return h.peers }
+func (h *host) Version() int64               { return h.version }
 func (h *host) RequireVersion(version int64) { h.required.Store(version) }
 
 // answers returns a handler that counts its requests and answers them all the same.
@@ -41,10 +43,13 @@
 	return errkind.AnswerFor(kind).Status, map[string]string{HeaderKind: string(kind)}
 }
 
+// peerVersion is the configuration of the peers in these tests.
+const peerVersion = 7
+
 // listen serves a peer and returns its address.
-func listen(t *testing.T, front http.Handler) string {
+func listen(t *testing.T, version int64, front http.Handler) string {
 	mux := http.NewServeMux()
-	mux.Handle(peer.Path, peer.Serve(Serve(front)))
+	mux.Handle(peer.Path, peer.Serve(Serve(&host{version: version}, front)))
 	s := httptest.NewServer(mux)
 	t.Cleanup(s.Close)
 	return strings.TrimPrefix(s.URL, "http://")
@@ -54,7 +59,7 @@
 func play(t *testing.T, method string, own, other http.Handler) (*httptest.ResponseRecorder, *host) {
 	h := &host{}
 	if other != nil {
-		h.peers = []string{listen(t, other)}
+		h.peers = []string{listen(t, peerVersion, other)}
 	}
 	r := New(h, own, logr.Discard())
 	t.Cleanup(r.Close)
@@ -144,7 +149,7 @@
 func TestPeersThatCannotServeEitherAreSpared(t *testing.T) {
 	var own, other atomic.Int64
 	status, headers := refuses(errkind.LogUnavailable)
-	h := &host{peers: []string{listen(t, answers(status, headers, &other))}}
+	h := &host{peers: []string{listen(t, peerVersion, answers(status, headers, &other))}}
 	r := New(h, answers(status, headers, &own), logr.Discard())
 	t.Cleanup(r.Close)
 	for range 5 {
@@ -154,3 +159,17 @@
 	}
 	assert.Equal(t, other.Load(), int64(1))
 }
+
+// The fault: a peer that is cut off too and has an older configuration than this host has
+// already answered by. It must not be asked for more.
+func TestPeerWithAnOlderConfigurationDoesNotAnswer(t *testing.T) {
+	var own, other atomic.Int64
+	status, headers := refuses(errkind.NoConfiguration)
+	h := &host{peers: []string{listen(t, peerVersion, answers(404, map[string]string{HeaderVersion: "7"}, &other))}, version: peerVersion + 1}
+	r := New(h, answers(status, headers, &own), logr.Discard())
+	t.Cleanup(r.Close)
+	rec := httptest.NewRecorder()
+	r.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/q/", nil))
+	assert.Equal(t, rec.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, other.Load(), int64(0))
+}
