--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -18,8 +18,12 @@
 	tasks  map[string]*task
 	batch  *Batch
 	out    Actions
-	// dirty says that something changed that placing depends on.
-	dirty bool
+	// dirty says that something changed that placing depends on, and rush that urgent work
+	// may begin for it.
+	dirty, rush bool
+	// cycleAt is when the last cycle ran, and backlog how many steps it looked at.
+	cycleAt time.Duration
+	backlog int
 	// guaranteed is the accelerators that each organisation owns.
 	guaranteed map[string]int64
 	// urgentAt is when the newest job of the first priority came, if any has.
@@ -29,8 +33,12 @@
 	arrivedAt time.Duration
 	// urgentMean is the mean work of the first priority's jobs, in core-seconds.
 	urgentMean float64
+	// cycle holds what the present scheduling cycle has worked out.
+	cycle *cycle
 	// doubted is when each zone's workers were last looked at because some did not answer.
 	doubted map[string]time.Duration
+	// holdsAt is when the reservations were last worked out.
+	holdsAt time.Duration
 	// holds is the room that is kept for gangs in this cycle, for reserved of them.
 	holds    map[*worker]*hold
 	reserved int
@@ -40,7 +48,7 @@
 
 // New returns a core that knows nothing.
 func New(set Settings) *Core {
-	c := &Core{set: set, jobs: map[string]*jobRun{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, doubted: map[string]time.Duration{}}
+	c := &Core{set: set, jobs: map[string]*jobRun{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, doubted: map[string]time.Duration{}, cycle: newCycle()}
 	c.openBatch()
 	return c
 }
@@ -59,6 +67,7 @@
 	}
 	c.checkDone(now, c.newJob(now, spec, tasks))
 	c.dirty = true
+	c.rush = c.rush || spec.Priority == firstPriority
 }
 
 func (c *Core) newJob(now Now, spec *job.Job, tasks map[string]job.TaskRecord) *jobRun {
@@ -171,6 +180,8 @@
 		r.worker.urgent = r.worker.urgent.Plus(r.need)
 	}
 	r.task.step.job.live++
+	r.task.step.live++
+	r.worker.ends = nil
 }
 
 // remove frees the room of a run.
@@ -184,10 +195,13 @@
 		r.worker.urgent = r.worker.urgent.Minus(r.need)
 	}
 	r.task.step.job.live--
+	r.task.step.live--
+	r.worker.ends = nil
 	if r.task.cur == r {
 		r.task.cur = nil
 	}
 	c.dirty = true
+	c.rush = c.rush || r.phase == stopping // somebody may wait for its room
 }
 
 // CancelJob stops a job's tasks and starts no more of them.
@@ -221,6 +235,7 @@
 	}
 	unsent := r.phase == recording
 	r.phase = stopping
+	r.worker.ends = nil
 	c.note(Note{What: "stop", Task: r.task.id.String(), Run: r.number, Worker: r.worker.ID, Why: why})
 	if unsent {
 		return // nothing was sent: the run is void once its record is durable
@@ -358,8 +373,8 @@
 
 // TakeActions returns the orders to carry out. It places waiting work first.
 func (c *Core) TakeActions(now Now) Actions {
-	if c.dirty || (c.wake > 0 && now.Mono >= c.wake) {
-		c.dirty = false
+	if c.due(now) {
+		c.dirty, c.rush, c.cycleAt = false, false, now.Mono
 		c.schedule(now)
 	}
 	c.emitHolds(now)
--- a/internal/core/dispatch/gang.go
+++ b/internal/core/dispatch/gang.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -51,45 +50,57 @@
 // findGang returns a worker for each task of s, or nil. It takes a worker on which the gang
 // has failed only if there is no other way.
 func (c *Core) findGang(now Now, s *step) []*worker {
-	var sound, all []*worker
-	for _, w := range c.usableFor(now, s) {
-		if !c.mayUse(now, s, w) {
-			continue
-		}
-		all = append(all, w)
-		if !s.failedAt(w) {
-			sound = append(sound, w)
-		}
+	sl := c.slotsFor(now, s)
+	if sl.free < len(s.tasks) {
+		return nil
 	}
-	if roomFor(s, sound) >= len(s.tasks) {
-		return c.findGangIn(now, s, sound)
+	if s.spec.SameRack && s.spec.DataRack == "" && sl.rackFree < len(s.tasks) && sl.rackWhole >= len(s.tasks) && c.waitsForRack(now, s) {
+		return nil
+	}
+	p := c.poolOf(now, s)
+	sound := func(w *worker) bool { return c.mayUse(now, s, w) && !s.failedAt(w) }
+	if s.fails > 0 && roomFor(s, filter(p.usable, sound)) < len(s.tasks) {
+		sound = func(w *worker) bool { return c.mayUse(now, s, w) }
+	}
+	return c.findGangIn(now, s, sl, sound)
+}
+
+// filter returns the workers of a group that may be used.
+func filter(group []*worker, may func(*worker) bool) []*worker {
+	out := make([]*worker, 0, len(group))
+	for _, w := range group {
+		if may(w) {
+			out = append(out, w)
+		}
 	}
-	return c.findGangIn(now, s, all)
+	return out
 }
 
 func (s *step) failedAt(w *worker) bool {
 	return s.fails > 0 && slices.ContainsFunc(s.tasks, func(t *task) bool { return t.failedAt(w) })
 }
 
-func (c *Core) findGangIn(now Now, s *step, usable []*worker) []*worker {
+func (c *Core) findGangIn(now Now, s *step, sl *slots, may func(*worker) bool) []*worker {
+	p := c.poolOf(now, s)
 	if s.spec.DataRack != "" {
-		if at := assign(s, onRack(usable, s.spec.DataRack)); at != nil {
+		rack := onRack(p.usable, s.spec.DataRack)
+		if at := assign(s, filter(rack, may)); at != nil {
 			return at
 		}
-		if roomFor(s, onRack(usable, s.spec.DataRack)) >= len(s.tasks) && c.waitsForRack(now, s) {
+		if roomFor(s, rack) >= len(s.tasks) && c.waitsForRack(now, s) {
 			return nil
 		}
 	}
 	if !s.spec.SameRack {
-		return assign(s, usable)
+		return assign(s, filter(p.usable, may))
 	}
 	var best []*worker
 	bestFree := 0.0
-	possible := false
-	for _, group := range byRack(usable) {
-		if roomFor(s, group) >= len(s.tasks) {
-			possible = true
+	for _, rack := range p.racks {
+		if sl.byRack[rack[0].Rack] < len(s.tasks) {
+			continue
 		}
+		group := filter(rack, may)
 		at := assign(s, group)
 		if at == nil {
 			continue
@@ -105,10 +116,10 @@
 	if best != nil {
 		return best
 	}
-	if possible && c.waitsForRack(now, s) {
+	if sl.rackWhole >= len(s.tasks) && c.waitsForRack(now, s) {
 		return nil
 	}
-	return assign(s, usable)
+	return assign(s, filter(p.usable, may))
 }
 
 // waitsForRack reports whether a gang still waits for a rack that could hold it.
@@ -191,15 +202,17 @@
 // assign fills the workers with least room first; it returns nil if not all tasks fit.
 func assign(s *step, group []*worker) []*worker {
 	need := s.spec.Charge()
-	order := slices.Clone(group)
-	slices.SortStableFunc(order, func(a, b *worker) int {
-		return cmp.Compare(s.score(a, job.Resources{}), s.score(b, job.Resources{}))
-	})
+	room := 0
+	for _, w := range group {
+		room += timesFit(w.free(), need, s.spec.MaxPerWorker)
+	}
+	if room < len(s.tasks) {
+		return nil
+	}
 	var at []*worker
-	for _, w := range order {
-		n := timesFit(w.free(), need, s.spec.MaxPerWorker)
-		for range n {
-			at = append(at, w)
+	for _, o := range s.byScore(group) {
+		for range timesFit(o.worker.free(), need, s.spec.MaxPerWorker) {
+			at = append(at, o.worker)
 			if len(at) == len(s.tasks) {
 				return at
 			}
--- a/internal/core/dispatch/order.go
+++ b/internal/core/dispatch/order.go
@@ -9,12 +9,40 @@
 // firstPriority is the priority that may stop others.
 const firstPriority = 0
 
+const (
+	// largeBacklog is how many waiting steps make cycles cost enough to be spaced.
+	largeBacklog = 24
+	// cyclePause is the least time between such cycles, unless urgent work may begin: a
+	// small part of what work without urgency can wait.
+	cyclePause = 20 * time.Millisecond
+)
+
+// due reports whether a cycle should run now. The load: a long queue, and an end every few
+// milliseconds.
+func (c *Core) due(now Now) bool {
+	switch {
+	case c.wake > 0 && now.Mono >= c.wake:
+		return true
+	case !c.dirty:
+		return false
+	case c.rush || c.backlog < largeBacklog || now.Mono >= c.cycleAt+cyclePause:
+		return true
+	}
+	c.wakeAt(now, c.cycleAt+cyclePause)
+	return false
+}
+
+// Wake returns when TakeActions has to be called without an event, or zero.
+func (c *Core) Wake() time.Duration { return c.wake }
+
 // schedule places waiting work. It is one cycle: plans whose room has become free, then
 // the steps whose turn has come, in order.
 func (c *Core) schedule(now Now) {
 	c.wake = 0
+	c.cycle = newCycle()
 	c.cover()
 	steps := c.readySteps(now)
+	c.backlog = len(steps)
 	if len(steps) > 0 {
 		c.wakeForWorkers(now)
 	}
@@ -24,7 +52,7 @@
 		}
 	}
 	full := fullShapes{}
-	c.holds, c.reserved = map[*worker]*hold{}, 0
+	c.renewHolds(now)
 	for _, s := range steps {
 		if s.plan != nil {
 			continue
@@ -100,6 +128,9 @@
 }
 
 func (s *step) hasWaiting() bool {
+	if s.done+s.live >= len(s.tasks) {
+		return false // a run of a task that is done is gone before long, and has this asked again
+	}
 	for _, t := range s.tasks {
 		if t.cur == nil && !t.done {
 			return true
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -138,7 +138,7 @@
 	if len(t.failedOn) == 0 {
 		return false
 	}
-	return slices.ContainsFunc(c.usableFor(now, s), func(w *worker) bool {
+	return slices.ContainsFunc(c.poolOf(now, s).usable, func(w *worker) bool {
 		return w.Capacity.Fits(s.spec.Charge()) && !t.failedAt(w)
 	})
 }
--- a/internal/core/dispatch/preempt.go
+++ b/internal/core/dispatch/preempt.go
@@ -12,6 +12,9 @@
 // planTime bounds how long a plan keeps room for work that waits for stops.
 const planTime = 2500 * time.Millisecond
 
+// preemptPause is how long a step waits before it looks again for what it may stop.
+const preemptPause = 100 * time.Millisecond
+
 // plan is the room that a preemption is freeing for a step.
 type plan struct {
 	at    map[*task]*worker
@@ -70,10 +73,15 @@
 
 // preempt frees room for tasks by stopping what loses least. It reports whether it did.
 func (c *Core) preempt(now Now, s *step, tasks []*task) bool {
-	usable := c.usableFor(now, s)
-	groups := [][]*worker{usable}
+	if now.Mono < s.preemptAt {
+		c.wakeAt(now, s.preemptAt)
+		return false
+	}
+	s.preemptAt = now.Mono + preemptPause
+	p := c.poolOf(now, s)
+	groups := [][]*worker{p.usable}
 	if s.spec.SameRack && s.spec.Gang {
-		groups = append(byRack(usable), usable)
+		groups = append(slices.Clone(p.racks), p.usable)
 	}
 	var best *eviction
 	for i, g := range groups {
@@ -95,19 +103,19 @@
 	if best.cost > c.acceptableLoss(s) {
 		return false
 	}
-	p := &plan{at: map[*task]*worker{}, until: now.Mono + planTime}
+	plan := &plan{at: map[*task]*worker{}, until: now.Mono + planTime}
 	for i, t := range tasks {
-		p.at[t] = best.at[i]
+		plan.at[t] = best.at[i]
 		best.at[i].reserved = best.at[i].reserved.Plus(s.spec.Charge())
 	}
-	s.plan = p
+	s.plan = plan
 	for _, r := range best.victims {
 		c.stop(now, r, "preempted")
 		if r.task.step.spec.Gang {
 			c.breakGang(now, r.task.step, r.number)
 		}
 	}
-	c.wakeAt(now, p.until+time.Millisecond)
+	c.wakeAt(now, plan.until+time.Millisecond)
 	return true
 }
 
--- a/internal/core/dispatch/reserve.go
+++ b/internal/core/dispatch/reserve.go
@@ -15,21 +15,41 @@
 // hold keeps room on a worker for a gang that waits: the answer to a flood of small tasks,
 // which would take each place that becomes free long before a gang's last one is.
 type hold struct {
+	// step is the gang that the room is kept for.
+	step *step
 	// at is when the gang is expected to begin.
 	at time.Duration
 	// slack is what other work may take beyond that time.
 	slack job.Resources
 }
 
+// holdsTime is how long reservations stand before they are worked out anew, where many
+// steps wait; expected ends change little in it.
+const holdsTime = 250 * time.Millisecond
+
+// renewHolds drops the reservations that are to be worked out in this cycle.
+func (c *Core) renewHolds(now Now) {
+	if c.backlog < largeBacklog || now.Mono >= c.holdsAt+holdsTime {
+		c.holds, c.reserved, c.holdsAt = map[*worker]*hold{}, 0, now.Mono
+		return
+	}
+	for w, h := range c.holds {
+		if !h.step.hasWaiting() || h.step.job.closed() {
+			delete(c.holds, w)
+		}
+	}
+}
+
 // reserve keeps room for a gang where it will fit first.
 func (c *Core) reserve(now Now, s *step, holds map[*worker]*hold) {
-	if len(s.tasks) == 0 || c.reserved >= maxReservations {
+	if len(s.tasks) == 0 || c.reserved >= maxReservations || c.holdsAt != now.Mono {
 		return
 	}
-	groups := [][]*worker{c.usableFor(now, s)}
+	p := c.poolOf(now, s)
+	groups := [][]*worker{p.usable}
 	if s.spec.SameRack {
 		var racks [][]*worker
-		for _, g := range byRack(groups[0]) {
+		for _, g := range p.racks {
 			if roomFor(s, g) >= len(s.tasks) {
 				racks = append(racks, g)
 			}
@@ -55,7 +75,7 @@
 		taken[p.worker] = taken[p.worker].Plus(s.spec.Charge())
 	}
 	for w, need := range taken {
-		holds[w] = &hold{at: at, slack: w.freeAt(at).Minus(need)}
+		holds[w] = &hold{step: s, at: at, slack: w.freeAt(at).Minus(need)}
 	}
 }
 
@@ -101,12 +121,16 @@
 
 // byEnd returns the runs of w in the order in which they are expected to end.
 func (w *worker) byEnd() []*run {
+	if w.ends != nil {
+		return w.ends
+	}
 	runs := make([]*run, 0, len(w.runs))
 	for r := range w.runs {
 		runs = append(runs, r)
 	}
 	sortRuns(runs)
 	slices.SortStableFunc(runs, func(a, b *run) int { return cmp.Compare(a.expectedEnd(), b.expectedEnd()) })
+	w.ends = runs
 	return runs
 }
 
@@ -135,23 +159,12 @@
 
 // allows reports whether a task of s may be placed on w beside a reservation.
 func (h *hold) allows(now Now, s *step) bool {
-	return h == nil || now.Mono+s.spec.Estimate <= h.at || h.slack.Fits(s.spec.Charge())
+	return h == nil || h.step == s || now.Mono+s.spec.Estimate <= h.at || h.slack.Fits(s.spec.Charge())
 }
 
 // take counts a task that was placed beside a reservation.
 func (h *hold) take(now Now, s *step) {
-	if h != nil && now.Mono+s.spec.Estimate > h.at {
+	if h != nil && h.step != s && now.Mono+s.spec.Estimate > h.at {
 		h.slack = h.slack.Minus(s.spec.Charge())
 	}
 }
-
-// usableFor returns the workers that may run s now.
-func (c *Core) usableFor(now Now, s *step) []*worker {
-	var usable []*worker
-	for _, w := range c.sorted {
-		if w.fits(s) && w.usable(now.Mono) {
-			usable = append(usable, w)
-		}
-	}
-	return usable
-}
--- a/internal/core/dispatch/world.go
+++ b/internal/core/dispatch/world.go
@@ -135,6 +135,8 @@
 	spec  *job.Step
 	tasks []*task
 	done  int
+	// live counts the runs of the step's tasks.
+	live int
 	// number is the newest run of the gang, and fails its failed runs.
 	number int
 	fails  int
@@ -142,6 +144,8 @@
 	failedRun int
 	// plan holds the places that a preemption is freeing.
 	plan *plan
+	// preemptAt is when the step may look again for runs to stop.
+	preemptAt time.Duration
 	// readySince is when the step's turn came.
 	readySince time.Duration
 	ready      bool
@@ -183,6 +187,9 @@
 	// reserved is held for plans that wait for room.
 	reserved job.Resources
 	runs     map[*run]bool
+	// ends holds the runs in the order in which they are expected to end, until the runs
+	// change.
+	ends []*run
 	// clockAt is when the worker's clock was at least clockMs.
 	clockAt time.Duration
 	// leaseMs is the latest lease end that was sent, by the worker's clock.
--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -87,9 +87,14 @@
 	go d.followWorkers(ctx)
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
+	wake := time.NewTimer(tickEvery)
+	defer wake.Stop()
 	for {
 		d.takeJobs()
 		d.drive(ctx)
+		if at := d.core.Wake(); at > 0 {
+			wake.Reset(max(0, at-d.now().Mono))
+		}
 		select {
 		case <-ctx.Done():
 			return "process ends"
@@ -99,6 +104,7 @@
 			f(d.now())
 			d.drainEvents()
 		case <-d.host.jobsSignal:
+		case <-wake.C:
 		case <-tick.C:
 			d.core.Tick(d.now())
 			d.sweep(ctx)
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -91,3 +91,20 @@
 		}
 	}
 }
+
+// BenchmarkDecide plays the size of the grown sites, 350 workers, with bursts beyond what they
+// can take: what the deciding core takes of it is seen by profile.
+func BenchmarkDecide(b *testing.B) {
+	for name, site := range map[string]Site{"launches": Launches(), "leadline": Leadline()} {
+		b.Run(name, func(b *testing.B) {
+			grown := site.Grown(3.5, 2.5)
+			for n := range b.N {
+				w := New(uint64(n+1), grown.Settings, Fleet(350, grown.Capacity))
+				l := Load{Classes: grown.Classes, Bursts: []Burst{{grown.Classes[1].Name, 2 * time.Second, 6 * time.Second, 2}, {grown.Classes[2].Name, 3 * time.Second, 5 * time.Second, 2}}, Length: 30 * time.Second, Scale: 1, Lead: 5 * time.Second}
+				w.Submit(l)
+				w.Run(40 * time.Second)
+				b.ReportMetric(float64(w.Runs), "runs")
+			}
+		})
+	}
+}
--- a/internal/sim/sites.go
+++ b/internal/sim/sites.go
@@ -62,6 +62,20 @@
 	}}
 }
 
+// Grown is a site with n times the traffic and wider jobs.
+func (s Site) Grown(n, width float64) Site {
+	classes := make([]Class, len(s.Classes))
+	for i, c := range s.Classes {
+		c.Rate *= n
+		c.Width *= width
+		c.MaxWidth = int(float64(c.MaxWidth) * width)
+		c.Filled = int(float64(c.Filled) * n)
+		classes[i] = c
+	}
+	s.Classes = classes
+	return s
+}
+
 // settings are the bounds of a site, where a stop takes the given time.
 func settings(stop time.Duration) dispatch.Settings {
 	return dispatch.Settings{Lease: 8 * time.Second, HoldWait: 2 * time.Second, UnheardLease: 5 * time.Second, SpreadFactor: 3, StopTime: stop}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -96,6 +96,8 @@
 	epoch     int64
 	appending bool
 	fenced    bool
+	// wake is when the core last asked to be driven.
+	wake time.Duration
 }
 
 // played is one submitted job and what is true of it.
@@ -256,6 +258,10 @@
 		w.hold(d, h)
 	}
 	w.append(d)
+	if at := d.core.Wake(); at > w.now && at != d.wake {
+		d.wake = at
+		w.at(at-w.now, func() {})
+	}
 }
 
 // send makes an order: it may be lost, or be carried out late.
