entry: hosts spread their submissions, and the decider runs where it has processors

The decider of the grown sites may run on any host, of 0.19 to 0.8 of a core. Every task of a wide step looked at every worker again. Change: each host begins with a partition by its name, and tries the next one after three times what appends take now, 0.2 s at least; hosts with fewer processors leave the role to others for up to 0.2 s longer; tasks look at the usable workers only, and losses are worked out once a cycle. Two tests that fail a partition now fail the one that the host tries first.

--- a/internal/core/dispatch/cycle.go
+++ b/internal/core/dispatch/cycle.go
@@ -13,6 +13,9 @@
 type cycle struct {
 	pools map[pool]*poolWorkers
 	slots map[slotShape]*slots
+	// byLoss holds the runs of workers that urgent work looked at; what is placed later in
+	// the cycle is urgent too, or has lost nothing yet.
+	byLoss map[*worker][]*run
 }
 
 // pool names the workers that may run a step.
@@ -40,7 +43,7 @@
 }
 
 func newCycle() *cycle {
-	return &cycle{pools: map[pool]*poolWorkers{}, slots: map[slotShape]*slots{}}
+	return &cycle{pools: map[pool]*poolWorkers{}, slots: map[slotShape]*slots{}, byLoss: map[*worker][]*run{}}
 }
 
 func (s *step) pool() pool { return pool{s.job.spec.Service, s.spec.Label} }
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -70,8 +70,12 @@
 		return
 	}
 	waiting := c.waiting(now, s)
+	some := c.slotsFor(now, s).free > 0
 	for i, t := range waiting {
-		w := c.bestWorker(now, s, t)
+		var w *worker
+		if some {
+			w = c.bestWorker(now, s, t)
+		}
 		if w == nil {
 			if s.job.spec.Priority == firstPriority {
 				c.preempt(now, s, waiting[i:])
@@ -107,8 +111,8 @@
 		}
 	}
 	avoid := c.elsewhere(now, s, t)
-	for _, w := range c.sorted {
-		if !w.fits(s) || !w.free().Fits(need) || !w.usable(now.Mono) || !c.mayUse(now, s, w) {
+	for _, w := range c.poolOf(now, s).usable {
+		if !w.free().Fits(need) || !c.mayUse(now, s, w) {
 			continue
 		}
 		near := s.spec.DataRack == "" || w.Rack == s.spec.DataRack
--- a/internal/core/dispatch/preempt.go
+++ b/internal/core/dispatch/preempt.go
@@ -245,15 +245,11 @@
 	if free.Fits(need) {
 		return nil, 0, true
 	}
-	var candidates []*run
-	for _, r := range c.runsOf(w) {
-		if !chosen[r] && mayStop(s, r) {
-			candidates = append(candidates, r)
-		}
-	}
-	slices.SortStableFunc(candidates, func(a, b *run) int { return cmp.Compare(c.lossOf(now, a), c.lossOf(now, b)) })
 	var picked []*run
-	for _, r := range candidates {
+	for _, r := range c.byLoss(now, w) {
+		if chosen[r] || !mayStop(s, r) {
+			continue
+		}
 		picked = append(picked, r)
 		free = free.Plus(r.need)
 		if free.Fits(need) {
@@ -276,6 +272,21 @@
 	return kept, cost, true
 }
 
+// byLoss returns the runs of w, those that lose least when they are stopped first.
+func (c *Core) byLoss(now Now, w *worker) []*run {
+	if runs, ok := c.cycle.byLoss[w]; ok {
+		return runs
+	}
+	runs := c.runsOf(w)
+	loss := make(map[*run]float64, len(runs))
+	for _, r := range runs {
+		loss[r] = c.lossOf(now, r)
+	}
+	slices.SortStableFunc(runs, func(a, b *run) int { return cmp.Compare(loss[a], loss[b]) })
+	c.cycle.byLoss[w] = runs
+	return runs
+}
+
 // mayStop reports whether s may take the room of r.
 func mayStop(s *step, r *run) bool {
 	other := r.task.step
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -37,6 +37,8 @@
 	KeepEnded time.Duration
 	// SpreadFactor is how much slower work is away from its rack.
 	SpreadFactor float64
+	// Cores is the share of a core that the process may use.
+	Cores float64
 	// MemoryMB is the memory of the process.
 	MemoryMB int64
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -308,7 +308,7 @@
 	log := memlog.New()
 	hosts, _ := run(t, log, 2)
 	log.SetFault(func(call string, topic sharedlog.Topic) error {
-		if topic == ledger.TopicsJobs[0] && call == "append" {
+		if topic == ledger.TopicsJobs[hosts[1].writer.usual] && call == "append" {
 			return sharedlog.ErrRefused
 		}
 		return nil
@@ -321,14 +321,14 @@
 	})
 }
 
-// The fault: the first partition takes calls and does not answer.
+// The fault: the partition that is tried first takes calls and does not answer.
 func TestSilentPartitionHoldsNoSubmission(t *testing.T) {
 	log := memlog.New()
 	hosts, _ := run(t, log, 1)
 	silent := make(chan struct{})
 	t.Cleanup(func() { close(silent) })
 	log.SetFault(func(call string, topic sharedlog.Topic) error {
-		if topic == ledger.TopicsJobs[0] && call == "append" {
+		if topic == ledger.TopicsJobs[hosts[0].writer.usual] && call == "append" {
 			<-silent
 			return sharedlog.ErrUnknown
 		}
--- a/internal/entry/jobwriter.go
+++ b/internal/entry/jobwriter.go
@@ -23,9 +23,14 @@
 	maxAppends = 8
 	// homeTime is how long another partition is used after the first one failed.
 	homeTime = 5 * time.Second
-	// hedgeAfter is how long one partition may take before the next one is tried as well:
-	// many times its usual answer time.
+	// hedgeAfter is how long one partition may take at least before the next one is tried
+	// as well: many times its usual answer time.
 	hedgeAfter = 200 * time.Millisecond
+	// hedgeTimes is the same in parts of what appends take now: a slow log is not asked to
+	// do more.
+	hedgeTimes = 3
+	// tookShare is the weight of the newest append in the mean of what appends take.
+	tookShare = 0.25
 )
 
 // jobWriter appends submissions and cancellations, many at a time. The load that it answers
@@ -36,9 +41,13 @@
 	queue chan pendingRecord
 
 	mu sync.Mutex
-	// home is the partition that is tried first.
-	home      int
-	homeUntil time.Time
+	// usual is the partition that this host tries first, and home the one that it tries
+	// first until homeUntil. Hosts are spread over the partitions: each takes one append
+	// after the other.
+	usual, home int
+	homeUntil   time.Time
+	// took is the mean of what appends take.
+	took time.Duration
 }
 
 type pendingRecord struct {
@@ -47,7 +56,8 @@
 }
 
 func newJobWriter(h *Host) *jobWriter {
-	return &jobWriter{host: h, queue: make(chan pendingRecord, maxPending)}
+	usual := int(hostHash(h.set.Host) % uint32(len(ledger.TopicsJobs)))
+	return &jobWriter{host: h, queue: make(chan pendingRecord, maxPending), usual: usual, home: usual}
 }
 
 // write returns once the record is in the log, or says that it is not or may be.
@@ -117,12 +127,14 @@
 		tried++
 		open++
 		go func() {
+			began := time.Now()
 			_, err := w.host.log.Append(ctx, ledger.TopicsJobs[at], records, sharedlog.AppendOptions{})
+			w.observe(time.Since(began), err)
 			results <- result{at, err}
 		}()
 	}
 	try()
-	hedge := time.NewTicker(hedgeAfter)
+	hedge := time.NewTicker(w.hedge())
 	defer hedge.Stop()
 	for open > 0 {
 		select {
@@ -155,8 +167,8 @@
 func (w *jobWriter) first() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.home != 0 && time.Now().After(w.homeUntil) {
-		w.home = 0
+	if w.home != w.usual && time.Now().After(w.homeUntil) {
+		w.home = w.usual
 	}
 	return w.home
 }
@@ -169,3 +181,20 @@
 		w.home, w.homeUntil = at, time.Now().Add(homeTime)
 	}
 }
+
+// observe takes note of what an append took. One that was refused says nothing of it.
+func (w *jobWriter) observe(d time.Duration, err error) {
+	if err != nil && !errors.Is(err, sharedlog.ErrUnknown) {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.took += time.Duration(tookShare * float64(d-w.took))
+}
+
+// hedge is how long a partition may take before the next one is tried as well.
+func (w *jobWriter) hedge() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return max(hedgeAfter, hedgeTimes*w.took)
+}
--- a/internal/entry/role.go
+++ b/internal/entry/role.go
@@ -19,7 +19,12 @@
 	// over: three renewals, with the time that an append may take.
 	silence = 1900 * time.Millisecond
 	// rankSpread spreads the hosts' claims, so that one of them comes first.
-	rankSpread = 400 * time.Millisecond
+	rankSpread = 150 * time.Millisecond
+	// smallDelay is what a host without processors would wait longer than one that has
+	// plenty, so that the decider runs where it keeps up.
+	smallDelay = 200 * time.Millisecond
+	// plentyCores is a share of a core that the decider does not use up on the largest sites.
+	plentyCores = 0.8
 	// watchEvery is how often a standby looks for silence.
 	watchEvery = 100 * time.Millisecond
 	// holdWithoutLog is how long a holder goes on renewing leases while the log does not
@@ -57,10 +62,17 @@
 	return &role{host: h, seenAt: time.Now(), stop: make(chan struct{}), released: make(chan struct{})}
 }
 
+// rank is how long this host leaves the role to others that could claim it.
 func (r *role) rank() time.Duration {
+	lack := max(0, plentyCores-r.host.set.Cores) / plentyCores
+	return time.Duration(lack*float64(smallDelay)) + time.Duration(hostHash(r.host.set.Host)%1000)*rankSpread/1000
+}
+
+// hostHash spreads what hosts do by their names.
+func hostHash(name string) uint32 {
 	hash := fnv.New32a()
-	_, _ = hash.Write([]byte(r.host.set.Host)) // it cannot fail
-	return time.Duration(hash.Sum32()%1000) * rankSpread / 1000
+	_, _ = hash.Write([]byte(name)) // it cannot fail
+	return hash.Sum32()
 }
 
 func (r *role) run(ctx context.Context) error {
@@ -110,9 +122,7 @@
 // firstSequence differs from claim to claim: the log answers a repeat of an epoch and
 // sequence as it did the first time, so that two hosts with one sequence would both win.
 func (r *role) firstSequence() int64 {
-	hash := fnv.New32a()
-	_, _ = hash.Write([]byte(r.host.set.Host)) // it cannot fail
-	return (int64(hash.Sum32()) << sequenceBits) + time.Now().UnixMilli()&(1<<sequenceBits-1)
+	return (int64(hostHash(r.host.set.Host)) << sequenceBits) + time.Now().UnixMilli()&(1<<sequenceBits-1)
 }
 
 func (r *role) claim(ctx context.Context) (sharedlog.Fence, bool) {
