entry: fewer reads on hosts that do not decide; the holder keeps the role over an outage

Change: standbys read jobs once a second (state four times); after a read with records the next one waits for 25 ms only; standbys give the holder a second once the log is back. Before: TestHolderKeepsTheRoleOverAnOutageOfTheLog fails.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -85,14 +85,18 @@
 	// gone silent is noticed only after it, and a cancellation has to reach the decider
 	// within three seconds.
 	readWait = 1500 * time.Millisecond
-	// followPause lets records come together on a host that does not decide; each read is
-	// priced, and there are many hosts. A caller's question ends the pause.
-	followPause = 250 * time.Millisecond
+	// statePause and jobsPause let records come together on a host that does not decide:
+	// each read is priced, and there are many hosts. A caller's question ends a pause, and
+	// one about an unknown job reads for itself; counts may be two seconds old. The pause of
+	// the state is shorter, since the holder's silence is measured by it.
+	statePause = 250 * time.Millisecond
+	jobsPause  = time.Second
 	// stateWait is how long a caller's question waits for a change of its job: several
 	// times what an end takes from the worker through the log.
 	stateWait = 100 * time.Millisecond
-	// askedWait is how long one read waits while a question waits for it.
-	askedWait = 25 * time.Millisecond
+	// shortWait is how long a read waits that may have missed a record: several times what
+	// the log takes for an append.
+	shortWait = 25 * time.Millisecond
 	// catalogWait is shorter, since the configuration has to be in force in two seconds.
 	catalogWait = time.Second
 	// retryFirst and retryMax space the calls to a log that does not answer.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -180,7 +180,7 @@
 				assert.NilError(t, f.step(ctx, 0))
 			}
 			if paused {
-				h.state.pause()
+				h.state.leaveToHolder()
 			} else {
 				following, stop := context.WithCancel(ctx)
 				var wait sync.WaitGroup
@@ -405,6 +405,24 @@
 	eventually(t, h.Ready)
 }
 
+// The fault: the log is away for longer than a holder may be silent, and comes back. The
+// holder, which is well, keeps the role.
+func TestHolderKeepsTheRoleOverAnOutageOfTheLog(t *testing.T) {
+	log := memlog.New()
+	hosts, _ := run(t, log, 3)
+	eventually(t, func() bool { return hosts[0].ledger.Role().Epoch > 0 })
+	holder := hosts[0].ledger.Role().Holder
+	log.SetFault(func(string, sharedlog.Topic) error { return sharedlog.ErrRefused })
+	time.Sleep(silence + time.Second)
+	log.SetFault(nil)
+	eventually(t, func() bool { return hosts[0].Ready() && hosts[1].Ready() && hosts[2].Ready() })
+	time.Sleep(backTime + rankSpread)
+	for _, h := range hosts {
+		assert.Equal(t, h.ledger.Role().Epoch, int64(1))
+		assert.Equal(t, h.ledger.Role().Holder, holder)
+	}
+}
+
 func TestUnknownJobIsToldOnlyAfterReadingToTheEnd(t *testing.T) {
 	log := memlog.New()
 	hosts, _ := run(t, log, 1)
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -28,6 +28,8 @@
 	// paused followers leave the topic to its only writer, which folds what it appends.
 	paused bool
 	resume chan struct{}
+	// pause lets records come together on a host that does not decide.
+	pause time.Duration
 	// folded is closed, and replaced, when records were folded.
 	folded chan struct{}
 	// waiters counts the questions that wait for records, and wake ends a pause for them.
@@ -37,8 +39,8 @@
 	changed func()
 }
 
-func newFollower(h *Host, topic sharedlog.Topic, changed func()) *follower {
-	return &follower{host: h, topic: topic, next: -1, resume: make(chan struct{}, 1), folded: make(chan struct{}), wake: make(chan struct{}, 1), changed: changed}
+func newFollower(h *Host, topic sharedlog.Topic, pause time.Duration, changed func()) *follower {
+	return &follower{host: h, topic: topic, pause: pause, next: -1, resume: make(chan struct{}, 1), folded: make(chan struct{}), wake: make(chan struct{}, 1), changed: changed}
 }
 
 func newBackoff() *backoff.ExponentialBackOff {
@@ -49,6 +51,7 @@
 
 func (f *follower) run(ctx context.Context) error {
 	retry := newBackoff()
+	progressed := false
 	for ctx.Err() == nil {
 		if f.isPaused() {
 			select {
@@ -58,14 +61,16 @@
 			continue
 		}
 		before := f.position()
-		if err := f.step(ctx, f.readWait()); err != nil {
+		if err := f.step(ctx, f.readWait(progressed)); err != nil {
 			f.fail(err)
 			sleep(ctx, retry.NextBackOff())
 			continue
 		}
 		retry.Reset()
-		if f.position() != before && !f.host.role.isLeading() {
+		progressed = f.position() != before
+		if progressed && !f.host.role.isLeading() {
 			f.pauseReads(ctx)
+			progressed = false
 		}
 	}
 	return nil
@@ -145,6 +150,7 @@
 	f.contact = time.Now()
 	if f.lost {
 		f.lost = false
+		f.host.role.logIsBack()
 		event.Info(f.host.out, event.LogRegained, "topic", f.topic.String(), "offset", f.next)
 	}
 }
@@ -174,10 +180,7 @@
 	if lost {
 		return false
 	}
-	select {
-	case f.wake <- struct{}{}:
-	default:
-	}
+	f.endPause()
 	select {
 	case <-folded:
 		return true
@@ -186,13 +189,22 @@
 	}
 }
 
-// readWait is how long the next read waits for a record. A read that reaches the log at the
-// moment of an append may not be told of it: while a question waits, reads are short.
-func (f *follower) readWait() time.Duration {
+// endPause has the next read begin now.
+func (f *follower) endPause() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// readWait is how long the next read waits for a record. A read that reaches the log in the
+// moment of an append may not be told of it: reads are short while a question waits, and
+// after a read with records, since others often come close behind.
+func (f *follower) readWait(progressed bool) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.waiters > 0 {
-		return askedWait
+	if progressed || f.waiters > 0 {
+		return shortWait
 	}
 	return readWait
 }
@@ -209,7 +221,10 @@
 	case <-f.wake:
 	default:
 	}
-	t := time.NewTimer(followPause)
+	if f.host.role.isLeading() {
+		return
+	}
+	t := time.NewTimer(f.pause)
 	defer t.Stop()
 	select {
 	case <-t.C:
@@ -261,8 +276,8 @@
 	return f.paused
 }
 
-// pause leaves the topic to this host's appends; unpause takes it up again.
-func (f *follower) pause() {
+// leaveToHolder leaves the topic to this host's appends; unpause takes it up again.
+func (f *follower) leaveToHolder() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.paused = true
--- a/internal/entry/role.go
+++ b/internal/entry/role.go
@@ -18,6 +18,9 @@
 	// silence is how long nothing may come from the holder before another host takes
 	// over: three renewals, with the time that an append may take.
 	silence = 1900 * time.Millisecond
+	// backTime is what the holder has for its next record when the log is back: the pause
+	// between its tries, and an append.
+	backTime = time.Second
 	// rankSpread spreads the hosts' claims, so that one of them comes first.
 	rankSpread = 150 * time.Millisecond
 	// smallDelay is what a host without processors would wait longer than one that has
@@ -145,7 +148,7 @@
 		event.Error(h.out, err, event.RoleSuperseded)
 		return sharedlog.Fence{}, false
 	}
-	h.state.pause()
+	h.state.leaveToHolder()
 	fence := sharedlog.Fence{Epoch: claim.Epoch, Sequence: r.firstSequence()}
 	_, err = h.log.Append(ctx, ledger.TopicState, []sharedlog.Record{rec}, sharedlog.AppendOptions{At: &at, Fence: &fence})
 	if err == nil {
@@ -179,6 +182,9 @@
 	epoch := fence.Epoch
 	event.Info(r.host.out, event.SchedulerActive, "epoch", epoch)
 	r.setLeading(true)
+	for _, f := range r.host.jobs {
+		f.endPause()
+	}
 	d := newDecider(r.host, fence, r.unheard)
 	why := d.run(ctx, r.stop)
 	r.setLeading(false)
@@ -201,6 +207,16 @@
 	r.yieldUntil = time.Now().Add(yieldTime)
 }
 
+// logIsBack gives a holder that could not write either the time to do so. Without it the
+// end of each outage of the log would change the holder.
+func (r *role) logIsBack() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if earliest := time.Now().Add(backTime - silence); r.seenAt.Before(earliest) {
+		r.seenAt = earliest
+	}
+}
+
 func (r *role) setLeading(v bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
