dispatch, entry: names of reservations; the host's tests by noun

Cause: hold named both a look at a worker and a reservation of room; entry_test.go had grown to 600 lines. No behaviour changed.

--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -37,11 +37,11 @@
 	cycle *cycle
 	// doubted is when each zone's workers were last looked at because some did not answer.
 	doubted map[string]time.Duration
-	// holdsAt is when the reservations were last worked out.
-	holdsAt time.Duration
-	// holds is the room that is kept for gangs in this cycle, for reserved of them.
-	holds    map[*worker]*hold
-	reserved int
+	// reservedAt is when the reservations were last worked out.
+	reservedAt time.Duration
+	// reservations are the rooms that are kept for gangs, for reserved of them.
+	reservations map[*worker]*reservation
+	reserved     int
 	// wake is when the next occurrence or held back task may be placed.
 	wake time.Duration
 }
--- a/internal/core/dispatch/gang.go
+++ b/internal/core/dispatch/gang.go
@@ -23,7 +23,7 @@
 		if s.job.spec.Priority == firstPriority {
 			c.preempt(now, s, waiting)
 		} else if !c.lastMoment(now, s) || !c.preempt(now, s, waiting) {
-			c.reserve(now, s, c.holds)
+			c.reserve(now, s, c.reservations)
 		}
 		return
 	}
--- a/internal/core/dispatch/order.go
+++ b/internal/core/dispatch/order.go
@@ -52,7 +52,7 @@
 		}
 	}
 	full := fullShapes{}
-	c.renewHolds(now)
+	c.renewReservations(now)
 	for _, s := range steps {
 		if s.plan != nil {
 			continue
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -155,7 +155,7 @@
 	if w.side < urgentSide && c.leavesRacks(now, s) {
 		return false
 	}
-	return c.holds[w].allows(now, s) || c.quiet(now)
+	return c.reservations[w].allows(now, s) || c.quiet(now)
 }
 
 const (
@@ -225,7 +225,7 @@
 // place decides a run; its order goes out once the record is in the log.
 func (c *Core) place(now Now, t *task, w *worker, number int) {
 	t.number = number
-	c.holds[w].take(now, t.step)
+	c.reservations[w].take(now, t.step)
 	r := &run{task: t, number: number, worker: w, phase: recording, need: t.step.spec.Charge(), began: now.Mono, percentAt: now.Mono, saved: t.saved}
 	c.put(r)
 	c.record(t)
--- a/internal/core/dispatch/reserve.go
+++ b/internal/core/dispatch/reserve.go
@@ -12,9 +12,9 @@
 // most of the fleet waiting.
 const maxReservations = 6
 
-// hold keeps room on a worker for a gang that waits: the answer to a flood of small tasks,
+// reservation keeps room on a worker for a gang that waits: the answer to a flood of small tasks,
 // which would take each place that becomes free long before a gang's last one is.
-type hold struct {
+type reservation struct {
 	// step is the gang that the room is kept for.
 	step *step
 	// at is when the gang is expected to begin.
@@ -23,26 +23,26 @@
 	slack job.Resources
 }
 
-// holdsTime is how long reservations stand before they are worked out anew, where many
+// reservationTime is how long reservations stand before they are worked out anew, where many
 // steps wait; expected ends change little in it.
-const holdsTime = 250 * time.Millisecond
+const reservationTime = 250 * time.Millisecond
 
-// renewHolds drops the reservations that are to be worked out in this cycle.
-func (c *Core) renewHolds(now Now) {
-	if c.backlog < largeBacklog || now.Mono >= c.holdsAt+holdsTime {
-		c.holds, c.reserved, c.holdsAt = map[*worker]*hold{}, 0, now.Mono
+// renewReservations drops the reservations that are to be worked out in this cycle.
+func (c *Core) renewReservations(now Now) {
+	if c.backlog < largeBacklog || now.Mono >= c.reservedAt+reservationTime {
+		c.reservations, c.reserved, c.reservedAt = map[*worker]*reservation{}, 0, now.Mono
 		return
 	}
-	for w, h := range c.holds {
-		if !h.step.hasWaiting() || h.step.job.closed() {
-			delete(c.holds, w)
+	for w, r := range c.reservations {
+		if !r.step.hasWaiting() || r.step.job.closed() {
+			delete(c.reservations, w)
 		}
 	}
 }
 
 // reserve keeps room for a gang where it will fit first.
-func (c *Core) reserve(now Now, s *step, holds map[*worker]*hold) {
-	if len(s.tasks) == 0 || c.reserved >= maxReservations || c.holdsAt != now.Mono {
+func (c *Core) reserve(now Now, s *step, kept map[*worker]*reservation) {
+	if len(s.tasks) == 0 || c.reserved >= maxReservations || c.reservedAt != now.Mono {
 		return
 	}
 	p := c.poolOf(now, s)
@@ -60,7 +60,7 @@
 	}
 	var best []place
 	for _, g := range groups {
-		places := c.firstPlaces(now, s, g, holds)
+		places := c.firstPlaces(now, s, g, kept)
 		if places != nil && (best == nil || places[len(places)-1].at < best[len(best)-1].at) {
 			best = places
 		}
@@ -75,7 +75,7 @@
 		taken[p.worker] = taken[p.worker].Plus(s.spec.Charge())
 	}
 	for w, need := range taken {
-		holds[w] = &hold{step: s, at: at, slack: w.freeAt(at).Minus(need)}
+		kept[w] = &reservation{step: s, at: at, slack: w.freeAt(at).Minus(need)}
 	}
 }
 
@@ -86,10 +86,10 @@
 }
 
 // firstPlaces returns where the tasks of s would fit first, in order of time, or nil.
-func (c *Core) firstPlaces(now Now, s *step, group []*worker, holds map[*worker]*hold) []place {
+func (c *Core) firstPlaces(now Now, s *step, group []*worker, kept map[*worker]*reservation) []place {
 	var all []place
 	for _, w := range group {
-		if holds[w] == nil {
+		if kept[w] == nil {
 			all = append(all, w.places(now, s)...)
 		}
 	}
@@ -158,13 +158,13 @@
 }
 
 // allows reports whether a task of s may be placed on w beside a reservation.
-func (h *hold) allows(now Now, s *step) bool {
-	return h == nil || h.step == s || now.Mono+s.spec.Estimate <= h.at || h.slack.Fits(s.spec.Charge())
+func (r *reservation) allows(now Now, s *step) bool {
+	return r == nil || r.step == s || now.Mono+s.spec.Estimate <= r.at || r.slack.Fits(s.spec.Charge())
 }
 
 // take counts a task that was placed beside a reservation.
-func (h *hold) take(now Now, s *step) {
-	if h != nil && h.step != s && now.Mono+s.spec.Estimate > h.at {
-		h.slack = h.slack.Minus(s.spec.Charge())
+func (r *reservation) take(now Now, s *step) {
+	if r != nil && r.step != s && now.Mono+s.spec.Estimate > r.at {
+		r.slack = r.slack.Minus(s.spec.Charge())
 	}
 }
--- /dev/null
+++ b/internal/core/dispatch/reserve_test.go
@@ -0,0 +1,56 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"agatewinch/internal/core/job"
+)
+
+// The load: a queue so long that reservations stand for a while. The gang that they are for
+// begins as soon as its room is free, and nothing else takes it.
+func TestStandingReservationIsTheGangs(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(2, whole))
+	b.add(single("busy", 1, 2, whole))
+	busy := b.accept()
+	g := gang("gang", 1, 2, whole)
+	g.Steps[0].Estimate = time.Second
+	b.add(g)
+	for i := range largeBacklog {
+		j := single(fmt.Sprintf("flood%d", i), 2, 4, one)
+		j.Steps[0].Estimate = time.Minute
+		b.core.AddJob(b.clock(), j, nil)
+	}
+	b.step()
+	b.pass(reservationTime) // a cycle with the whole queue works the reservations out
+	b.step()
+	b.now += cyclePause
+	b.end(busy[0], job.EndDone)
+	assert.Equal(t, len(b.starts), 0)
+	b.now += cyclePause
+	b.end(busy[1], job.EndDone)
+	assert.Equal(t, len(b.starts), 2)
+	for _, s := range b.starts {
+		assert.Equal(t, s.Task.Job, "gang")
+	}
+}
+
+// The load: as above. Urgent work does not wait for the next cycle.
+func TestUrgentWorkIsPlacedAtOnceBehindALongQueue(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(2, whole))
+	b.add(single("busy", 2, 16, one))
+	b.accept()
+	for i := range 2 * largeBacklog {
+		b.core.AddJob(b.clock(), single(fmt.Sprintf("flood%d", i), 2, 4, one), nil)
+	}
+	b.step()
+	b.now += time.Millisecond
+	b.add(gang("urgent", 0, 1, one))
+	assert.Equal(t, len(b.stops), 1)
+	assert.Assert(t, b.core.Wake() > b.now)
+}
--- /dev/null
+++ b/internal/entry/role_test.go
@@ -0,0 +1,203 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"agatewinch/internal/catalog"
+	"agatewinch/internal/core/dispatch"
+	"agatewinch/internal/core/job"
+	"agatewinch/internal/ledger"
+	"agatewinch/internal/sharedlog"
+	"agatewinch/internal/sharedlog/memlog"
+)
+
+func TestOnlyOneHostWinsAnEpoch(t *testing.T) {
+	hosts, _ := run(t, memlog.New(), 8)
+	leading := func() int {
+		n := 0
+		for _, h := range hosts {
+			if h.role.isLeading() {
+				n++
+			}
+		}
+		return n
+	}
+	eventually(t, func() bool { return leading() > 0 })
+	time.Sleep(2 * rankSpread)
+	assert.Equal(t, leading(), 1)
+	assert.Equal(t, hosts[0].ledger.Role().Epoch, int64(1))
+}
+
+func TestOneOfTwoClaimsAtOnceWins(t *testing.T) {
+	log := memlog.New()
+	var meet sync.WaitGroup
+	meet.Add(2)
+	log.SetFault(func(call string, topic sharedlog.Topic) error {
+		if call == "append" && topic == ledger.TopicState {
+			meet.Done()
+			meet.Wait()
+		}
+		return nil
+	})
+	var won atomic.Int64
+	var claims sync.WaitGroup
+	for i := range 2 {
+		h := newHost(log, &workers{}, fmt.Sprintf("host-%d", i))
+		h.setCatalog((&catalog.Catalog{Version: 1}).Index())
+		for _, f := range append(h.jobs, h.state) {
+			assert.NilError(t, f.load(context.Background()))
+			assert.NilError(t, f.step(context.Background(), 0))
+		}
+		h.role.seenAt = time.Now().Add(-time.Minute)
+		claims.Go(func() {
+			if _, ok := h.role.claim(context.Background()); ok {
+				won.Add(1)
+			}
+		})
+	}
+	claims.Wait()
+	assert.Equal(t, won.Load(), int64(1))
+}
+
+func TestHostThatDoesNotKnowTheJobsOfTasksDoesNotClaim(t *testing.T) {
+	log := memlog.New()
+	h := newHost(log, &workers{runs: map[string]execution{}}, "host")
+	h.setCatalog((&catalog.Catalog{Version: 1}).Index())
+	ctx := context.Background()
+	j := submission("0000000000000001")
+	running, err := ledger.TaskRecord(job.TaskID{Job: j.ID}, job.TaskRecord{Run: 1, Worker: "w0", Born: 1, Active: true})
+	assert.NilError(t, err)
+	_, err = log.Append(ctx, ledger.TopicState, []sharedlog.Record{running}, sharedlog.AppendOptions{})
+	assert.NilError(t, err)
+	for _, f := range append(h.jobs, h.state) {
+		assert.NilError(t, f.load(ctx))
+		assert.NilError(t, f.step(ctx, 0))
+	}
+	h.role.seenAt, h.role.seen = time.Now().Add(-time.Minute), h.ledger.Changes()
+	_, ok := h.role.claim(ctx)
+	assert.Assert(t, !ok)
+
+	submitted, err := ledger.JobRecord(j)
+	assert.NilError(t, err)
+	_, err = log.Append(ctx, ledger.TopicsJobs[2], []sharedlog.Record{submitted}, sharedlog.AppendOptions{})
+	assert.NilError(t, err)
+	h.role.seenAt, h.role.seen = time.Now().Add(-time.Minute), h.ledger.Changes()
+	_, ok = h.role.claim(ctx)
+	assert.Assert(t, ok)
+}
+
+func TestJobThatIsReadLateKeepsItsTasks(t *testing.T) {
+	w := &workers{runs: map[string]execution{}}
+	h := newHost(memlog.New(), w, "host")
+	j := submission("0000000000000001")
+	j.Service = "service"
+	for i := range j.Steps[0].Count {
+		r, err := ledger.TaskRecord(job.TaskID{Job: j.ID, Index: i}, job.TaskRecord{Run: 1, Worker: "w0", Born: 1, Active: true})
+		assert.NilError(t, err)
+		h.fold([]sharedlog.Record{r})
+	}
+	d := newDecider(h, sharedlog.Fence{Epoch: 1}, 0)
+	d.restore()
+	submitted, err := ledger.JobRecord(j)
+	assert.NilError(t, err)
+	h.fold([]sharedlog.Record{submitted})
+	d.takeJobs()
+	assert.Equal(t, len(d.core.TakeActions(d.now()).Starts), 0)
+	assert.Assert(t, d.core.TakeBatch() == nil, "nothing is placed")
+}
+
+func TestHolderKeepsTheRoleOverAnOutageOfTheLog(t *testing.T) {
+	log := memlog.New()
+	hosts, _ := run(t, log, 3)
+	eventually(t, func() bool { return hosts[0].ledger.Role().Epoch > 0 })
+	holder := hosts[0].ledger.Role().Holder
+	log.SetFault(func(string, sharedlog.Topic) error { return sharedlog.ErrRefused })
+	time.Sleep(silence + time.Second)
+	log.SetFault(nil)
+	eventually(t, func() bool { return hosts[0].Ready() && hosts[1].Ready() && hosts[2].Ready() })
+	time.Sleep(backTime + rankSpread)
+	for _, h := range hosts {
+		assert.Equal(t, h.ledger.Role().Epoch, int64(1))
+		assert.Equal(t, h.ledger.Role().Holder, holder)
+	}
+}
+
+func TestPlannedStopHandsTheRoleOverAtOnce(t *testing.T) {
+	hosts, _ := run(t, memlog.New(), 2)
+	var leader, other *Host
+	eventually(t, func() bool {
+		for i, h := range hosts {
+			if h.role.isLeading() {
+				leader, other = h, hosts[1-i]
+				return true
+			}
+		}
+		return false
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	leader.Drain(ctx)
+	assert.Assert(t, !leader.Ready())
+	assert.Assert(t, leader.ledger.Role().Released || leader.ledger.Role().Holder == other.set.Host)
+	eventually(t, func() bool { return other.role.isLeading() })
+	assert.Equal(t, other.role.unheard, time.Duration(0))
+}
+
+type cutWorkers struct {
+	*workers
+	cut atomic.Bool
+}
+
+func (w *cutWorkers) Start(ctx context.Context, s dispatch.Start, epoch int64) dispatch.Outcome {
+	if w.cut.Load() {
+		return dispatch.NoConnection
+	}
+	return w.workers.Start(ctx, s, epoch)
+}
+
+func (w *cutWorkers) Hold(ctx context.Context, h dispatch.Hold, epoch int64) (dispatch.Report, dispatch.Outcome) {
+	if w.cut.Load() {
+		return dispatch.Report{}, dispatch.NoConnection
+	}
+	return w.workers.Hold(ctx, h, epoch)
+}
+
+func TestHolderThatWorkersDoNotAnswerGivesTheRoleUp(t *testing.T) {
+	log := memlog.New()
+	links := map[*Host]*cutWorkers{}
+	hosts, w := runWith(t, 2, func(w *workers, name string) *Host {
+		link := &cutWorkers{workers: w}
+		h := newHost(log, w, name)
+		h.workers = link
+		links[h] = link
+		return h
+	})
+	ctx := context.Background()
+	leader := func() *Host {
+		for _, h := range hosts {
+			if h.role.isLeading() {
+				return h
+			}
+		}
+		return nil
+	}
+	eventually(t, func() bool { return leader() != nil })
+	first := leader()
+	links[first].cut.Store(true)
+	assert.NilError(t, hosts[0].Submit(ctx, &queue, "org", submission("0000000000000001")))
+	eventually(t, func() bool {
+		state, err := hosts[1].State(ctx, &queue, "org", "0000000000000001")
+		return err == nil && state == job.Succeeded
+	})
+	assert.Assert(t, leader() != first)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	assert.Equal(t, len(w.starts), 2)
+}
--- a/internal/event/entryevents.go
+++ b/internal/event/entryevents.go
@@ -3,7 +3,7 @@
 // Events of an entry host on the operators' platform.
 var (
 	RequestTaken          = Event{7001, "request taken", "A submission or cancellation was handed to the log; the outcome says what became of it."}
-	RequestRefused        = Event{7002, "request refused", "A request was answered with an error; the kind, the reason and the age of what this host knows are shown."}
+	RequestRefused        = Event{7002, "request refused", "This host answered a request with an error; the kind, the reason and the age of what it knows are shown. A peer may have had a better answer: event 7004 follows then."}
 	Decision              = Event{7003, "decision", "The decider placed, stopped or ended a run, or changed what it believes of a worker."}
 	RequestRelayed        = Event{7004, "request relayed", "A request that this host cannot answer was passed on to a peer; the reason, the peer and its answer are shown."}
 	LogLost               = Event{7101, "log lost", "A topic of the platform's log cannot be read; this host goes on with what it knows."}
