--- a/internal/entry/role_test.go
+++ b/internal/entry/role_test.go
@@ -66,21 +66,28 @@
 	assert.Equal(t, won.Load(), int64(1))
 }
 
-func TestHostThatDoesNotKnowTheJobsOfTasksDoesNotClaim(t *testing.T) {
-	log := memlog.New()
+// hostWithAnUnknownJob returns a host that has read the record of a task and not the task's
+// job, which is returned too.
+func hostWithAnUnknownJob(t *testing.T, log sharedlog.Log) (*Host, *job.Job) {
+	t.Helper()
 	h := newHost(log, &workers{runs: map[string]execution{}}, "host")
 	h.setCatalog((&catalog.Catalog{Version: 1}).Index())
-	ctx := context.Background()
 	j := submission("0000000000000001")
 	running, err := ledger.TaskRecord(job.TaskID{Job: j.ID}, job.TaskRecord{Run: 1, Worker: "w0", Born: 1, Active: true})
 	assert.NilError(t, err)
-	_, err = log.Append(ctx, ledger.TopicState, []sharedlog.Record{running}, sharedlog.AppendOptions{})
+	_, err = log.Append(t.Context(), ledger.TopicState, []sharedlog.Record{running}, sharedlog.AppendOptions{})
 	assert.NilError(t, err)
 	for _, f := range append(h.jobs, h.state) {
-		assert.NilError(t, f.load(ctx))
-		assert.NilError(t, f.step(ctx, 0))
+		assert.NilError(t, f.load(t.Context()))
+		assert.NilError(t, f.step(t.Context(), 0))
 	}
 	h.role.seenAt, h.role.seen = time.Now().Add(-time.Minute), h.ledger.Changes()
+	return h, j
+}
+
+func TestHostThatDoesNotKnowTheJobsOfTasksDoesNotClaim(t *testing.T) {
+	ctx, log := t.Context(), memlog.New()
+	h, j := hostWithAnUnknownJob(t, log)
 	_, ok := h.role.claim(ctx)
 	assert.Assert(t, !ok)
 
@@ -96,19 +103,8 @@
 // The fault: another host claims the role while this one makes sure that it knows all jobs.
 // This host's reads have brought the other's claim meanwhile, and it must not claim on top.
 func TestClaimIsNotMadeOnTopOfOneThatCameMeanwhile(t *testing.T) {
-	log := memlog.New()
-	h := newHost(log, &workers{runs: map[string]execution{}}, "host")
-	h.setCatalog((&catalog.Catalog{Version: 1}).Index())
-	ctx := t.Context()
-	j := submission("0000000000000001")
-	running, err := ledger.TaskRecord(job.TaskID{Job: j.ID}, job.TaskRecord{Run: 1, Worker: "w0", Born: 1, Active: true})
-	assert.NilError(t, err)
-	_, err = log.Append(ctx, ledger.TopicState, []sharedlog.Record{running}, sharedlog.AppendOptions{})
-	assert.NilError(t, err)
-	for _, f := range append(h.jobs, h.state) {
-		assert.NilError(t, f.load(ctx))
-		assert.NilError(t, f.step(ctx, 0))
-	}
+	ctx, log := t.Context(), memlog.New()
+	h, j := hostWithAnUnknownJob(t, log)
 	submitted, err := ledger.JobRecord(j)
 	assert.NilError(t, err)
 	_, err = log.Append(ctx, ledger.TopicsJobs[0], []sharedlog.Record{submitted}, sharedlog.AppendOptions{})
@@ -126,7 +122,6 @@
 		}
 		return nil
 	})
-	h.role.seenAt, h.role.seen = time.Now().Add(-time.Minute), h.ledger.Changes()
 	_, ok := h.role.claim(ctx)
 	assert.Assert(t, !ok)
 	assert.Equal(t, h.ledger.Role().Holder, "other")
