entry, relay: a holder that the log refuses finds a successor

Ruled out: releasing the role (that is a record, too) and shorter silence (a slow log would change the holder). Change: after 0.3 s of refusals the holder asks a peer to take over; a peer that reads the log and sees the same epoch claims at its next look, unless the holder has written meanwhile. The holder goes on until it is refused for the higher epoch. Answers that are lost do not count. Before: TestHolderThatTheLogRefusesFindsASuccessor fails.

--- a/cmd/agatewinch-host/main.go
+++ b/cmd/agatewinch-host/main.go
@@ -86,6 +86,7 @@
 	answers := platform.NewFront(host)
 	relayed := relay.New(host, answers, out)
 	defer relayed.Close()
+	host.Join(relayed)
 	front := &http.Server{Handler: relayed, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	ready := &http.Server{Handler: platform.NewReadiness(host.Ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	servers := map[*http.Server]string{front: set.Listen, ready: set.ReadyListen}
--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -34,6 +34,9 @@
 	// leastHeld is how long the role is held at least before it is given up for that:
 	// where nobody reaches the workers it must not go round.
 	leastHeld = 4 * time.Second
+	// refusedHolder is how long the log may refuse the holder's records before a peer is
+	// asked to take the role over: several tries.
+	refusedHolder = 300 * time.Millisecond
 	// releaseTime bounds the giving up of the role at a planned stop.
 	releaseTime = 1500 * time.Millisecond
 )
@@ -303,6 +306,8 @@
 // became of it.
 func (d *decider) appendUntilKnown(ctx context.Context, records []sharedlog.Record, sequence int64) error {
 	retry := newBackoff()
+	var refusedAt time.Time
+	asked := false
 	for {
 		offset, err := d.host.log.Append(ctx, ledger.TopicState, records, sharedlog.AppendOptions{Fence: &sharedlog.Fence{Epoch: d.epoch, Sequence: sequence}})
 		if err == nil {
@@ -316,6 +321,15 @@
 			return err
 		}
 		event.Error(d.host.out, err, event.LogWriteError, "records", len(records), "epoch", d.epoch)
+		switch {
+		case errors.Is(err, sharedlog.ErrUnknown):
+			refusedAt = time.Time{} // a lost answer is no refusal
+		case refusedAt.IsZero():
+			refusedAt = time.Now()
+		case !asked && time.Since(refusedAt) >= refusedHolder && d.host.successors != nil:
+			// The log may serve others: without this they would wait for this host's silence.
+			asked = d.host.successors.AskSuccessor(ctx, d.epoch, d.host.set.Host)
+		}
 		sleep(ctx, retry.NextBackOff())
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -75,6 +75,12 @@
 	List(ctx context.Context) ([]dispatch.WorkerInfo, error)
 }
 
+// Successors finds a host that takes the deciding role over from one that cannot write.
+type Successors interface {
+	// AskSuccessor reports whether a peer will claim the role.
+	AskSuccessor(ctx context.Context, epoch int64, holder string) bool
+}
+
 // CatalogSource follows the operators' configuration. It returns nil if nothing changed.
 type CatalogSource interface {
 	Next(ctx context.Context, wait time.Duration) (*catalog.Catalog, error)
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -28,6 +28,8 @@
 	incarnation int64
 
 	metrics *metrics.Registry
+	// successors finds another host for the role; it may be nil.
+	successors Successors
 
 	ledger *ledger.Ledger
 	jobs   []*follower
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"agatewinch/internal/errkind"
 	"agatewinch/internal/event"
 	"agatewinch/internal/ledger"
 )
@@ -100,3 +101,19 @@
 	}
 	return true
 }
+
+// Join sets who finds a successor for the deciding role; it is called before Run.
+func (h *Host) Join(s Successors) { h.successors = s }
+
+// Succeed implements relay.Host.
+func (h *Host) Succeed(epoch int64, holder string) error {
+	if h.Behind() || !h.Ready() {
+		return retryLater(errkind.LogUnavailable, comeBack, "the log does not answer this host")
+	}
+	now := h.ledger.Role()
+	if now.Epoch != epoch || now.Holder != holder || now.Released {
+		return errkind.New(errkind.Conflict, "the role is held by %s under epoch %d", now.Holder, now.Epoch)
+	}
+	h.role.succeed()
+	return nil
+}
--- a/internal/entry/role.go
+++ b/internal/entry/role.go
@@ -201,6 +201,13 @@
 	}
 }
 
+// succeed has this host claim the role at its next look, unless the holder writes before.
+func (r *role) succeed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seen, r.seenAt = r.host.ledger.Changes(), time.Now().Add(-silence-smallDelay-rankSpread)
+}
+
 // yield leaves the role to others for a while.
 func (r *role) yield() {
 	r.mu.Lock()
--- a/internal/entry/role_test.go
+++ b/internal/entry/role_test.go
@@ -235,3 +235,51 @@
 	defer w.mu.Unlock()
 	assert.Equal(t, len(w.starts), 2)
 }
+
+// directSuccessors asks the hosts of a test.
+type directSuccessors struct{ hosts atomic.Pointer[[]*Host] }
+
+func (d *directSuccessors) AskSuccessor(_ context.Context, epoch int64, holder string) bool {
+	for _, h := range *d.hosts.Load() {
+		if h.set.Host != holder && h.Succeed(epoch, holder) == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// refusingLog refuses what a host asks of it while it is told to.
+type refusingLog struct {
+	sharedlog.Log
+	refuses atomic.Bool
+}
+
+func (l *refusingLog) Append(ctx context.Context, t sharedlog.Topic, records []sharedlog.Record, opt sharedlog.AppendOptions) (int64, error) {
+	if l.refuses.Load() {
+		return 0, sharedlog.ErrRefused
+	}
+	return l.Log.Append(ctx, t, records, opt)
+}
+
+// The fault: the log refuses the holder and serves the others. They need not wait for its
+// silence.
+func TestHolderThatTheLogRefusesFindsASuccessor(t *testing.T) {
+	log := memlog.New()
+	links := map[string]*refusingLog{}
+	all := &directSuccessors{}
+	hosts, _ := runWith(t, 3, func(w *workers, name string) *Host {
+		link := &refusingLog{Log: log}
+		h := newHost(link, w, name)
+		links[name] = link
+		h.Join(all)
+		return h
+	})
+	all.hosts.Store(&hosts)
+	eventually(t, func() bool {
+		return hosts[0].ledger.Role().Epoch == 1 && hosts[1].ledger.Role().Epoch == 1 && hosts[2].ledger.Role().Epoch == 1
+	})
+	links[hosts[0].ledger.Role().Holder].refuses.Store(true)
+	began := time.Now()
+	eventually(t, func() bool { return hosts[0].ledger.Role().Epoch == 2 || hosts[1].ledger.Role().Epoch == 2 })
+	assert.Assert(t, time.Since(began) < silence, "took %v", time.Since(began))
+}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -36,6 +36,12 @@
 	LeastVersion int64 `cbor:"7,keyasint,omitempty"`
 }
 
+// Succession asks a host to take the deciding role over from one that cannot write.
+type Succession struct {
+	Epoch  int64  `cbor:"1,keyasint"`
+	Holder string `cbor:"2,keyasint"`
+}
+
 // Answer is what a host would have answered to the caller.
 type Answer struct {
 	Status int         `cbor:"1,keyasint"`
@@ -98,7 +104,15 @@
 // refused if the sender knows of a newer configuration: it must not go back behind it.
 func Serve(host Host, front http.Handler) peer.Handler {
 	return func(ctx context.Context, kind wire.Kind, body cbor.RawMessage) (any, error) {
-		if kind != wire.KindRelay {
+		switch kind {
+		case wire.KindRelay:
+		case wire.KindSucceed:
+			var s Succession
+			if err := wire.DecodeBody(body, &s); err != nil {
+				return nil, errkind.New(errkind.InvalidRequest, "malformed message")
+			}
+			return struct{}{}, host.Succeed(s.Epoch, s.Holder)
+		default:
 			return nil, errkind.New(errkind.InvalidRequest, "unknown message kind %q", kind)
 		}
 		var req Request
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -42,6 +42,9 @@
 	Peers() []string
 	// Version is that of the newest configuration that the host knows of.
 	Version() int64
+	// Succeed has the host claim the deciding role at once, if it still is what the holder
+	// says and the log answers this host. The claim decides; the holder need not have stopped.
+	Succeed(epoch int64, holder string) error
 	// RequireVersion has the host answer by no older configuration than that.
 	RequireVersion(version int64)
 }
@@ -142,6 +145,24 @@
 	return answer, err
 }
 
+// AskSuccessor asks peers to take the deciding role over, until one of them will.
+func (r *Relay) AskSuccessor(ctx context.Context, epoch int64, holder string) bool {
+	for _, address := range r.pick() {
+		ctx, cancel := context.WithTimeout(ctx, askTimeout)
+		err := r.client(address).Call(ctx, wire.KindSucceed, Succession{Epoch: epoch, Holder: holder}, &struct{}{})
+		cancel()
+		outcome := "agreed"
+		if err != nil {
+			outcome = err.Error()
+		}
+		event.Info(r.out, event.SuccessorAsked, "peer", address, "epoch", epoch, "outcome", outcome)
+		if err == nil {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *Relay) client(address string) *peer.Client {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -21,10 +21,16 @@
 	peers    []string
 	required atomic.Int64
 	version  int64
+	epoch    atomic.Int64
+	refusal  error
 }
 
-func (h *host) Peers() []string              { return h.peers }
-func (h *host) Version() int64               { return h.version }
+func (h *host) Peers() []string { return h.peers }
+func (h *host) Version() int64  { return h.version }
+func (h *host) Succeed(epoch int64, _ string) error {
+	h.epoch.Store(epoch)
+	return h.refusal
+}
 func (h *host) RequireVersion(version int64) { h.required.Store(version) }
 
 // answers returns a handler that counts its requests and answers them all the same.
@@ -173,3 +179,22 @@
 	assert.Equal(t, rec.Code, http.StatusServiceUnavailable)
 	assert.Equal(t, other.Load(), int64(0))
 }
+
+// The fault: the log refuses the holder, and one of the peers too.
+func TestSuccessorIsAskedForUntilAPeerAgrees(t *testing.T) {
+	serve := func(h *host) string {
+		mux := http.NewServeMux()
+		mux.Handle(peer.Path, peer.Serve(Serve(h, http.NotFoundHandler())))
+		s := httptest.NewServer(mux)
+		t.Cleanup(s.Close)
+		return strings.TrimPrefix(s.URL, "http://")
+	}
+	unable, able := &host{refusal: errkind.New(errkind.LogUnavailable, "the log does not answer")}, &host{}
+	r := New(&host{peers: []string{serve(unable), serve(able)}}, http.NotFoundHandler(), logr.Discard())
+	t.Cleanup(r.Close)
+	assert.Assert(t, r.AskSuccessor(t.Context(), 7, "holder"))
+	assert.Equal(t, able.epoch.Load(), int64(7))
+	r = New(&host{peers: []string{serve(unable)}}, http.NotFoundHandler(), logr.Discard())
+	t.Cleanup(r.Close)
+	assert.Assert(t, !r.AskSuccessor(t.Context(), 7, "holder"))
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -33,6 +33,7 @@
 	KindConfig    Kind = "config"
 	KindDrain     Kind = "drain"
 	KindRelay     Kind = "relay"
+	KindSucceed   Kind = "succeed"
 )
 
 // Envelope carries one request or one reply. A reply has the ID of its request.
