faults: read two schedulers' overlap from their logs, not from samples

Its log shows that they were: a worker refused the former holder's lease for the successor's term, and only then did it stand down. The check looked at samples taken from each process every 100 ms, while both are active for some milliseconds only, so that whether it saw them was a matter of the order of two samples.

Ruled out: that the successor never took the role (the refused lease carries its term).

Change: the tenures are read from the processes' own log lines, to the nanosecond on one clock, and two of them must overlap. The scheduler logs that it is active before any worker can see its term, so the order of the two lines is that of cause and effect. As strict as before: both must have held the role at one time. Sample.Active, used by the old check only, is gone.

Conclusion: the fault was the test's sampling; the product's order was right.

--- a/internal/scheduler/role.go
+++ b/internal/scheduler/role.go
@@ -75,8 +75,10 @@
 		s.step(act, core.ConfigChanged{Config: cur.Set.Core(cur.Generation)})
 	}
 	restored := s.reconcile()
-	s.updateSessions()
+	// Logged before any worker can see the term, so that the logs of two schedulers tell
+	// whether both held the role at one time.
 	event.Info(s.logger, event.SchedulerActive, "term", term, "restored", restored)
+	s.updateSessions()
 }
 
 func (s *Scheduler) putDown() {
--- a/test/faults/focused_test.go
+++ b/test/faults/focused_test.go
@@ -13,6 +13,7 @@
 
 	"agatewinch/internal/core"
 	"agatewinch/internal/errkind"
+	"agatewinch/internal/event"
 	"agatewinch/internal/standin"
 	"agatewinch/test/harness"
 	"agatewinch/test/knownred"
@@ -194,36 +195,83 @@
 	t.Parallel()
 	opts := zones(1)
 	zone := opts.Zones[0]
-	e := runSchedule(t, opts, []Fault{
+	c := harness.Start(t, opts)
+	runScheduleOn(t, c, []Fault{
 		{Kind: LogDown, Zone: zone, At: 0, For: 5 * opts.Lease},
 		{Kind: SchedulersApart, Zone: zone, At: opts.Lease, For: 3 * opts.Lease},
 	})
-	assert.Assert(t, twoActive(e.Samples), "the two were never active at the same time")
+	var tenures []tenure
+	for _, h := range c.Hosts() {
+		lines, err := h.Scheduler.Lines(event.SchedulerActive, event.SchedulerStandby)
+		assert.NilError(t, err)
+		tenures = append(tenures, tenuresOf(lines)...)
+	}
+	t.Logf("tenures: %+v", tenures)
+	assert.Assert(t, anyOverlap(tenures), "the two were never active at the same time")
 }
 
-// twoActive reports whether two processes said to be active with no sample between that
-// says otherwise.
-func twoActive(samples []Sample) bool {
-	active := map[string]bool{}
-	for _, s := range samples {
-		active[s.Process] = s.Active
-		n := 0
-		for _, yes := range active {
-			if yes {
-				n++
-			}
+// tenure is a time for which one process held the active role; one that has not ended has
+// no end.
+type tenure struct {
+	Term       core.Term
+	Began, End time.Time
+}
+
+// tenuresOf reads a process's tenures from its log.
+func tenuresOf(lines []harness.LogLine) []tenure {
+	var out []tenure
+	for _, l := range lines {
+		switch {
+		case l.Event == event.SchedulerActive.Number:
+			out = append(out, tenure{Term: l.Term, Began: l.Time})
+		case len(out) > 0:
+			out[len(out)-1].End = l.Time
 		}
-		if n > 1 {
-			return true
+	}
+	return out
+}
+
+func anyOverlap(tenures []tenure) bool {
+	for n, a := range tenures {
+		for _, b := range tenures[:n] {
+			if a.Term != b.Term && a.begunBeforeEndOf(b) && b.begunBeforeEndOf(a) {
+				return true
+			}
 		}
 	}
 	return false
 }
 
+func (a tenure) begunBeforeEndOf(b tenure) bool { return b.End.IsZero() || a.Began.Before(b.End) }
+
+func TestOverlapOfTenures(t *testing.T) {
+	at := func(s int) time.Time { return time.Unix(int64(s), 0) }
+	active, standby := event.SchedulerActive.Number, event.SchedulerStandby.Number
+	former := []harness.LogLine{{Event: active, Term: 2, Time: at(1)}, {Event: standby, Term: 2, Time: at(9)}}
+	for name, c := range map[string]struct {
+		successor []harness.LogLine
+		want      bool
+	}{
+		"the successor begins before the former holder knows": {[]harness.LogLine{{Event: active, Term: 3, Time: at(8)}}, true},
+		"the successor begins after the former holder's end":  {[]harness.LogLine{{Event: active, Term: 3, Time: at(10)}}, false},
+		"an earlier holder ended first":                       {[]harness.LogLine{{Event: active, Term: 1, Time: at(0)}, {Event: standby, Term: 1, Time: at(1)}}, false},
+		"none other":                                          {nil, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, anyOverlap(append(tenuresOf(former), tenuresOf(c.successor)...)), c.want)
+		})
+	}
+}
+
 // runSchedule runs a schedule under the mixed load and fails for every finding.
 func runSchedule(t *testing.T, opts harness.Options, schedule []Fault) Evidence {
 	t.Helper()
-	e := Run(t, harness.Start(t, opts), schedule, 1, harness.Mix())
+	return runScheduleOn(t, harness.Start(t, opts), schedule)
+}
+
+func runScheduleOn(t *testing.T, c *harness.Cluster, schedule []Fault) Evidence {
+	t.Helper()
+	e := Run(t, c, schedule, 1, harness.Mix())
 	t.Log(e.summary())
 	report(t, e)
 	return e
--- a/test/faults/operators.go
+++ b/test/faults/operators.go
@@ -25,12 +25,10 @@
 	At               time.Time
 }
 
-// Sample is what one process said of itself: the generation in force, and whether it is
-// its zone's active scheduler.
+// Sample is the generation that one process said to be in force.
 type Sample struct {
 	Process, Host string
 	Generation    core.Generation
-	Active        bool
 	At            time.Time
 }
 
@@ -110,7 +108,7 @@
 		err := client.Call(one, wire.KindStatus, wire.Empty{}, &status)
 		cancel()
 		if err == nil && status.Generation > 0 {
-			o.sample(Sample{Process: h.Scheduler.Name, Host: h.Name, Generation: status.Generation, Active: status.Active})
+			o.sample(Sample{Process: h.Scheduler.Name, Host: h.Name, Generation: status.Generation})
 		}
 		pause(ctx, sampleEvery)
 	}
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -3,17 +3,23 @@
 package harness
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"agatewinch/internal/core"
+	"agatewinch/internal/event"
 )
 
 // The binaries that the harness starts.
@@ -209,6 +215,33 @@
 	return string(data[max(0, len(data)-bytes):])
 }
 
+// LogLine is one line of a process's log.
+type LogLine struct {
+	Time  time.Time `json:"time"`
+	Event int       `json:"event"`
+	Term  core.Term `json:"term"`
+}
+
+// Lines returns the lines that the process has logged under one of the events.
+func (p *Process) Lines(events ...event.Event) ([]LogLine, error) {
+	data, err := os.ReadFile(p.log)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	var out []LogLine
+	for raw := range bytes.Lines(data) {
+		var line LogLine
+		// What a process prints while it crashes is no JSON.
+		if json.Unmarshal(raw, &line) != nil {
+			continue
+		}
+		if slices.ContainsFunc(events, func(e event.Event) bool { return e.Number == line.Event }) {
+			out = append(out, line)
+		}
+	}
+	return out, nil
+}
+
 // showLogs prints the logs' ends of a failed test.
 func showLogs(t testing.TB, processes []*Process) {
 	const tailBytes = 2000
