dispatch, platform: work of advised queues runs where the advisory service allows it

Cause: the advice contract is in force on both sites, but a queue's `advice` was only decoded.

Change: the core asks about workers that have room for a waiting step (30 a question, 4 questions open), remembers for good who may run it, asks again for expired or refused tickets, and plans, reserves and preempts only where a valid ticket stands.

Ruled out: asking about all workers at once (the service takes its time for each one).

--- a/cmd/agatewinch-host/main.go
+++ b/cmd/agatewinch-host/main.go
@@ -73,8 +73,10 @@
 	store := platform.NewStore(boot.Store)
 	list := platform.NewWorkerReader(store)
 	list.OnGarbage = func(err error) { event.Error(out, err, event.WorkerEntryUnreadable) }
+	orders := platform.NewOrders()
+	orders.OnGarbage = func(err error) { event.Error(out, err, event.WorkerAnswerUnreadable) }
 	host := entry.New(boot.Settings, entry.Parts{
-		Log: store, Catalog: platform.NewCatalogReader(store), List: list, Workers: platform.NewOrders(), Out: out,
+		Log: store, Catalog: platform.NewCatalogReader(store), List: list, Workers: orders, Advisor: platform.NewAdvisor(boot.Advisor), Out: out,
 	})
 	return trace.Wrap(serve(boot.Settings, host, out))
 }
--- a/internal/core/dispatch/actions.go
+++ b/internal/core/dispatch/actions.go
@@ -16,20 +16,22 @@
 // Start orders a run to begin.
 type Start struct {
 	Target
-	Task         job.TaskID
-	Run          int
-	Payload      string
-	Checkpoint   string
+	Task       job.TaskID
+	Run        int
+	Payload    string
+	Checkpoint string
+	// Pass is the advisory service's ticket, where the queue asks for one.
+	Ticket       string
 	LeaseUntilMs int64
-	ticket       *run
+	run          *run
 }
 
 // Stop orders a run to end, and makes a later start of it impossible.
 type Stop struct {
 	Target
-	Task   job.TaskID
-	Run    int
-	ticket *run
+	Task job.TaskID
+	Run  int
+	run  *run
 }
 
 // Hold renews a worker's lease, tells it which ends are recorded and asks what runs.
@@ -57,6 +59,7 @@
 	Starts []Start
 	Stops  []Stop
 	Holds  []Hold
+	Asks   []Ask
 	Notes  []Note
 }
 
@@ -137,4 +140,6 @@
 	Fenced
 	// NoConnection says that the worker could not be reached: nothing was sent.
 	NoConnection
+	// RefusedTicket is a refusal for want of a valid ticket.
+	RefusedTicket
 )
--- /dev/null
+++ b/internal/core/dispatch/advice_test.go
@@ -0,0 +1,145 @@
+package dispatch
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"agatewinch/internal/core/job"
+)
+
+// advised is a job whose queue asks the advisory service.
+func advised(j *job.Job) *job.Job {
+	j.Advised, j.TicketValidity = true, 4*time.Second
+	return j
+}
+
+// advise answers the oldest open question: the workers named may run the step.
+func (b *bed) advise(good ...string) Ask {
+	b.t.Helper()
+	assert.Assert(b.t, len(b.asks) > 0, "no question is open")
+	ask := b.asks[0]
+	b.asks = b.asks[1:]
+	var tickets []Ticket
+	for _, id := range good {
+		if slices.Contains(ask.Workers, id) {
+			tickets = append(tickets, Ticket{Worker: id, Value: ask.Step + "/" + id})
+		}
+	}
+	b.core.Advised(b.clock(), ask, tickets, nil)
+	b.step()
+	return ask
+}
+
+func advisedBed(t *testing.T) *bed {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(6, job.Resources{CPU: 32000, MemMB: 64000, Accelerators: 8}))
+	return b
+}
+
+var wholeWorker = job.Resources{CPU: 32000, MemMB: 1000, Accelerators: 8}
+
+func TestAdvisedTasksStartOnlyWhereTheServiceSays(t *testing.T) {
+	b := advisedBed(t)
+	b.add(advised(single("j", 1, 2, wholeWorker)))
+	assert.Equal(t, len(b.starts), 0)
+	ask := b.advise("w3", "w5")
+	assert.Equal(t, ask.Step, "j.0.0")
+	assert.Equal(t, len(ask.Workers), 6)
+	assert.Equal(t, len(b.starts), 2)
+	for _, s := range b.starts {
+		assert.Assert(t, s.Worker == "w3" || s.Worker == "w5", s.Worker)
+		assert.Equal(t, s.Ticket, "j.0.0/"+s.Worker)
+	}
+}
+
+func TestAnAdvisedGangWaitsForTicketsAndStartsWhole(t *testing.T) {
+	b := advisedBed(t)
+	b.add(advised(gang("g", 1, 3, wholeWorker)))
+	b.advise("w0", "w2", "w4")
+	assert.Equal(t, len(b.starts), 3)
+}
+
+func TestAnExpiredTicketIsAskedForAgain(t *testing.T) {
+	b := advisedBed(t)
+	b.add(advised(single("j", 1, 2, wholeWorker)))
+	b.advise("w1")
+	first := b.accept()
+	assert.Equal(t, len(first), 1)
+	b.pass(5 * time.Second) // the ticket expires while the worker is full
+	b.end(first[0], job.EndDone)
+	assert.Equal(t, len(b.starts), 0)
+	ask := b.advise("w1")
+	assert.DeepEqual(t, ask.Workers, []string{"w1"}) // what it said of the others stands
+	assert.Equal(t, len(b.starts), 1)
+	assert.Equal(t, b.starts[0].Worker, "w1")
+}
+
+func TestARefusedTicketIsAskedForAgainAndIsNoAttempt(t *testing.T) {
+	b := advisedBed(t)
+	b.add(advised(single("j", 1, 1, wholeWorker)))
+	b.advise("w1")
+	for range 5 {
+		s := b.starts[0]
+		b.starts = nil
+		b.core.Started(b.clock(), s, RefusedTicket)
+		b.pass(time.Second)
+		b.advise("w1")
+		assert.Equal(t, len(b.starts), 1)
+	}
+	assert.Equal(t, b.starts[0].Run, 6)
+}
+
+func TestASilentServiceIsAskedAgainAndHoldsNobodyElseUp(t *testing.T) {
+	b := advisedBed(t)
+	b.add(advised(single("j", 1, 1, wholeWorker)))
+	b.add(single("other", 1, 1, wholeWorker))
+	assert.Equal(t, len(b.starts), 1)
+	for range 3 {
+		assert.Equal(t, len(b.asks), 1)
+		b.core.Advised(b.clock(), b.asks[0], nil, errors.New("no answer"))
+		b.asks = nil
+		b.pass(askRetry)
+	}
+	b.advise("w2")
+	assert.Equal(t, len(b.starts), 2)
+}
+
+func TestOpenQuestionsAreBounded(t *testing.T) {
+	b := advisedBed(t)
+	for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+		b.add(advised(single(id, 1, 1, wholeWorker)))
+	}
+	assert.Equal(t, len(b.asks), maxAsks)
+	b.advise("w0")
+	assert.Equal(t, len(b.asks), maxAsks)
+}
+
+func TestAWorkersNextLifeNeedsATicketOfItsOwn(t *testing.T) {
+	b := advisedBed(t)
+	b.add(advised(single("j", 1, 2, wholeWorker)))
+	b.advise("w1")
+	b.accept()
+	list := b.fleet(6, job.Resources{CPU: 32000, MemMB: 64000, Accelerators: 8})
+	list[1].Born = 2
+	b.core.SetWorkers(b.clock(), list)
+	b.pass(time.Second)
+	assert.Equal(t, len(b.starts), 0)
+	assert.DeepEqual(t, b.advise("w1").Workers, []string{"w1"})
+	assert.Equal(t, len(b.starts), 1)
+}
+
+func TestUrgentAdvisedWorkStopsOthersWhereItMayRun(t *testing.T) {
+	b := advisedBed(t)
+	b.add(single("low", 2, 6, wholeWorker))
+	b.accept()
+	urgent := advised(single("u", 0, 1, wholeWorker))
+	b.core.SetGuarantees(map[string]int64{"org": 8})
+	b.add(urgent)
+	b.advise("w4")
+	assert.Equal(t, len(b.stops), 1)
+	assert.Equal(t, b.stops[0].Worker, "w4")
+}
--- a/internal/core/dispatch/bed_test.go
+++ b/internal/core/dispatch/bed_test.go
@@ -16,6 +16,7 @@
 	starts []Start
 	stops  []Stop
 	holds  []Hold
+	asks   []Ask
 	notes  []Note
 	ends   map[string]int64
 }
@@ -47,6 +48,7 @@
 		b.starts = append(b.starts, a.Starts...)
 		b.stops = append(b.stops, a.Stops...)
 		b.holds = append(b.holds, a.Holds...)
+		b.asks = append(b.asks, a.Asks...)
 		b.notes = append(b.notes, a.Notes...)
 		batch := b.core.TakeBatch()
 		if batch == nil {
--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -42,6 +42,8 @@
 	// reservations are the rooms that are kept for gangs, for reserved of them.
 	reservations map[*worker]*reservation
 	reserved     int
+	// asks counts the open questions to the advisory service.
+	asks int
 	// wake is when the next occurrence or held back task may be placed.
 	wake time.Duration
 }
@@ -246,7 +248,7 @@
 func (c *Core) sendStop(now Now, r *run) {
 	r.stopSent = true
 	r.stopNext = now.Mono + c.set.StopTime + time.Second
-	c.out.Stops = append(c.out.Stops, Stop{Target: r.worker.target(), Task: r.task.id, Run: r.number, ticket: r})
+	c.out.Stops = append(c.out.Stops, Stop{Target: r.worker.target(), Task: r.task.id, Run: r.number, run: r})
 }
 
 func (w *worker) target() Target { return Target{Worker: w.ID, Address: w.Address, Born: w.Born} }
@@ -358,10 +360,15 @@
 		c.settle(now, r, job.EndVoid, r.task.saved)
 		return
 	}
+	ticket, allowed := r.task.step.ticketFor(now, w)
+	if !allowed {
+		c.settle(now, r, job.EndVoid, r.task.saved)
+		return
+	}
 	r.phase = starting
 	c.out.Starts = append(c.out.Starts, Start{
 		Target: w.target(), Task: r.task.id, Run: r.number, Payload: r.task.step.job.spec.Payload,
-		Checkpoint: r.saved, LeaseUntilMs: c.lease(now, w, startLease), ticket: r,
+		Checkpoint: r.saved, Ticket: ticket, LeaseUntilMs: c.lease(now, w, startLease), run: r,
 	})
 }
 
--- a/internal/core/dispatch/cycle.go
+++ b/internal/core/dispatch/cycle.go
@@ -19,7 +19,11 @@
 }
 
 // pool names the workers that may run a step.
-type pool struct{ service, label string }
+type pool struct {
+	service, label string
+	// advised is the step itself where the advisory service has a say.
+	advised *step
+}
 
 type poolWorkers struct {
 	usable []*worker
@@ -46,7 +50,13 @@
 	return &cycle{pools: map[pool]*poolWorkers{}, slots: map[slotShape]*slots{}, byLoss: map[*worker][]*run{}}
 }
 
-func (s *step) pool() pool { return pool{s.job.spec.Service, s.spec.Label} }
+func (s *step) pool() pool {
+	p := pool{service: s.job.spec.Service, label: s.spec.Label}
+	if s.job.spec.Advised {
+		p.advised = s
+	}
+	return p
+}
 
 // poolOf returns the workers that may run s now, and their racks.
 func (c *Core) poolOf(now Now, s *step) *poolWorkers {
@@ -55,7 +65,7 @@
 	if p == nil {
 		p = &poolWorkers{}
 		for _, w := range c.sorted {
-			if w.fits(s) && w.usable(now.Mono) {
+			if _, allowed := s.ticketFor(now, w); allowed && w.fits(s) && w.usable(now.Mono) {
 				p.usable = append(p.usable, w)
 			}
 		}
--- a/internal/core/dispatch/order.go
+++ b/internal/core/dispatch/order.go
@@ -51,10 +51,13 @@
 			c.runPlan(now, s)
 		}
 	}
+	for _, s := range steps {
+		c.askAdvice(now, s)
+	}
 	full := fullShapes{}
 	c.renewReservations(now)
 	for _, s := range steps {
-		if s.plan != nil {
+		if s.plan != nil || s.spec.Gang && s.advice.asking {
 			continue
 		}
 		if s.spec.Gang {
--- a/internal/core/dispatch/outcome.go
+++ b/internal/core/dispatch/outcome.go
@@ -5,7 +5,7 @@
 	"slices"
 )
 
-var outcomeNames = [...]string{"accepted", "unanswered", "refused", "no room", "unhealthy", "other life", "fenced", "no connection"}
+var outcomeNames = [...]string{"accepted", "unanswered", "refused", "no room", "unhealthy", "other life", "fenced", "no connection", "no valid ticket"}
 
 // String returns the outcome's name.
 func (o Outcome) String() string { return outcomeNames[o] }
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -10,9 +10,10 @@
 
 // shape is what a placement depends on, to try each kind of task once a cycle.
 type shape struct {
-	service, label, rack string
-	need                 job.Resources
-	most                 int
+	pool pool
+	rack string
+	need job.Resources
+	most int
 	// priority, spare and estimate decide what reservations leave to the task.
 	priority int
 	spare    bool
@@ -24,7 +25,7 @@
 
 func (c *Core) shapeOf(now Now, s *step) shape {
 	return shape{
-		service: s.job.spec.Service, label: s.spec.Label, rack: s.spec.DataRack, need: s.spec.Charge(), most: s.spec.MaxPerWorker,
+		pool: s.pool(), rack: s.spec.DataRack, need: s.spec.Charge(), most: s.spec.MaxPerWorker,
 		priority: s.job.spec.Priority, spare: c.leavesRacks(now, s), estimate: s.spec.Estimate,
 	}
 }
--- a/internal/core/dispatch/preempt.go
+++ b/internal/core/dispatch/preempt.go
@@ -26,7 +26,7 @@
 	need := s.spec.Charge()
 	taken := map[*worker]job.Resources{}
 	for t, w := range s.plan.at {
-		if t.cur != nil || t.done || !w.usable(now.Mono) || now.Mono > s.plan.until {
+		if _, allowed := s.ticketFor(now, w); !allowed || t.cur != nil || t.done || !w.usable(now.Mono) || now.Mono > s.plan.until {
 			c.dropPlan(s)
 			return
 		}
@@ -73,6 +73,9 @@
 
 // preempt frees room for tasks by stopping what loses least. It reports whether it did.
 func (c *Core) preempt(now Now, s *step, tasks []*task) bool {
+	if s.advice.asking {
+		return false // the answer says where s may run
+	}
 	if now.Mono < s.preemptAt {
 		c.wakeAt(now, s.preemptAt)
 		return false
--- a/internal/core/dispatch/settle.go
+++ b/internal/core/dispatch/settle.go
@@ -79,7 +79,7 @@
 
 // Started takes in the outcome of a start.
 func (c *Core) Started(now Now, s Start, o Outcome) {
-	r := s.ticket
+	r := s.run
 	if !r.worker.runs[r] || r.worker.Born != s.Born {
 		return
 	}
@@ -96,6 +96,10 @@
 	case NoConnection:
 		c.missed(now, r.worker, o)
 		c.settle(now, r, job.EndVoid, r.task.saved)
+	case RefusedTicket:
+		r.task.step.forgetTicket(r.worker)
+		r.task.notBefore = now.Mono + placementPause
+		c.settle(now, r, job.EndVoid, r.task.saved)
 	case RefusedRoom, Refused, RefusedUnhealthy, OtherLife:
 		// The worker pauses, so that the task need not.
 		r.worker.pauseTo = now.Mono + unhealthyPause
@@ -120,7 +124,7 @@
 
 // Stopped takes in the outcome of a stop.
 func (c *Core) Stopped(now Now, s Stop, o Outcome) {
-	r := s.ticket
+	r := s.run
 	if r == nil || !r.worker.runs[r] || r.worker.Born != s.Born {
 		return
 	}
--- a/internal/core/dispatch/world.go
+++ b/internal/core/dispatch/world.go
@@ -149,8 +149,11 @@
 	// readySince is when the step's turn came.
 	readySince time.Duration
 	ready      bool
+	advice     advice
 }
 
+func (s *step) name() string { return job.StepName(s.job.spec.ID, s.occ.index, s.index) }
+
 type occurrence struct {
 	index int
 	dueMs int64
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -104,6 +104,8 @@
 	AcceptedMs int64 `cbor:"14,keyasint"`
 	// Advised says that only the advisory service knows which workers may run a step.
 	Advised bool `cbor:"15,keyasint,omitempty"`
+	// TicketValidity is how long the advisory service's tickets are valid.
+	TicketValidity time.Duration `cbor:"16,keyasint,omitempty"`
 }
 
 // Occurrences returns how many times the job's steps run.
@@ -119,6 +121,11 @@
 	return false
 }
 
+// StepName returns the name of a step in an occurrence.
+func StepName(job string, occurrence, step int) string {
+	return job + "." + strconv.Itoa(occurrence) + "." + strconv.Itoa(step)
+}
+
 // TaskID names one task.
 type TaskID struct {
 	Job        string
@@ -129,7 +136,7 @@
 
 // String returns the task's name.
 func (t TaskID) String() string {
-	return t.Job + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
+	return StepName(t.Job, t.Occurrence, t.Step) + "." + strconv.Itoa(t.Index)
 }
 
 // ParseTaskID reads a task's name.
--- a/internal/entry/bed_test.go
+++ b/internal/entry/bed_test.go
@@ -19,6 +19,7 @@
 
 var queue = catalog.Queue{Name: "checks", Host: "a.example", Prefix: "/q/", Service: "service", Attempts: 3, Stretch: 1.5, Objective: time.Second}
 
+// stillCatalog is a configuration that does not change.
 type stillCatalog struct{ sent atomic.Bool }
 
 func (s *stillCatalog) Next(ctx context.Context, wait time.Duration) (*catalog.Catalog, error) {
@@ -30,6 +31,7 @@
 	return c.Index(), nil
 }
 
+// workers run everything for a short while, whoever has the highest epoch.
 type workers struct {
 	mu     sync.Mutex
 	epoch  int64
@@ -103,6 +105,7 @@
 		Parts{Log: log, Catalog: &stillCatalog{}, List: w, Workers: w, Out: logr.Discard()})
 }
 
+// run starts hosts and stops them at the end of the test.
 func run(t *testing.T, log sharedlog.Log, n int) ([]*Host, *workers) {
 	t.Helper()
 	return runWith(t, n, func(w *workers, name string) *Host { return newHost(log, w, name) })
--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"agatewinch/internal/core/dispatch"
 	"agatewinch/internal/event"
 	"agatewinch/internal/ledger"
-	"agatewinch/internal/metrics"
 	"agatewinch/internal/sharedlog"
 )
 
@@ -22,23 +20,12 @@
 	workerLease = 8 * time.Second
 	// lookWait is how long a look at a worker waits for an end, the most that it may.
 	lookWait = 2 * time.Second
-	// sweepEvery is how often ended jobs are looked for that need not be shown any more.
-	sweepEvery = 10 * time.Second
-	// sweepJobs bounds the jobs that are dropped at a time.
-	sweepJobs = 500
-	// sweepMargin is added to the time that ended jobs are shown.
-	sweepMargin = 30 * time.Second
 	// cutOffTime is how long most workers may not answer before the role is given up: a
 	// few looks at each.
 	cutOffTime = time.Second
 	// leastHeld is how long the role is held at least before it is given up for that:
 	// where nobody reaches the workers it must not go round.
 	leastHeld = 4 * time.Second
-	// refusedHolder is how long the log may refuse the holder's records before a peer is
-	// asked to take the role over: several tries.
-	refusedHolder = 300 * time.Millisecond
-	// releaseTime bounds the giving up of the role at a planned stop.
-	releaseTime = 1500 * time.Millisecond
 )
 
 // decider runs the core while this host holds the role. One goroutine owns the core;
@@ -191,162 +178,6 @@
 	d.events <- f
 }
 
-// drive carries out what the core wants.
-func (d *decider) drive(ctx context.Context) {
-	actions := d.core.TakeActions(d.now())
-	for _, n := range actions.Notes {
-		event.Info(d.host.out, event.Decision, "what", n.What, "job", n.Job, "task", n.Task, "run", n.Run, "worker", n.Worker, "why", n.Why, "epoch", d.epoch)
-	}
-	for _, s := range actions.Starts {
-		d.observeStart(s)
-		go func() {
-			o := d.host.workers.Start(ctx, s, d.epoch)
-			d.post(func(now dispatch.Now) { d.checkFence(o, s.Worker); d.core.Started(now, s, o) })
-		}()
-	}
-	for _, s := range actions.Stops {
-		go func() {
-			o := d.host.workers.Stop(ctx, s, d.epoch)
-			d.post(func(now dispatch.Now) { d.checkFence(o, s.Worker); d.core.Stopped(now, s, o) })
-		}()
-	}
-	for _, h := range actions.Holds {
-		go func() {
-			rep, o := d.host.workers.Hold(ctx, h, d.epoch)
-			d.post(func(now dispatch.Now) {
-				d.checkFence(o, h.Worker)
-				if o == dispatch.Accepted {
-					d.core.Held(now, h, rep)
-				} else {
-					d.core.HoldFailed(now, h, o)
-				}
-			})
-		}()
-	}
-	d.append(ctx)
-}
-
-// observeStart measures the time from a job's acceptance to its first order.
-func (d *decider) observeStart(s dispatch.Start) {
-	if s.Run != 1 || s.Task.Step != 0 || s.Task.Index != 0 {
-		return
-	}
-	if e, ok := d.host.ledger.Find(s.Task.Job); ok && e.Job != nil {
-		d.host.metrics.Observe(e.Job.Org, e.Job.Queue, metrics.Start, time.Since(time.UnixMilli(e.Job.AcceptedMs)))
-	}
-}
-
-// checkFence gives the role up when a worker has seen a higher epoch.
-func (d *decider) checkFence(o dispatch.Outcome, worker string) {
-	if o == dispatch.Fenced {
-		event.Info(d.host.out, event.LeaseRefused, "worker", worker, "epoch", d.epoch)
-		d.superseded = "a worker has seen a higher epoch"
-	}
-}
-
-// append writes the open batch, or renews the role; one append is on its way at a time.
-func (d *decider) append(ctx context.Context) {
-	if d.appending || d.superseded != "" {
-		return
-	}
-	batch := d.core.TakeBatch()
-	if batch == nil && len(d.expired) == 0 && time.Since(d.appendedAt) < renewEvery {
-		return
-	}
-	records := d.records(batch)
-	for _, id := range d.expired {
-		records = append(records, ledger.DropEnd(id))
-	}
-	d.expired = nil
-	if len(records) == 0 {
-		rec, err := ledger.RoleRecord(ledger.Role{Epoch: d.epoch, Holder: d.host.set.Host, Incarnation: d.host.incarnation})
-		if err != nil {
-			d.superseded = err.Error()
-			return
-		}
-		records = append(records, rec)
-	}
-	d.sequence++
-	d.appending = true
-	sequence := d.sequence
-	go func() {
-		err := d.appendUntilKnown(ctx, records, sequence)
-		d.post(func(now dispatch.Now) { d.appended(now, batch, err) })
-	}()
-}
-
-func (d *decider) records(b *dispatch.Batch) []sharedlog.Record {
-	if b == nil {
-		return nil
-	}
-	var records []sharedlog.Record
-	add := func(r sharedlog.Record, err error) {
-		if err != nil {
-			event.Error(d.host.out, err, event.LogWriteError)
-			return
-		}
-		records = append(records, r)
-	}
-	for _, t := range b.Tasks {
-		add(ledger.TaskRecord(t.ID, t.Record))
-	}
-	for _, e := range b.Ends {
-		if entry, ok := d.host.ledger.Find(e.ID); ok && entry.Job != nil {
-			d.host.metrics.Observe(entry.Job.Org, entry.Job.Queue, metrics.Completion, time.Duration(e.AtMs-entry.Job.AcceptedMs)*time.Millisecond)
-		}
-		add(ledger.EndRecord(e.ID, ledger.Ended{State: e.State, AtMs: e.AtMs}))
-	}
-	for _, id := range b.Dropped {
-		records = append(records, ledger.DropTask(id))
-	}
-	return records
-}
-
-// appendUntilKnown repeats an append, with its sequence number, until the log says what
-// became of it.
-func (d *decider) appendUntilKnown(ctx context.Context, records []sharedlog.Record, sequence int64) error {
-	retry := newBackoff()
-	var refusedAt time.Time
-	asked := false
-	for {
-		offset, err := d.host.log.Append(ctx, ledger.TopicState, records, sharedlog.AppendOptions{Fence: &sharedlog.Fence{Epoch: d.epoch, Sequence: sequence}})
-		if err == nil {
-			d.host.state.ingest(offset, records, offset+int64(len(records)))
-			return nil
-		}
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		if !errors.Is(err, sharedlog.ErrUnknown) && !errors.Is(err, sharedlog.ErrRefused) {
-			return err
-		}
-		event.Error(d.host.out, err, event.LogWriteError, "records", len(records), "epoch", d.epoch)
-		switch {
-		case errors.Is(err, sharedlog.ErrUnknown):
-			refusedAt = time.Time{} // a lost answer is no refusal
-		case refusedAt.IsZero():
-			refusedAt = time.Now()
-		case !asked && time.Since(refusedAt) >= refusedHolder && d.host.successors != nil:
-			// The log may serve others: without this they would wait for this host's silence.
-			asked = d.host.successors.AskSuccessor(ctx, d.epoch, d.host.set.Host)
-		}
-		sleep(ctx, retry.NextBackOff())
-	}
-}
-
-func (d *decider) appended(now dispatch.Now, batch *dispatch.Batch, err error) {
-	d.appending = false
-	if err != nil {
-		event.Error(d.host.out, err, event.RoleSuperseded, "epoch", d.epoch)
-		d.superseded = err.Error()
-		return
-	}
-	d.appendedAt = time.Now()
-	if batch != nil {
-		d.core.Recorded(now, batch)
-	}
-}
-
 // followWorkers reads the list of workers.
 func (d *decider) followWorkers(ctx context.Context) {
 	lost := false
@@ -381,59 +212,3 @@
 	}
 	return time.Since(d.cutOffAt) >= cutOffTime && time.Since(d.began) >= leastHeld
 }
-
-// release writes that the role is free once what is on its way has been recorded.
-func (d *decider) release(ctx context.Context, why string) string {
-	deadline := time.After(releaseTime)
-	for d.appending {
-		select {
-		case f := <-d.events:
-			f(d.now())
-		case <-deadline:
-			return why + "; the log did not answer"
-		}
-	}
-	if d.superseded != "" {
-		return d.superseded
-	}
-	rec, err := ledger.RoleRecord(ledger.Role{Epoch: d.epoch, Holder: d.host.set.Host, Incarnation: d.host.incarnation, Released: true})
-	if err != nil {
-		return err.Error()
-	}
-	ctx, cancel := context.WithTimeout(ctx, releaseTime)
-	defer cancel()
-	if err := d.appendUntilKnown(ctx, []sharedlog.Record{rec}, d.sequence+1); err != nil {
-		return why + "; " + err.Error()
-	}
-	return why
-}
-
-// sweep drops ended jobs that nobody may ask for any more: the submissions first, then the
-// ends, so that no submission is ever left without its end.
-func (d *decider) sweep(ctx context.Context) {
-	if time.Since(d.sweptAt) < sweepEvery {
-		return
-	}
-	d.sweptAt = time.Now()
-	var ids []string
-	var jobs []sharedlog.Record
-	before := d.sweptAt.Add(-d.host.set.KeepEnded - sweepMargin).UnixMilli()
-	d.host.ledger.Each(func(id string, e *ledger.Entry) {
-		if e.Ended != nil && e.Ended.AtMs < before && len(ids) < sweepJobs {
-			ids = append(ids, id)
-			jobs = append(jobs, ledger.DropJob(id)...)
-		}
-	})
-	if len(ids) == 0 {
-		return
-	}
-	go func() {
-		for _, topic := range ledger.TopicsJobs {
-			if _, err := d.host.log.Append(ctx, topic, jobs, sharedlog.AppendOptions{}); err != nil {
-				event.Error(d.host.out, err, event.LogWriteError, "what", "sweep", "topic", topic.String())
-				return
-			}
-		}
-		d.post(func(dispatch.Now) { d.expired = append(d.expired, ids...) })
-	}()
-}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -70,6 +70,12 @@
 	Hold(ctx context.Context, h dispatch.Hold, epoch int64) (dispatch.Report, dispatch.Outcome)
 }
 
+// Advisor asks the operators' advisory service.
+type Advisor interface {
+	// Advise returns a ticket for each of the workers that may run the step.
+	Advise(ctx context.Context, a dispatch.Ask) ([]dispatch.Ticket, error)
+}
+
 // WorkerList follows the platform's list of workers.
 type WorkerList interface {
 	List(ctx context.Context) ([]dispatch.WorkerInfo, error)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"agatewinch/internal/catalog"
+	"agatewinch/internal/core/dispatch"
 	"agatewinch/internal/core/job"
 	"agatewinch/internal/errkind"
 	"agatewinch/internal/ledger"
@@ -19,9 +20,6 @@
 	"agatewinch/internal/sharedlog/memlog"
 )
 
-// stillCatalog is a configuration that does not change.
-// workers run everything for a short while, whoever has the highest epoch.
-// run starts hosts and stops them at the end of the test.
 func TestJobSubmittedAtOneHostIsShownAsSucceededAtAll(t *testing.T) {
 	hosts, w := run(t, memlog.New(), 3)
 	ctx := context.Background()
@@ -292,3 +290,32 @@
 	assert.Equal(t, errkind.AnswerFor(e.Kind).Status, 503)
 	assert.Equal(t, e.RetryAfterSeconds, comeBack)
 }
+
+// advisor lets tasks run on one worker only.
+type advisor struct {
+	asked atomic.Int64
+	good  string
+}
+
+func (a *advisor) Advise(_ context.Context, ask dispatch.Ask) ([]dispatch.Ticket, error) {
+	a.asked.Add(1)
+	return []dispatch.Ticket{{Worker: a.good, Value: ask.Step}}, nil
+}
+
+func TestAdvisedJobRunsOnTheWorkerThatTheServiceNames(t *testing.T) {
+	log, a := memlog.New(), &advisor{good: "w0"}
+	hosts, w := runWith(t, 1, func(w *workers, name string) *Host {
+		h := newHost(log, w, name)
+		h.advisor = a
+		return h
+	})
+	q := queue
+	q.Advice = &catalog.Advice{Validity: 4 * time.Second}
+	assert.NilError(t, hosts[0].Submit(t.Context(), &q, "org", submission("advised")))
+	eventually(t, func() bool {
+		state, err := hosts[0].State(t.Context(), &q, "org", "advised")
+		return err == nil && state == job.Succeeded
+	})
+	assert.Assert(t, a.asked.Load() > 0)
+	assert.Equal(t, len(w.starts), 2)
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -23,6 +23,7 @@
 	source  CatalogSource
 	list    WorkerList
 	workers Workers
+	advisor Advisor
 	out     logr.Logger
 	// incarnation tells the lives of the process apart.
 	incarnation int64
@@ -54,13 +55,14 @@
 	Catalog CatalogSource
 	List    WorkerList
 	Workers Workers
+	Advisor Advisor
 	Out     logr.Logger
 }
 
 // New returns a host that has not begun.
 func New(set Settings, p Parts) *Host {
 	h := &Host{
-		set: set, log: p.Log, source: p.Catalog, list: p.List, workers: p.Workers, out: p.Out,
+		set: set, log: p.Log, source: p.Catalog, list: p.List, workers: p.Workers, advisor: p.Advisor, out: p.Out,
 		incarnation: time.Now().UnixMilli(), metrics: metrics.New(metrics.SourceEntry), ledger: ledger.New(), jobsSignal: make(chan struct{}, 1),
 	}
 	for _, t := range ledger.TopicsJobs {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -54,7 +54,9 @@
 	}
 	j.Queue, j.Org, j.Service = q.Name, org, q.Service
 	j.Priority, j.Attempts, j.Stretch, j.Objective = q.Priority, q.Attempts, q.Stretch, q.Objective
-	j.Advised = q.Advice != nil
+	if q.Advice != nil {
+		j.Advised, j.TicketValidity = true, q.Advice.Validity
+	}
 	j.AcceptedMs = time.Now().UnixMilli()
 	rec, err := ledger.JobRecord(j)
 	if err != nil {
