dispatch: slow what fills by the tails of what serves beside it

Cause: the sharing contract is in force on both sites, but `fills`, `target_ms` and the fifth entry of a running row were only decoded. A paced task would have been taken as stalled, stopped, and its worker quarantined.

Change: tasks that fill and tasks that serve are kept apart where there is room, and what fills goes where processors are idle. On a worker with both, looks wait half a second, and what fills is halved near a target, stopped beyond it and let on in steps; it begins at 30%. A successor sets the pace of what it adopts anew. An order that was lost is repeated, and one that a run does not follow (processors in use at pace 0) too. Tasks that fill are exempt from the watch for standing progress.

A fleet that is harmed by any pace at all stays over its target for less than harm_ms.

--- a/internal/core/dispatch/actions.go
+++ b/internal/core/dispatch/actions.go
@@ -60,6 +60,7 @@
 	Stops  []Stop
 	Holds  []Hold
 	Asks   []Ask
+	Paces  []Pace
 	Notes  []Note
 }
 
--- a/internal/core/dispatch/advice.go
+++ b/internal/core/dispatch/advice.go
@@ -15,8 +15,10 @@
 	maxAsks = 4
 	// askRetry is the pause after a question that was not answered.
 	askRetry = 300 * time.Millisecond
-	// ticketMargin is kept of a ticket's validity for the record and the start.
-	ticketMargin = 300 * time.Millisecond
+	// ticketMargin is kept of a ticket's validity for the record and the start, and at most
+	// that part of it.
+	ticketMargin     = 300 * time.Millisecond
+	ticketMarginPart = 4
 )
 
 // Ask is a question to the advisory service: which of the workers may run a step.
@@ -155,7 +157,8 @@
 	if s.advice.known == nil {
 		s.advice.known = map[*worker]verdict{}
 	}
-	until := now.Mono + s.job.spec.TicketValidity - ticketMargin
+	validity := s.job.spec.TicketValidity
+	until := now.Mono + validity - min(ticketMargin, validity/ticketMarginPart)
 	for i, id := range a.Workers {
 		if w := c.workers[id]; w != nil {
 			ticket, good := values[id]
--- a/internal/core/dispatch/bed_test.go
+++ b/internal/core/dispatch/bed_test.go
@@ -17,6 +17,7 @@
 	stops  []Stop
 	holds  []Hold
 	asks   []Ask
+	paces  []Pace
 	notes  []Note
 	ends   map[string]int64
 }
@@ -48,6 +49,7 @@
 		b.starts = append(b.starts, a.Starts...)
 		b.stops = append(b.stops, a.Stops...)
 		b.holds = append(b.holds, a.Holds...)
+		b.paces = append(b.paces, a.Paces...)
 		b.asks = append(b.asks, a.Asks...)
 		b.notes = append(b.notes, a.Notes...)
 		batch := b.core.TakeBatch()
--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -127,7 +127,7 @@
 			// That life of the worker is over.
 			return
 		}
-		c.put(&run{task: t, number: r.Run, worker: w, phase: adopted, inherited: true, need: t.step.spec.Charge(), began: now.Mono, percentAt: now.Mono, saved: r.Checkpoint})
+		c.put(&run{task: t, number: r.Run, worker: w, phase: adopted, inherited: true, need: t.step.spec.Charge(), began: now.Mono, percentAt: now.Mono, saved: r.Checkpoint, pacing: pacing{percent: unknownPace}})
 		w.adoptedUntil = max(w.adoptedUntil, now.Mono+c.set.UnheardLease+time.Duration(float64(c.set.Lease)/slowestClock)+lapseMargin)
 	}
 }
@@ -177,6 +177,7 @@
 func (c *Core) put(r *run) {
 	r.task.cur = r
 	r.worker.runs[r] = true
+	r.worker.countKinds(r.task.step, 1)
 	r.worker.used = r.worker.used.Plus(r.need)
 	if r.task.step.job.spec.Priority == firstPriority {
 		r.worker.urgent = r.worker.urgent.Plus(r.need)
@@ -192,6 +193,7 @@
 		return
 	}
 	delete(r.worker.runs, r)
+	r.worker.countKinds(r.task.step, -1)
 	r.worker.used = r.worker.used.Minus(r.need)
 	if r.task.step.job.spec.Priority == firstPriority {
 		r.worker.urgent = r.worker.urgent.Minus(r.need)
--- a/internal/core/dispatch/health.go
+++ b/internal/core/dispatch/health.go
@@ -57,7 +57,7 @@
 			continue
 		}
 		for _, r := range c.runsOf(w) {
-			if r.phase != running || r.task.step.spec.LongRunning || w.holdAt <= r.percentAt+stallTime || r.percent >= 100 || r.seenAt+stallTime > w.holdAt {
+			if r.phase != running || r.task.step.spec.LongRunning || r.task.step.spec.Fills || w.holdAt <= r.percentAt+stallTime || r.percent >= 100 || r.seenAt+stallTime > w.holdAt {
 				continue
 			}
 			c.note(Note{What: "stalled", Task: r.task.id.String(), Run: r.number, Worker: w.ID})
--- a/internal/core/dispatch/hold.go
+++ b/internal/core/dispatch/hold.go
@@ -48,6 +48,7 @@
 	w.acked = max(w.acked, h.Ack)
 	c.takeEnds(now, w, rep.Ended)
 	listed := c.takeRunning(now, w, rep.Running)
+	c.balance(now, w)
 	if len(rep.Ended) < maxListedEnds {
 		c.takeAbsent(now, w, h, listed)
 	}
@@ -101,6 +102,7 @@
 		if row.Percent != r.percent {
 			r.percent, r.percentAt = row.Percent, now.Mono
 		}
+		r.load = row.Load
 		c.beginRun(now, r)
 		switch {
 		case r.phase != running:
@@ -185,5 +187,8 @@
 	if !need && w.noted > w.acked {
 		return 0, true
 	}
+	if w.serving > 0 && w.filling > 0 {
+		wait = min(wait, shareWait)
+	}
 	return wait, need
 }
--- a/internal/core/dispatch/outcome.go
+++ b/internal/core/dispatch/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 )
 
@@ -10,6 +11,11 @@
 // String returns the outcome's name.
 func (o Outcome) String() string { return outcomeNames[o] }
 
+// paceInputs tells what a change of pace was decided on.
+func paceInputs(to, from int, tail float64) string {
+	return fmt.Sprintf("to %d%% from %d%%, tail at %.2f of its target", to, from, tail)
+}
+
 func sortRuns(runs []*run) {
 	slices.SortFunc(runs, func(a, b *run) int {
 		return cmp.Or(
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -227,7 +227,7 @@
 func (c *Core) place(now Now, t *task, w *worker, number int) {
 	t.number = number
 	c.reservations[w].take(now, t.step)
-	r := &run{task: t, number: number, worker: w, phase: recording, need: t.step.spec.Charge(), began: now.Mono, percentAt: now.Mono, saved: t.saved}
+	r := &run{task: t, number: number, worker: w, phase: recording, need: t.step.spec.Charge(), began: now.Mono, percentAt: now.Mono, saved: t.saved, pacing: pacing{percent: fullPace}}
 	c.put(r)
 	c.record(t)
 	c.batch.starts = append(c.batch.starts, r)
--- a/internal/core/dispatch/score.go
+++ b/internal/core/dispatch/score.go
@@ -14,7 +14,7 @@
 
 // score orders workers for a task of s; the lowest is best.
 func (s *step) score(w *worker, need job.Resources) float64 {
-	score := leftover(w, need) + s.bias(w)
+	score := leftover(w, need) + s.bias(w) + s.sharing(w)
 	if s.job.spec.Priority == firstPriority {
 		score += packWeight * w.urgentLeft(need)
 	}
--- a/internal/core/dispatch/settle.go
+++ b/internal/core/dispatch/settle.go
@@ -113,6 +113,7 @@
 	}
 	if r.phase == starting || r.phase == adopted {
 		r.phase = running
+		c.slowAtStart(now, r)
 	}
 	if !r.task.began {
 		r.task.began = true
--- /dev/null
+++ b/internal/core/dispatch/share_test.go
@@ -0,0 +1,211 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"agatewinch/internal/core/job"
+)
+
+var (
+	half  = job.Resources{CPU: 16000, MemMB: 1000, Accelerators: 4}
+	small = job.Resources{CPU: 16000, MemMB: 1000}
+)
+
+// serving is a job that lasts and whose tails must stay below 100 ms.
+func serving(id string, count int) *job.Job {
+	j := single(id, 1, count, half)
+	j.Steps[0].LongRunning, j.Steps[0].TailTarget = true, 100*time.Millisecond
+	return j
+}
+
+func filling(id string, count int) *job.Job {
+	j := single(id, 2, count, small)
+	j.Steps[0].Fills = true
+	return j
+}
+
+// sharedFleet plays workers on which what fills adds to the tails of what serves: by harm
+// milliseconds for each task at full pace.
+type sharedFleet struct {
+	*bed
+	harm  float64
+	alone float64
+	paces map[string]int
+	// obey is false while workers do not carry out orders to change the pace.
+	obey bool
+	// over is for how long each serving task has been over its target, worst the longest.
+	over        map[string]time.Duration
+	worst       time.Duration
+	worked      float64
+	tails       map[string]float64
+	unansweredN int
+}
+
+func newSharedFleet(t *testing.T, workers int) *sharedFleet {
+	f := &sharedFleet{bed: newBed(t), harm: 60, alone: 40, paces: map[string]int{}, obey: true, over: map[string]time.Duration{}, tails: map[string]float64{}}
+	f.core.SetWorkers(f.clock(), f.fleet(workers, job.Resources{CPU: 32000, MemMB: 64000, Accelerators: 8}))
+	return f
+}
+
+// play lets time go by: every look is answered with the tails of that moment.
+func (f *sharedFleet) play(d time.Duration) {
+	const step = 100 * time.Millisecond
+	for end := f.now + d; f.now < end; {
+		f.now += step
+		f.accept()
+		f.carryOut()
+		f.measure(step)
+		f.core.Tick(f.clock())
+		f.step()
+		f.answerLooks()
+	}
+}
+
+func (f *sharedFleet) carryOut() {
+	orders := f.bed.paces
+	f.bed.paces = nil
+	for _, p := range orders {
+		if !f.obey {
+			f.unansweredN++
+			f.core.Paced(f.clock(), p, Unanswered)
+			continue
+		}
+		f.paces[p.Task.String()] = p.Percent
+		f.core.Paced(f.clock(), p, Accepted)
+	}
+}
+
+func (f *sharedFleet) paceOf(r *run) int {
+	if p, ok := f.paces[r.task.id.String()]; ok {
+		return p
+	}
+	return fullPace
+}
+
+func (f *sharedFleet) measure(step time.Duration) {
+	for _, w := range f.core.sorted {
+		tail := f.alone
+		for r := range w.runs {
+			if r.seen && r.task.step.spec.Fills {
+				tail += f.harm * float64(f.paceOf(r)) / 100
+				f.worked += step.Seconds() * float64(f.paceOf(r)) / 100
+			}
+		}
+		for r := range w.runs {
+			if !r.seen || !r.task.step.serves() {
+				continue
+			}
+			name := r.task.id.String()
+			f.tails[name] = tail
+			f.over[name] += step
+			if tail <= 100 {
+				f.over[name] = 0
+			}
+			f.worst = max(f.worst, f.over[name])
+		}
+	}
+}
+
+// answerLooks answers the looks that have waited as long as they were to.
+func (f *sharedFleet) answerLooks() {
+	for _, h := range append([]Hold(nil), f.holds...) {
+		if f.now < h.sentAt+h.Wait {
+			continue
+		}
+		w := f.core.workers[h.Worker]
+		rep := Report{Born: 1, ClockMs: f.now.Milliseconds() + 1}
+		for r := range w.runs {
+			if !r.seen {
+				continue
+			}
+			row := RunningTask{Task: r.task.id.String(), Run: r.number, Percent: 100}
+			if r.task.step.serves() {
+				row.Load = f.tails[row.Task]
+			} else if f.paceOf(r) > 0 {
+				row.Load = 16000
+			}
+			rep.Running = append(rep.Running, row)
+		}
+		f.report(h.Worker, rep)
+	}
+}
+
+// harmTime is for how long a target may be missed, at both sites.
+const harmTime = 4 * time.Second
+
+func TestTasksThatServeAndTasksThatFillStandApartWhereThereIsRoom(t *testing.T) {
+	f := newSharedFleet(t, 4)
+	f.add(serving("s", 2))
+	f.add(filling("f", 4))
+	for _, w := range f.core.sorted {
+		assert.Assert(t, w.serving == 0 || w.filling == 0, w.ID)
+	}
+}
+
+func TestWhatFillsIsSlowedWhileATailIsNearItsTarget(t *testing.T) {
+	for name, harm := range map[string]float64{"mild": 20, "strong": 60, "any pace is too much": 5000} {
+		t.Run(name, func(t *testing.T) {
+			f := newSharedFleet(t, 1)
+			f.harm = harm
+			f.add(serving("s", 1))
+			f.add(filling("f", 3))
+			f.play(60 * time.Second)
+			assert.Assert(t, f.worst < harmTime, "over its target for %v", f.worst)
+			if harm < 1000 {
+				assert.Assert(t, f.worked > 10, "%v seconds of work that fills", f.worked)
+			}
+		})
+	}
+}
+
+func TestWhatFillsIsStoppedAsTheServingLoadGrowsAndLetOnAsItFalls(t *testing.T) {
+	f := newSharedFleet(t, 1)
+	f.harm = 15
+	f.add(serving("s", 1))
+	f.add(filling("f", 2))
+	f.play(20 * time.Second)
+	f.alone = 95
+	f.play(20 * time.Second)
+	assert.Assert(t, f.worst < harmTime, "over its target for %v", f.worst)
+	f.alone = 20
+	before := f.worked
+	f.play(20 * time.Second)
+	assert.Assert(t, f.worked > before+20, "it went on to work slowly: %v", f.worked-before)
+}
+
+func TestAnOrderToSlowThatIsLostIsRepeated(t *testing.T) {
+	f := newSharedFleet(t, 1)
+	f.add(serving("s", 1))
+	f.add(filling("f", 2))
+	f.obey = false
+	f.play(2 * time.Second)
+	assert.Assert(t, f.unansweredN >= 2)
+	f.obey = true
+	f.play(2 * time.Second)
+	assert.Equal(t, f.over["s.0.0.0"], time.Duration(0))
+}
+
+func TestAPausedTaskIsNotTakenAsStalled(t *testing.T) {
+	f := newSharedFleet(t, 1)
+	f.harm = 5000
+	f.add(serving("s", 1))
+	f.add(filling("f", 1))
+	f.play(30 * time.Second)
+	assert.Equal(t, len(f.stops), 0)
+}
+
+func TestAnotherDecidersPaceIsSetAnew(t *testing.T) {
+	f := newSharedFleet(t, 1)
+	f.paces["f.0.0.0"] = 0
+	spec := filling("f", 1)
+	f.core.AddJob(f.clock(), spec, map[string]job.TaskRecord{"f.0.0.0": {Run: 1, Worker: "w0", Born: 1, Active: true, Began: true}})
+	f.step()
+	for _, r := range f.core.runsOf(f.core.workers["w0"]) {
+		r.seen = true
+	}
+	f.play(3 * time.Second)
+	assert.Equal(t, f.paces["f.0.0.0"], fullPace)
+}
--- a/internal/core/dispatch/world.go
+++ b/internal/core/dispatch/world.go
@@ -100,6 +100,9 @@
 	// saved is the newest checkpoint that is known.
 	saved   string
 	percent int
+	// load is the tail of a serving task in milliseconds, or the processors in use.
+	load   float64
+	pacing pacing
 	// percentAt is when percent last grew.
 	percentAt time.Duration
 	// seen says that the run was listed or its start was answered.
@@ -190,6 +193,8 @@
 	// reserved is held for plans that wait for room.
 	reserved job.Resources
 	runs     map[*run]bool
+	// serving and filling count the runs that serve callers of their own and that fill.
+	serving, filling int
 	// ends holds the runs in the order in which they are expected to end, until the runs
 	// change.
 	ends []*run
--- a/internal/entry/bed_test.go
+++ b/internal/entry/bed_test.go
@@ -76,6 +76,15 @@
 	return dispatch.Accepted
 }
 
+func (w *workers) Pace(_ context.Context, _ dispatch.Pace, epoch int64) dispatch.Outcome {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.fenced(epoch) {
+		return dispatch.Fenced
+	}
+	return dispatch.Accepted
+}
+
 func (w *workers) Hold(ctx context.Context, h dispatch.Hold, epoch int64) (dispatch.Report, dispatch.Outcome) {
 	sleep(ctx, min(h.Wait, 10*time.Millisecond))
 	w.mu.Lock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -68,6 +68,7 @@
 	Start(ctx context.Context, s dispatch.Start, epoch int64) dispatch.Outcome
 	Stop(ctx context.Context, s dispatch.Stop, epoch int64) dispatch.Outcome
 	Hold(ctx context.Context, h dispatch.Hold, epoch int64) (dispatch.Report, dispatch.Outcome)
+	Pace(ctx context.Context, p dispatch.Pace, epoch int64) dispatch.Outcome
 }
 
 // Advisor asks the operators' advisory service.
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -41,6 +41,12 @@
 			})
 		}()
 	}
+	for _, p := range actions.Paces {
+		go func() {
+			o := d.host.workers.Pace(ctx, p, d.epoch)
+			d.post(func(now dispatch.Now) { d.checkFence(o, p.Worker); d.core.Paced(now, p, o) })
+		}()
+	}
 	for _, a := range actions.Asks {
 		go func() {
 			tickets, err := d.host.advisor.Advise(ctx, a)
