dispatch, entry, platform: upkeep waves are carried out and reported

Change: the core empties as many machines of a wave as may be down at once, those that lose least first, moves tasks that last within what their step may miss, leaves other work to end and stops it only when the rounds that are left need the time; orders are repeated until answered, and a machine counts as down until a list asked for after the answer shows it as up. A life that an upkeep ends takes no new work.

--- a/cmd/agatewinch-host/main.go
+++ b/cmd/agatewinch-host/main.go
@@ -75,9 +75,12 @@
 	list.OnGarbage = func(err error) { event.Error(out, err, event.WorkerEntryUnreadable) }
 	orders := platform.NewOrders()
 	orders.OnGarbage = func(err error) { event.Error(out, err, event.WorkerAnswerUnreadable) }
+	source := platform.NewCatalogReader(store)
+	source.OnGarbage = func(err error) { event.Error(out, err, event.RecordUnreadable) }
 	host := entry.New(boot.Settings, entry.Parts{
-		Log: store, Catalog: platform.NewCatalogReader(store), List: list, Workers: orders, Advisor: platform.NewAdvisor(boot.Advisor), Out: out,
+		Log: store, Catalog: source, Fleet: platform.NewFleet(boot.Fleet, boot.Settings.Host, store), List: list, Workers: orders, Advisor: platform.NewAdvisor(boot.Advisor), Out: out,
 	})
+	source.OnWave = func(w platform.Wave) { host.AddWave(w.Number, w.Machines, w.Within, w.AtOnce) }
 	return trace.Wrap(serve(boot.Settings, host, out))
 }
 
--- a/internal/core/dispatch/actions.go
+++ b/internal/core/dispatch/actions.go
@@ -61,7 +61,10 @@
 	Holds  []Hold
 	Asks   []Ask
 	Paces  []Pace
-	Notes  []Note
+	// Upkeeps and Reports carry waves out.
+	Upkeeps []Upkeep
+	Reports []WaveReport
+	Notes   []Note
 }
 
 // TaskChange is a task's record to be written.
--- a/internal/core/dispatch/advice.go
+++ b/internal/core/dispatch/advice.go
@@ -96,7 +96,7 @@
 	room, whole := 0, 0
 	var free, full []*worker
 	for _, w := range c.sorted {
-		if !w.fits(s) || !w.usable(now.Mono) || !w.Capacity.Fits(need) {
+		if !w.fits(s) || !c.takesWork(now, w) || !w.Capacity.Fits(need) {
 			continue
 		}
 		fit := timesFit(w.free(), need, s.spec.MaxPerWorker)
--- a/internal/core/dispatch/bed_test.go
+++ b/internal/core/dispatch/bed_test.go
@@ -18,8 +18,11 @@
 	holds  []Hold
 	asks   []Ask
 	paces  []Pace
-	notes  []Note
-	ends   map[string]int64
+	// upkeeps and reports are what the waves want.
+	upkeeps []Upkeep
+	reports []WaveReport
+	notes   []Note
+	ends    map[string]int64
 }
 
 func newBed(t *testing.T) *bed {
@@ -49,6 +52,8 @@
 		b.starts = append(b.starts, a.Starts...)
 		b.stops = append(b.stops, a.Stops...)
 		b.holds = append(b.holds, a.Holds...)
+		b.upkeeps = append(b.upkeeps, a.Upkeeps...)
+		b.reports = append(b.reports, a.Reports...)
 		b.paces = append(b.paces, a.Paces...)
 		b.asks = append(b.asks, a.Asks...)
 		b.notes = append(b.notes, a.Notes...)
--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -42,6 +42,10 @@
 	// reservations are the rooms that are kept for gangs, for reserved of them.
 	reservations map[*worker]*reservation
 	reserved     int
+	// waves are the operators' requests for upkeep, and machines what they act on; it is nil
+	// until they have been listed.
+	waves    []*wave
+	machines map[string]Machine
 	// asks counts the open questions to the advisory service.
 	asks int
 	// wake is when the next occurrence or held back task may be placed.
--- a/internal/core/dispatch/cycle.go
+++ b/internal/core/dispatch/cycle.go
@@ -65,7 +65,7 @@
 	if p == nil {
 		p = &poolWorkers{}
 		for _, w := range c.sorted {
-			if _, allowed := s.ticketFor(now, w); allowed && w.fits(s) && w.usable(now.Mono) {
+			if _, allowed := s.ticketFor(now, w); allowed && w.fits(s) && c.takesWork(now, w) {
 				p.usable = append(p.usable, w)
 			}
 		}
--- a/internal/core/dispatch/preempt.go
+++ b/internal/core/dispatch/preempt.go
@@ -26,7 +26,7 @@
 	need := s.spec.Charge()
 	taken := map[*worker]job.Resources{}
 	for t, w := range s.plan.at {
-		if _, allowed := s.ticketFor(now, w); !allowed || t.cur != nil || t.done || !w.usable(now.Mono) || now.Mono > s.plan.until {
+		if _, allowed := s.ticketFor(now, w); !allowed || t.cur != nil || t.done || !c.takesWork(now, w) || now.Mono > s.plan.until {
 			c.dropPlan(s)
 			return
 		}
--- a/internal/core/dispatch/settle.go
+++ b/internal/core/dispatch/settle.go
@@ -239,4 +239,5 @@
 		}
 	}
 	c.watchStalled(now)
+	c.advanceWaves(now)
 }
--- /dev/null
+++ b/internal/core/dispatch/upkeep_test.go
@@ -0,0 +1,220 @@
+package dispatch
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"agatewinch/internal/core/job"
+)
+
+// upkeepBed plays the machines of a fleet: worker wN runs on machine mN.
+type upkeepBed struct {
+	*bed
+	upkeepTime time.Duration
+	// lives counts each machine's workers, downUntil is when an upkeep ends.
+	lives     map[string]int64
+	downUntil map[string]time.Duration
+	begun     []string
+	reports   []WaveReport
+	mostDown  int
+	workers   int
+	// lost and busy say which orders go wrong.
+	lost, busy int
+}
+
+func newUpkeepBed(t *testing.T, workers int) *upkeepBed {
+	b := &upkeepBed{bed: newBed(t), upkeepTime: 2 * time.Second, lives: map[string]int64{}, downUntil: map[string]time.Duration{}, workers: workers}
+	b.core.set.UpkeepTime = b.upkeepTime
+	b.list()
+	return b
+}
+
+func (b *upkeepBed) list() {
+	infos := b.fleet(b.workers, job.Resources{CPU: 32000, MemMB: 64000, Accelerators: 8})
+	var listed []WorkerInfo
+	var machines []Machine
+	down := 0
+	for i, info := range infos {
+		m := Machine{ID: fmt.Sprintf("m%d", i), Worker: info.ID, Up: b.now >= b.downUntil[fmt.Sprintf("m%d", i)]}
+		info.Born = 1 + b.lives[m.ID]
+		if m.Up {
+			listed = append(listed, info)
+		} else {
+			down++
+		}
+		machines = append(machines, m)
+	}
+	b.mostDown = max(b.mostDown, down)
+	b.core.SetWorkers(b.clock(), listed)
+	b.core.SetMachines(b.clock(), b.now, machines)
+}
+
+// play carries orders out as the platform does.
+func (b *upkeepBed) play(d time.Duration) {
+	for end := b.now + d; b.now < end; {
+		b.now += 100 * time.Millisecond
+		b.accept()
+		for _, s := range b.stops {
+			b.core.Stopped(b.clock(), s, Accepted)
+			b.endStopped(s)
+		}
+		b.stops = nil
+		b.core.Tick(b.clock())
+		b.step()
+		b.answerLooks()
+		b.carryOut()
+		b.list()
+		b.step()
+	}
+}
+
+func (b *upkeepBed) endStopped(s Stop) {
+	w := b.core.workers[s.Worker]
+	for _, r := range b.core.runsOf(w) {
+		if r.task.id == s.Task && r.number == s.Run {
+			b.core.settle(b.clock(), r, job.EndStopped, "")
+		}
+	}
+}
+
+func (b *upkeepBed) answerLooks() {
+	for _, h := range append([]Hold(nil), b.holds...) {
+		w := b.core.workers[h.Worker]
+		if b.now < h.sentAt+500*time.Millisecond {
+			continue
+		}
+		rep := Report{Born: w.Born, ClockMs: b.now.Milliseconds() + 1, Running: []RunningTask{}}
+		for r := range w.runs {
+			if r.seen {
+				rep.Running = append(rep.Running, RunningTask{Task: r.task.id.String(), Run: r.number, Percent: 100})
+			}
+		}
+		b.report(h.Worker, rep)
+	}
+}
+
+func (b *upkeepBed) carryOut() {
+	a := b.core.TakeActions(b.clock())
+	b.starts, b.stops, b.holds = append(b.starts, a.Starts...), append(b.stops, a.Stops...), append(b.holds, a.Holds...)
+	for _, r := range append(b.bed.reports, a.Reports...) {
+		b.reports = append(b.reports, r)
+		b.core.WaveReported(b.clock(), r, nil)
+	}
+	b.bed.reports = nil
+	for _, u := range append(b.bed.upkeeps, a.Upkeeps...) {
+		switch {
+		case b.busy > 0:
+			b.busy--
+			b.core.UpkeepAnswered(b.clock(), u, RefusedUnhealthy)
+			continue
+		case b.now < b.downUntil[u.Machine]:
+		default:
+			b.lives[u.Machine]++
+			b.downUntil[u.Machine] = b.now + b.upkeepTime
+			b.begun = append(b.begun, u.Machine)
+		}
+		if b.lost > 0 {
+			b.lost--
+			b.core.UpkeepAnswered(b.clock(), u, Unanswered)
+			continue
+		}
+		b.core.UpkeepAnswered(b.clock(), u, Accepted)
+	}
+	b.bed.upkeeps = nil
+}
+
+func (b *upkeepBed) wave(atOnce int, within time.Duration, machines ...string) {
+	b.core.AddWave(Wave{Number: 1, Machines: machines, AtOnce: atOnce, DueMs: (b.now + within).Milliseconds()})
+}
+
+func TestAWaveIsCarriedOutAFewMachinesAtATime(t *testing.T) {
+	b := newUpkeepBed(t, 6)
+	b.wave(2, time.Minute, "m0", "m1", "m2", "m3", "m4")
+	b.play(15 * time.Second)
+	assert.Equal(t, len(b.begun), 5)
+	assert.Assert(t, b.mostDown <= 2, "%d down at once", b.mostDown)
+	assert.DeepEqual(t, b.reports, []WaveReport{{1, false}, {1, true}})
+}
+
+func TestEmptyMachinesGoFirstAndWorkIsLeftToEnd(t *testing.T) {
+	b := newUpkeepBed(t, 3)
+	b.add(single("j", 1, 1, wholeWorker))
+	ran := b.starts[0].Worker
+	b.wave(1, time.Minute, "m0", "m1", "m2")
+	b.play(20 * time.Second)
+	assert.Equal(t, len(b.begun), 2)
+	for _, m := range b.begun {
+		assert.Assert(t, m != "m"+ran[1:], "the machine at work was not to go")
+	}
+	assert.Equal(t, len(b.core.runsOf(b.core.workers[ran])), 1)
+}
+
+func TestWorkIsStoppedSoThatTheWaveEndsInTime(t *testing.T) {
+	b := newUpkeepBed(t, 2)
+	b.add(single("j", 1, 2, wholeWorker))
+	b.wave(1, 20*time.Second, "m0", "m1")
+	b.play(20 * time.Second)
+	assert.Equal(t, len(b.begun), 2)
+	assert.Assert(t, b.reports[len(b.reports)-1].Done)
+}
+
+func TestNothingIsPlacedOnAMachineThatIsEmptied(t *testing.T) {
+	b := newUpkeepBed(t, 2)
+	b.add(single("j", 1, 1, wholeWorker))
+	b.accept()
+	b.wave(2, time.Minute, "m0", "m1")
+	b.list()
+	b.core.Tick(b.clock())
+	b.add(single("k", 1, 1, wholeWorker))
+	assert.Equal(t, len(b.starts), 0)
+	b.play(10 * time.Second)
+	assert.Equal(t, len(b.begun), 1)
+	assert.Assert(t, len(b.core.jobs["k"].occ) > 0 && b.core.jobs["k"].live == 1, "it runs on the machine that is back")
+}
+
+func TestTasksThatLastAreMovedWithinWhatMayMiss(t *testing.T) {
+	b := newUpkeepBed(t, 4)
+	lasting := single("s", 1, 3, wholeWorker)
+	lasting.Steps[0].LongRunning, lasting.Steps[0].MayMiss = true, 1
+	b.add(lasting)
+	b.play(5 * time.Second)
+	b.wave(3, time.Minute, "m0", "m1", "m2", "m3")
+	away := 0
+	for range 250 {
+		b.play(100 * time.Millisecond)
+		n := 0
+		for _, task := range b.core.jobs["s"].occ[0].steps[0].tasks {
+			if task.cur == nil || task.cur.phase != running {
+				n++
+			}
+		}
+		away = max(away, n)
+	}
+	assert.Assert(t, away <= 1, "%d tasks away at once", away)
+	assert.Equal(t, len(b.begun), 4)
+}
+
+func TestOrdersThatAreLostOrRefusedAreRepeatedWithinTheBound(t *testing.T) {
+	b := newUpkeepBed(t, 4)
+	b.lost, b.busy = 2, 2
+	b.wave(1, time.Minute, "m0", "m1", "m2")
+	b.play(20 * time.Second)
+	assert.Assert(t, b.mostDown <= 1, "%d down at once", b.mostDown)
+	assert.Assert(t, b.reports[len(b.reports)-1].Done)
+}
+
+func TestAWaveReportThatIsLostIsRepeated(t *testing.T) {
+	b := newUpkeepBed(t, 1)
+	b.wave(1, time.Minute, "m0")
+	b.core.Tick(b.clock())
+	a := b.core.TakeActions(b.clock())
+	assert.DeepEqual(t, a.Reports, []WaveReport{{1, false}})
+	b.core.WaveReported(b.clock(), a.Reports[0], errors.New("no answer"))
+	b.now += reportRetry
+	b.core.Tick(b.clock())
+	assert.DeepEqual(t, b.core.TakeActions(b.clock()).Reports, []WaveReport{{1, false}})
+}
--- a/internal/core/dispatch/world.go
+++ b/internal/core/dispatch/world.go
@@ -30,6 +30,8 @@
 	SpreadFactor float64
 	// StopTime is how long a stop takes at most.
 	StopTime time.Duration
+	// UpkeepTime is how long a machine's upkeep takes.
+	UpkeepTime time.Duration
 }
 
 const (
--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"agatewinch/internal/core/dispatch"
@@ -48,6 +49,8 @@
 	catalog int64
 	// cutOffAt is since when most workers have not answered this host; zero if they do.
 	cutOffAt time.Time
+	// wavesOpen says that the machines have to be listed.
+	wavesOpen atomic.Bool
 }
 
 // maxEvents bounds the outcomes that wait for the core; calls in flight are fewer.
@@ -59,7 +62,7 @@
 		host: h, epoch: fence.Epoch, sequence: fence.Sequence, events: make(chan func(dispatch.Now), maxEvents), began: now, appendedAt: now, sweptAt: now,
 		core: dispatch.New(dispatch.Settings{
 			Lease: min(workerLease, h.set.MaxLease), HoldWait: lookWait,
-			UnheardLease: unheard, SpreadFactor: h.set.SpreadFactor, StopTime: h.set.StopTime,
+			UnheardLease: unheard, SpreadFactor: h.set.SpreadFactor, StopTime: h.set.StopTime, UpkeepTime: h.set.UpkeepTime,
 		}),
 	}
 }
@@ -75,6 +78,7 @@
 	defer cancel()
 	d.restore()
 	go d.followWorkers(ctx)
+	go d.followWaves(ctx)
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	wake := time.NewTimer(tickEvery)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,6 +33,8 @@
 	MaxLease time.Duration
 	// StopTime is how long a worker takes to stop a run, at most.
 	StopTime time.Duration
+	// UpkeepTime is how long a machine's upkeep takes.
+	UpkeepTime time.Duration
 	// KeepEnded is how long an ended job has to be shown.
 	KeepEnded time.Duration
 	// SpreadFactor is how much slower work is away from its rack.
@@ -77,6 +79,16 @@
 	Advise(ctx context.Context, a dispatch.Ask) ([]dispatch.Ticket, error)
 }
 
+// Fleet lists and services the machines that workers run on.
+type Fleet interface {
+	Machines(ctx context.Context) ([]dispatch.Machine, error)
+	Upkeep(ctx context.Context, u dispatch.Upkeep, epoch int64) dispatch.Outcome
+	// Report tells the operators how far a wave is, and Finished returns those that were
+	// reported as done.
+	Report(ctx context.Context, r dispatch.WaveReport) error
+	Finished(ctx context.Context) (map[int64]bool, error)
+}
+
 // WorkerList follows the platform's list of workers.
 type WorkerList interface {
 	List(ctx context.Context) ([]dispatch.WorkerInfo, error)
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -24,6 +24,8 @@
 	list    WorkerList
 	workers Workers
 	advisor Advisor
+	fleet   Fleet
+	waves   waves
 	out     logr.Logger
 	// incarnation tells the lives of the process apart.
 	incarnation int64
@@ -56,13 +58,14 @@
 	List    WorkerList
 	Workers Workers
 	Advisor Advisor
+	Fleet   Fleet
 	Out     logr.Logger
 }
 
 // New returns a host that has not begun.
 func New(set Settings, p Parts) *Host {
 	h := &Host{
-		set: set, log: p.Log, source: p.Catalog, list: p.List, workers: p.Workers, advisor: p.Advisor, out: p.Out,
+		set: set, log: p.Log, source: p.Catalog, list: p.List, workers: p.Workers, advisor: p.Advisor, fleet: p.Fleet, out: p.Out,
 		incarnation: time.Now().UnixMilli(), metrics: metrics.New(metrics.SourceEntry), ledger: ledger.New(), jobsSignal: make(chan struct{}, 1),
 	}
 	for _, t := range ledger.TopicsJobs {
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -53,6 +53,7 @@
 			d.post(func(now dispatch.Now) { d.core.Advised(now, a, tickets, err) })
 		}()
 	}
+	d.carryOutWaves(ctx, actions)
 	d.append(ctx)
 }
 
--- /dev/null
+++ b/internal/entry/waves_test.go
@@ -0,0 +1,100 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"agatewinch/internal/core/dispatch"
+	"agatewinch/internal/sharedlog/memlog"
+)
+
+// fleet has one machine, whose upkeep takes no time. Its first answers are errors.
+type fleet struct {
+	mu       sync.Mutex
+	fails    int
+	upkeeps  int
+	reports  []dispatch.WaveReport
+	finished map[int64]bool
+}
+
+var errAway = errors.New("no answer")
+
+func (f *fleet) failing() bool {
+	f.fails--
+	return f.fails >= 0
+}
+
+func (f *fleet) Machines(context.Context) ([]dispatch.Machine, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failing() {
+		return nil, errAway
+	}
+	return []dispatch.Machine{{ID: "m0", Worker: "w0", Up: true}}, nil
+}
+
+func (f *fleet) Upkeep(context.Context, dispatch.Upkeep, int64) dispatch.Outcome {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.upkeeps++
+	return dispatch.Accepted
+}
+
+func (f *fleet) Report(_ context.Context, r dispatch.WaveReport) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reports = append(f.reports, r)
+	return nil
+}
+
+func (f *fleet) Finished(context.Context) (map[int64]bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failing() {
+		return nil, errAway
+	}
+	return f.finished, nil
+}
+
+func (f *fleet) done() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.reports) > 0 && f.reports[len(f.reports)-1].Done
+}
+
+func runWithFleet(t *testing.T, f *fleet) *Host {
+	t.Helper()
+	log := memlog.New()
+	hosts, _ := runWith(t, 1, func(w *workers, name string) *Host {
+		h := newHost(log, w, name)
+		h.fleet = f
+		return h
+	})
+	return hosts[0]
+}
+
+func TestAWaveIsCarriedOutByTheDeciderAndReported(t *testing.T) {
+	f := &fleet{fails: 3}
+	h := runWithFleet(t, f)
+	h.AddWave(1, []string{"m0"}, 10*time.Second, 1)
+	h.AddWave(1, []string{"m0"}, 10*time.Second, 1) // read again after its history was dropped
+	eventually(t, f.done)
+	assert.Equal(t, f.upkeeps, 1)
+	assert.DeepEqual(t, f.reports, []dispatch.WaveReport{{Wave: 1}, {Wave: 1, Done: true}})
+}
+
+func TestAWaveThatAFormerDeciderFinishedIsLeftAlone(t *testing.T) {
+	f := &fleet{finished: map[int64]bool{1: true}}
+	h := runWithFleet(t, f)
+	h.AddWave(1, []string{"m0"}, 10*time.Second, 1)
+	h.AddWave(2, []string{"m0"}, 10*time.Second, 1)
+	eventually(t, f.done)
+	for _, r := range f.reports {
+		assert.Equal(t, r.Wave, int64(2))
+	}
+}
--- a/internal/event/entryevents.go
+++ b/internal/event/entryevents.go
@@ -14,4 +14,5 @@
 	SettingsRead           = Event{7105, "settings read", "The settings file was read again."}
 	LinesDropped           = Event{7106, "log lines dropped", "More lines were due than may be written; the number dropped is shown."}
 	WorkerAnswerUnreadable = Event{7107, "worker answer unreadable", "A worker's list of runs cannot be read; it counts as no answer."}
+	WaveRead               = Event{7108, "wave read", "The operators asked for the upkeep of machines; the decider empties them, a few at a time."}
 )
