--- a/internal/core/dispatch/actions.go
+++ b/internal/core/dispatch/actions.go
@@ -88,7 +88,8 @@
 	Dropped []job.TaskID
 
 	starts []*run
-	acks   map[*worker]int64
+	// acks holds the last end of each life that the batch records.
+	acks map[life]int64
 }
 
 func (b *Batch) empty() bool {
--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -60,7 +60,7 @@
 }
 
 func (c *Core) openBatch() {
-	c.batch = &Batch{acks: map[*worker]int64{}}
+	c.batch = &Batch{acks: map[life]int64{}}
 }
 
 // SetGuarantees says how many accelerators each organisation owns.
@@ -126,13 +126,12 @@
 		t.step.done++
 	}
 	if r.Active {
-		w := c.workerFor(r.Worker, r.Born)
+		w := c.workerFor(now, r.Worker, r.Born)
 		if w == nil {
 			// That life of the worker is over.
 			return
 		}
 		c.put(&run{task: t, number: r.Run, worker: w, phase: adopted, inherited: true, need: t.step.spec.Charge(), began: now.Mono, percentAt: now.Mono, saved: r.Checkpoint, pacing: pacing{percent: unknownPace}})
-		w.adoptedUntil = max(w.adoptedUntil, now.Mono+c.set.UnheardLease+time.Duration(float64(c.set.Lease)/slowestClock)+lapseMargin)
 	}
 }
 
@@ -151,20 +150,25 @@
 }
 
 // workerFor returns the worker that a recorded placement names, or nil if it has begun
-// another life since.
-func (c *Core) workerFor(id string, born int64) *worker {
+// another life since. The list of workers may be behind: the record is then the first to
+// tell of the present life.
+func (c *Core) workerFor(now Now, id string, born int64) *worker {
 	w := c.workers[id]
 	if w == nil {
 		w = c.addWorker(WorkerInfo{ID: id, Born: born})
 	}
-	if w.Born != 0 && born != 0 && w.Born > born {
+	switch {
+	case w.Born == 0 || born == 0 || w.Born == born:
+	case w.Born > born:
 		return nil
+	default:
+		c.newLife(now, w, born)
 	}
 	return w
 }
 
 func (c *Core) addWorker(info WorkerInfo) *worker {
-	w := &worker{WorkerInfo: info, runs: map[*run]bool{}, labels: map[string]bool{}}
+	w := &worker{WorkerInfo: info, inheritedUntil: c.set.inheritedLease(), runs: map[*run]bool{}, labels: map[string]bool{}}
 	c.workers[info.ID] = w
 	i, _ := slices.BinarySearchFunc(c.sorted, info.ID, func(w *worker, id string) int {
 		if w.ID < id {
@@ -346,9 +350,9 @@
 
 // Recorded says that a batch is in the log: what depended on it goes out.
 func (c *Core) Recorded(now Now, b *Batch) {
-	for w, n := range b.acks {
-		if c.workers[w.ID] == w {
-			w.noted = max(w.noted, n)
+	for l, n := range b.acks {
+		if l.worker.Born == l.born {
+			l.worker.noted = max(l.worker.noted, n)
 		}
 	}
 	for _, r := range b.starts {
--- a/internal/core/dispatch/hold.go
+++ b/internal/core/dispatch/hold.go
@@ -60,7 +60,7 @@
 			continue
 		}
 		w.settled = e.Number
-		c.batch.acks[w] = e.Number
+		c.batch.acks[life{w, w.Born}] = e.Number
 		t := c.tasks[e.Task]
 		if t == nil {
 			continue
--- a/internal/core/dispatch/reach_test.go
+++ b/internal/core/dispatch/reach_test.go
@@ -77,6 +77,7 @@
 func TestUnansweredStartOnAnIdleWorkerHoldsItsTaskUpForAShortLease(t *testing.T) {
 	b := newBed(t)
 	b.core.SetWorkers(b.clock(), b.fleet(2, whole))
+	b.pass(b.core.set.inheritedLease())
 	b.add(single("j", 1, 1, one))
 	first := b.starts[0]
 	b.starts = nil
@@ -89,6 +90,22 @@
 	assert.Equal(t, b.starts[0].Run, 2)
 }
 
+// The load: a takeover, and a worker without work that is cut off just before a start. The
+// former decider may have given that worker a longer lease, which then holds for the run.
+func TestUnansweredStartAfterATakeoverWaitsForTheLeaseOfTheFormerDecider(t *testing.T) {
+	b := newBed(t)
+	b.core.SetWorkers(b.clock(), b.fleet(2, whole))
+	b.add(single("j", 1, 1, one))
+	first := b.starts[0]
+	b.starts = nil
+	b.core.Started(b.clock(), first, Unanswered)
+	b.step()
+	b.loseContact(b.core.set.inheritedLease() - time.Second)
+	assert.Equal(t, len(b.starts), 0)
+	b.loseContact(2 * time.Second)
+	assert.Equal(t, len(b.starts), 1)
+}
+
 // The load: a worker that refuses a start. The task goes elsewhere at once.
 func TestRefusedStartIsPlacedElsewhereAtOnce(t *testing.T) {
 	b := newBed(t)
--- a/internal/core/dispatch/settle.go
+++ b/internal/core/dispatch/settle.go
@@ -60,9 +60,10 @@
 func (c *Core) newLife(now Now, w *worker, born int64) {
 	c.note(Note{What: "worker reborn", Worker: w.ID})
 	w.Born = born
-	w.ClockMs, w.clockAt, w.leaseMs, w.adoptedUntil = 0, now.Mono, 0, 0
+	w.ClockMs, w.clockAt, w.leaseMs, w.inheritedUntil = 0, now.Mono, 0, 0
 	w.settled, w.noted, w.acked = 0, 0, 0
 	w.heard, w.misses = false, 0
+	c.dirty = true
 	for _, r := range c.runsOf(w) {
 		c.settle(now, r, job.EndLost, r.saved)
 	}
@@ -228,7 +229,7 @@
 		if len(w.runs) == 0 {
 			continue
 		}
-		lapsed := (w.leaseMs > 0 || w.adoptedUntil > 0) && now.Mono > w.lapsedAt()
+		lapsed := (w.leaseMs > 0 || w.inheritedUntil > 0) && now.Mono > w.lapsedAt()
 		for _, r := range c.runsOf(w) {
 			switch {
 			case lapsed && r.phase != recording:
--- a/internal/core/dispatch/world.go
+++ b/internal/core/dispatch/world.go
@@ -57,6 +57,12 @@
 	maxListedEnds = 500
 )
 
+// inheritedLease is how long after a takeover a lease that a former decider gave may last,
+// on any worker: leases hold for a worker, not for a run, and no order makes them shorter.
+func (s Settings) inheritedLease() time.Duration {
+	return s.UnheardLease + time.Duration(float64(s.Lease)/slowestClock) + lapseMargin
+}
+
 // WorkerInfo is what a worker says of itself.
 type WorkerInfo struct {
 	ID       string
@@ -204,8 +210,8 @@
 	clockAt time.Duration
 	// leaseMs is the latest lease end that was sent, by the worker's clock.
 	leaseMs int64
-	// adoptedUntil bounds the leases that a former decider may have given.
-	adoptedUntil time.Duration
+	// inheritedUntil bounds the leases that a former decider may have given to this life.
+	inheritedUntil time.Duration
 	// heard says that the worker answered this decider in its present life.
 	heard bool
 	// noted is the last end that is recorded, acked the last that the worker was told
@@ -224,6 +230,12 @@
 	side float64
 }
 
+// life is one life of a worker; numbers of ends begin anew with each.
+type life struct {
+	worker *worker
+	born   int64
+}
+
 func (w *worker) free() job.Resources {
 	return w.Capacity.Minus(w.used).Minus(w.reserved)
 }
@@ -234,7 +246,7 @@
 }
 
 func (w *worker) hasAdopted() bool {
-	if w.heard || w.adoptedUntil == 0 {
+	if w.heard || w.inheritedUntil == 0 {
 		return false
 	}
 	for r := range w.runs {
@@ -254,5 +266,5 @@
 func (w *worker) lapsedAt() time.Duration {
 	left := float64(w.leaseMs-w.ClockMs) / slowestClock
 	at := w.clockAt + time.Duration(left*float64(time.Millisecond)) + lapseMargin
-	return max(at, w.adoptedUntil)
+	return max(at, w.inheritedUntil)
 }
