dispatch: the bound of inherited leases counts from the takeover

Cause: counted it from zero of the steady clock, which is the takeover in a host's process but not in the simulation, whose clock goes on: TestOrdersKeepTheRulesUnderFaults failed there ("runs 1 and 2 at once").

Change: a core is told the time as it is made.

--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -9,10 +9,12 @@
 
 // Core is the decider's state. It is not safe for concurrent use.
 type Core struct {
-	set     Settings
-	jobs    map[string]*jobRun
-	seq     int
-	workers map[string]*worker
+	set Settings
+	// inheritedUntil bounds the leases that former deciders may have given.
+	inheritedUntil time.Duration
+	jobs           map[string]*jobRun
+	seq            int
+	workers        map[string]*worker
 	// sorted holds the workers by id, so that decisions can be repeated.
 	sorted []*worker
 	tasks  map[string]*task
@@ -52,9 +54,9 @@
 	wake time.Duration
 }
 
-// New returns a core that knows nothing.
-func New(set Settings) *Core {
-	c := &Core{set: set, jobs: map[string]*jobRun{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, doubted: map[string]time.Duration{}, cycle: newCycle()}
+// New returns a core that knows nothing; it decides from now on.
+func New(now Now, set Settings) *Core {
+	c := &Core{set: set, inheritedUntil: now.Mono + set.inheritedLease(), jobs: map[string]*jobRun{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, doubted: map[string]time.Duration{}, cycle: newCycle()}
 	c.openBatch()
 	return c
 }
@@ -168,7 +170,7 @@
 }
 
 func (c *Core) addWorker(info WorkerInfo) *worker {
-	w := &worker{WorkerInfo: info, inheritedUntil: c.set.inheritedLease(), runs: map[*run]bool{}, labels: map[string]bool{}}
+	w := &worker{WorkerInfo: info, inheritedUntil: c.inheritedUntil, runs: map[*run]bool{}, labels: map[string]bool{}}
 	c.workers[info.ID] = w
 	i, _ := slices.BinarySearchFunc(c.sorted, info.ID, func(w *worker, id string) int {
 		if w.ID < id {
--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -60,7 +60,7 @@
 	now := time.Now()
 	return &decider{
 		host: h, epoch: fence.Epoch, sequence: fence.Sequence, events: make(chan func(dispatch.Now), maxEvents), began: now, appendedAt: now, sweptAt: now,
-		core: dispatch.New(dispatch.Settings{
+		core: dispatch.New(dispatch.Now{UnixMs: now.UnixMilli()}, dispatch.Settings{
 			Lease: min(workerLease, h.set.MaxLease), HoldWait: lookWait,
 			UnheardLease: unheard, SpreadFactor: h.set.SpreadFactor, StopTime: h.set.StopTime, UpkeepTime: h.set.UpkeepTime,
 		}),
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -181,7 +181,7 @@
 // it is refused.
 func (w *World) takeOver() {
 	w.epoch++
-	d := &decider{core: dispatch.New(w.Settings), epoch: w.epoch}
+	d := &decider{core: dispatch.New(w.clock(), w.Settings), epoch: w.epoch}
 	if w.decider != nil {
 		w.decider.fenced = true
 	}
