--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SEED ?= 1
 N ?= 20
 
-.PHONY: build quickstart test lint bench faults soak capacity clean
+.PHONY: build quickstart test lint bench faults soak soak-hosts capacity clean
 
 build:
 	@mkdir -p bin
@@ -33,6 +33,9 @@
 soak: build
 	$(GO) test ./test/faults -count=1 -timeout 0 -run TestSoak -soak $(N) -v
 
+soak-hosts:
+	$(GO) test ./test/soak -count=1 -timeout 0 -args -seed $(SEED) -seeds $(N)
+
 capacity: build
 	./scripts/capacity.sh
 
--- a/test/harness/cluster.go
+++ b/test/harness/cluster.go
@@ -45,7 +45,7 @@
 
 	platform *Process
 	dir      string
-	ports    *ports
+	ports    *Ports
 	base     string
 	// platformAddr is where the platform listens, and platformProxy leads to it.
 	platformAddr, platformProxy string
@@ -77,7 +77,7 @@
 	slots <- struct{}{}
 	t.Cleanup(func() { <-slots })
 	c := &Cluster{
-		T: t, Opts: opts, Set: fleet(opts), named: map[string]int{}, dir: t.TempDir(), ports: takePorts(t),
+		T: t, Opts: opts, Set: fleet(opts), named: map[string]int{}, dir: t.TempDir(), ports: TakePorts(t),
 		Direct: &http.Client{Timeout: 40 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: directConns}},
 	}
 	t.Cleanup(c.stop)
@@ -95,7 +95,7 @@
 
 // plan names the hosts of all zones and gives them their addresses.
 func (c *Cluster) plan() {
-	c.platformAddr = c.ports.addr(c.T, 1)
+	c.platformAddr = c.ports.Addr(c.T, 1)
 	c.platformProxy = c.proxyTo(Platform, c.platformAddr, func(process string) bool { return process != Callers })
 	for _, zone := range c.Opts.Zones {
 		for range c.Opts.HostsPerZone {
@@ -111,7 +111,7 @@
 
 func (c *Cluster) startPlatform() {
 	listen := c.platformAddr
-	workerBase := c.ports.addr(c.T, len(workerIDs(c.Set)))
+	workerBase := c.ports.Addr(c.T, len(workerIDs(c.Set)))
 	c.base = "http://" + listen
 	c.Admin = &standin.Admin{Base: c.base, Client: c.Direct}
 	configDir := filepath.Join(c.dir, "config")
@@ -226,6 +226,6 @@
 	}
 	c.Direct.CloseIdleConnections()
 	if c.T.Failed() {
-		showLogs(c.T, processes)
+		ShowLogs(c.T, processes)
 	}
 }
--- a/test/harness/hosts.go
+++ b/test/harness/hosts.go
@@ -76,7 +76,7 @@
 	c.named[zone]++
 	name := zone + "-" + strconv.Itoa(c.named[zone])
 	c.mu.Unlock()
-	h := &EntryHost{Name: name, Zone: zone, gateAddr: c.ports.addr(c.T, 1), SchedulerAddr: c.ports.addr(c.T, 1)}
+	h := &EntryHost{Name: name, Zone: zone, gateAddr: c.ports.Addr(c.T, 1), SchedulerAddr: c.ports.Addr(c.T, 1)}
 	h.GateURL = "http://" + h.gateAddr
 	h.Gate = c.process("gate/"+name, binaryGate)
 	h.Scheduler = c.process("scheduler/"+name, binaryScheduler)
@@ -125,7 +125,7 @@
 	if from(Callers) {
 		sourceOf = func(net.Conn) string { return Callers }
 	}
-	p, err := proxy.New(c.ports.addr(c.T, 1), target, sourceOf)
+	p, err := proxy.New(c.ports.Addr(c.T, 1), target, sourceOf)
 	assert.NilError(c.T, err)
 	added := &path{to: to, proxy: p, from: from}
 	c.mu.Lock()
--- a/test/harness/ports.go
+++ b/test/harness/ports.go
@@ -19,13 +19,14 @@
 	portsPause = 200 * time.Millisecond
 )
 
-// ports hands out the ports of one block.
-type ports struct {
+// Ports hands out the ports of one block.
+type Ports struct {
 	mu        sync.Mutex
 	next, end int
 }
 
-func takePorts(t testing.TB) *ports {
+// TakePorts takes a block until the end of the test.
+func TakePorts(t testing.TB) *Ports {
 	t.Helper()
 	deadline := time.Now().Add(portsWait)
 	for time.Now().Before(deadline) {
@@ -35,7 +36,7 @@
 				continue
 			}
 			t.Cleanup(func() { _ = lock.Close() })
-			return &ports{next: first + 1, end: first + portsBlock}
+			return &Ports{next: first + 1, end: first + portsBlock}
 		}
 		time.Sleep(portsPause)
 	}
@@ -43,8 +44,8 @@
 	return nil
 }
 
-// addr returns the next address, and the next n-1 ports after it are taken too.
-func (p *ports) addr(t testing.TB, n int) string {
+// Addr returns the next address, and the next n-1 ports after it are taken too.
+func (p *Ports) Addr(t testing.TB, n int) string {
 	t.Helper()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -27,6 +27,7 @@
 	binaryGate      = "agatewinch-gate"
 	binaryScheduler = "agatewinch-scheduler"
 	binaryStandin   = "agatewinch-standin"
+	binaryHost      = "agatewinch-host"
 )
 
 // binaries builds the binaries once for a test process.
@@ -40,7 +41,7 @@
 		return "", trace.ConvertSystemError(err)
 	}
 	args := []string{"build", "-o", dir + "/"}
-	for _, name := range []string{binaryGate, binaryScheduler, binaryStandin} {
+	for _, name := range []string{binaryGate, binaryScheduler, binaryStandin, binaryHost} {
 		args = append(args, "./cmd/"+name)
 	}
 	cmd := exec.Command("go", args...)
@@ -94,7 +95,11 @@
 	// Name is unique in the cluster.
 	Name string
 
-	binary, settings, log string
+	binary, log string
+	// settings is the file that --settings names; without one the process finds its
+	// settings through env.
+	settings string
+	env      []string
 
 	starting sync.Mutex
 	retired  bool
@@ -104,6 +109,12 @@
 	ended chan struct{}
 }
 
+// NewHostProcess returns an entry host's process on the operators' platform, which finds
+// its settings through env and logs to a file.
+func NewHostProcess(name, log string, env ...string) *Process {
+	return &Process{Name: name, binary: binaryHost, log: log, env: env}
+}
+
 // Start starts the process; it must not run.
 func (p *Process) Start() error {
 	dir, err := binaries()
@@ -114,7 +125,12 @@
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	cmd := exec.Command(filepath.Join(dir, p.binary), "--settings", p.settings)
+	var args []string
+	if p.settings != "" {
+		args = []string{"--settings", p.settings}
+	}
+	cmd := exec.Command(filepath.Join(dir, p.binary), args...)
+	cmd.Env = append(os.Environ(), p.env...)
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	started := make(chan error)
@@ -242,8 +258,8 @@
 	return out, nil
 }
 
-// showLogs prints the logs' ends of a failed test.
-func showLogs(t testing.TB, processes []*Process) {
+// ShowLogs prints the logs' ends of a failed test.
+func ShowLogs(t testing.TB, processes []*Process) {
 	const tailBytes = 2000
 	for _, p := range processes {
 		fmt.Printf("--- %s: %s: %s\n%s\n", t.Name(), p.Name, p.log, p.tail(tailBytes))
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,69 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"agatewinch/test/harness"
+	"agatewinch/test/knownred"
+)
+
+var (
+	firstSeed = flag.Uint64("seed", 0, "the first seed to run; zero runs the kept ones")
+	seedCount = flag.Uint64("seeds", 1, "how many seeds to run from the first one on")
+)
+
+// keptSeeds are run by CI: the first is a plain one, the others failed once.
+var keptSeeds = []uint64{1, 2}
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	harness.RemoveBinaries()
+	os.Exit(code)
+}
+
+func TestPromisesHoldThroughFaults(t *testing.T) {
+	knownred.PassOver(t)
+	seeds := keptSeeds
+	if *firstSeed > 0 {
+		seeds = nil
+		for n := range *seedCount {
+			seeds = append(seeds, *firstSeed+n)
+		}
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runSeed(t, seed)
+		})
+	}
+}
+
+func runSeed(t *testing.T, seed uint64) {
+	s := newSoak(t, seed)
+	ctx, cancel := context.WithTimeout(context.Background(), faultTime+settleTime)
+	defer cancel()
+	submitting, stop := context.WithTimeout(ctx, faultTime)
+	defer stop()
+	faults := make(chan struct{})
+	go func() {
+		defer close(faults)
+		s.injectFaults(submitting)
+	}()
+	all := s.callAll(ctx, submitting)
+	<-faults
+	ended := 0
+	for _, c := range all {
+		c.check()
+		if c.end != "" {
+			ended++
+		}
+	}
+	for _, b := range s.audit.Broken() {
+		t.Error(b)
+	}
+	t.Logf("seed %d: %d jobs, %d ended, %d faults", seed, len(all), ended, len(s.notes))
+}
