--- a/internal/core/dispatch/life_test.go
+++ b/internal/core/dispatch/life_test.go
@@ -145,7 +145,9 @@
 		misled = h
 	}
 	assert.Equal(t, misled.Ack, int64(1))
-	done := func(n int64, task string) EndedTask { return EndedTask{Number: n, Task: task, Run: 1, How: job.EndDone} }
+	done := func(n int64, task string) EndedTask {
+		return EndedTask{Number: n, Task: task, Run: 1, How: job.EndDone}
+	}
 	b.core.Held(b.clock(), misled, Report{Born: 2, ClockMs: 10, Ended: []EndedTask{done(2, "second.0.0.1")}})
 	b.holds = nil
 	b.step()
--- a/internal/core/dispatch/protocol_test.go
+++ b/internal/core/dispatch/protocol_test.go
@@ -419,12 +419,11 @@
 }
 
 type execution struct {
-	id        job.TaskID
-	run       int
-	began     time.Duration
-	need      job.Resources
-	stoppedAt time.Duration
-	stopping  bool
+	id       job.TaskID
+	run      int
+	began    time.Duration
+	need     job.Resources
+	stopping bool
 	// working says that the run is at work: for a gang, that all members are there.
 	working bool
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -110,12 +110,12 @@
 	// gone silent is noticed only after it, and a cancellation has to reach the decider
 	// within three seconds.
 	readWait = 1500 * time.Millisecond
-	// statePause and jobsPause let records come together on a host that does not decide:
+	// stateGather and jobsGather let records come together on a host that does not decide:
 	// each read is priced, and there are many hosts. A caller's question ends a pause, and
 	// one about an unknown job reads for itself; counts may be two seconds old. The pause of
 	// the state is shorter, since the holder's silence is measured by it.
-	statePause = 250 * time.Millisecond
-	jobsPause  = time.Second
+	stateGather = 250 * time.Millisecond
+	jobsGather  = time.Second
 	// stateWait is how long a caller's question waits for a change of its job: several
 	// times what an end takes from the worker through the log.
 	stateWait = 100 * time.Millisecond
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -53,7 +53,7 @@
 				assert.NilError(t, f.step(ctx, 0))
 			}
 			if paused {
-				h.state.leaveToHolder()
+				h.state.suspend()
 			} else {
 				following, stop := context.WithCancel(ctx)
 				var wait sync.WaitGroup
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -25,22 +25,24 @@
 	lost     bool
 	// failedAt is when the log last refused a read, or left one unanswered.
 	failedAt time.Time
-	// paused followers leave the topic to its only writer, which folds what it appends.
-	paused bool
-	resume chan struct{}
-	// pause lets records come together on a host that does not decide.
-	pause time.Duration
+	// suspended followers do not read: this host is the topic's only writer and folds what
+	// it appends.
+	suspended bool
+	resumed   chan struct{}
+	// gatherTime is how long records may come together between two reads on a host that
+	// does not decide.
+	gatherTime time.Duration
 	// folded is closed, and replaced, when records were folded.
 	folded chan struct{}
-	// waiters counts the questions that wait for records, and wake ends a pause for them.
+	// waiters counts the questions that wait for records, and wake has them read for now.
 	waiters int
 	wake    chan struct{}
 	// changed is signalled after records were folded.
 	changed func()
 }
 
-func newFollower(h *Host, topic sharedlog.Topic, pause time.Duration, changed func()) *follower {
-	return &follower{host: h, topic: topic, pause: pause, next: -1, resume: make(chan struct{}, 1), folded: make(chan struct{}), wake: make(chan struct{}, 1), changed: changed}
+func newFollower(h *Host, topic sharedlog.Topic, gatherTime time.Duration, changed func()) *follower {
+	return &follower{host: h, topic: topic, gatherTime: gatherTime, next: -1, resumed: make(chan struct{}, 1), folded: make(chan struct{}), wake: make(chan struct{}, 1), changed: changed}
 }
 
 func newBackoff() *backoff.ExponentialBackOff {
@@ -53,9 +55,9 @@
 	retry := newBackoff()
 	progressed := false
 	for ctx.Err() == nil {
-		if f.isPaused() {
+		if f.isSuspended() {
 			select {
-			case <-f.resume:
+			case <-f.resumed:
 			case <-ctx.Done():
 			}
 			continue
@@ -69,7 +71,7 @@
 		retry.Reset()
 		progressed = f.position() != before
 		if progressed && !f.host.role.isLeading() {
-			f.pauseReads(ctx)
+			f.gather(ctx)
 			progressed = false
 		}
 	}
@@ -180,7 +182,7 @@
 	if lost {
 		return false
 	}
-	f.endPause()
+	f.readNow()
 	select {
 	case <-folded:
 		return true
@@ -189,8 +191,8 @@
 	}
 }
 
-// endPause has the next read begin now.
-func (f *follower) endPause() {
+// readNow has the next read begin now.
+func (f *follower) readNow() {
 	select {
 	case f.wake <- struct{}{}:
 	default:
@@ -209,8 +211,8 @@
 	return readWait
 }
 
-// pauseReads lets records come together, unless a caller's question waits for them.
-func (f *follower) pauseReads(ctx context.Context) {
+// gather lets records come together, unless a caller's question waits for them.
+func (f *follower) gather(ctx context.Context) {
 	f.mu.Lock()
 	wanted := f.waiters > 0
 	f.mu.Unlock()
@@ -224,7 +226,7 @@
 	if f.host.role.isLeading() {
 		return
 	}
-	t := time.NewTimer(f.pause)
+	t := time.NewTimer(f.gatherTime)
 	defer t.Stop()
 	select {
 	case <-t.C:
@@ -270,25 +272,25 @@
 	return f.lost && time.Since(f.failedAt) < refusedTime
 }
 
-func (f *follower) isPaused() bool {
+func (f *follower) isSuspended() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.paused
+	return f.suspended
 }
 
-// leaveToHolder leaves the topic to this host's appends; unpause takes it up again.
-func (f *follower) leaveToHolder() {
+// suspend leaves the topic to this host's appends; goOn has it read again.
+func (f *follower) suspend() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.paused = true
+	f.suspended = true
 }
 
-func (f *follower) unpause() {
+func (f *follower) goOn() {
 	f.mu.Lock()
-	f.paused = false
+	f.suspended = false
 	f.mu.Unlock()
 	select {
-	case f.resume <- struct{}{}:
+	case f.resumed <- struct{}{}:
 	default:
 	}
 }
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -69,9 +69,9 @@
 		incarnation: time.Now().UnixMilli(), metrics: metrics.New(metrics.SourceEntry), ledger: ledger.New(), jobsSignal: make(chan struct{}, 1),
 	}
 	for _, t := range ledger.TopicsJobs {
-		h.jobs = append(h.jobs, newFollower(h, t, jobsPause, h.signalJobs))
+		h.jobs = append(h.jobs, newFollower(h, t, jobsGather, h.signalJobs))
 	}
-	h.state = newFollower(h, ledger.TopicState, statePause, nil)
+	h.state = newFollower(h, ledger.TopicState, stateGather, nil)
 	h.writer = newJobWriter(h)
 	h.role = newRole(h)
 	return h
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -88,7 +88,7 @@
 	}
 	h.state.mu.Lock()
 	defer h.state.mu.Unlock()
-	return h.state.lost && !h.state.paused
+	return h.state.lost && !h.state.suspended
 }
 
 // cutOff reports whether the log has just refused all reads of jobs: it refuses this host,
--- a/internal/entry/role.go
+++ b/internal/entry/role.go
@@ -149,14 +149,14 @@
 		event.Error(h.out, err, event.RoleSuperseded)
 		return sharedlog.Fence{}, false
 	}
-	h.state.leaveToHolder()
+	h.state.suspend()
 	fence := sharedlog.Fence{Epoch: claim.Epoch, Sequence: r.firstSequence()}
 	_, err = h.log.Append(ctx, ledger.TopicState, []sharedlog.Record{rec}, sharedlog.AppendOptions{At: &at, Fence: &fence})
 	if err == nil {
 		h.state.ingest(at, []sharedlog.Record{rec}, at+1)
 		return fence, true
 	}
-	h.state.unpause()
+	h.state.goOn()
 	var conflict *sharedlog.ConflictError
 	if !errors.As(err, &conflict) {
 		event.Error(h.out, err, event.LogWriteError, "what", "claim")
@@ -184,12 +184,12 @@
 	event.Info(r.host.out, event.SchedulerActive, "epoch", epoch)
 	r.setLeading(true)
 	for _, f := range r.host.jobs {
-		f.endPause()
+		f.readNow()
 	}
 	d := newDecider(r.host, fence, r.unheard)
 	why := d.run(ctx, r.stop)
 	r.setLeading(false)
-	r.host.state.unpause()
+	r.host.state.goOn()
 	event.Info(r.host.out, event.SchedulerStandby, "epoch", epoch, "why", why)
 	r.mu.Lock()
 	r.seenAt = time.Now()
