dispatch: a draining worker whose entry goes sooner than silence would have it has left

Change: an entry that goes within two beats of its last change, by the worker's own clock as the last look told it, was removed because the worker left: silence takes three beats. Its runs are started elsewhere at once. Not for workers that do not drain, were not heard for 3 s, or whose entry is older.

Ruled out: going by when this host read the entry (reads may be late, or stale).

Four tests, one for each side of the bound.

--- a/internal/core/dispatch/life_test.go
+++ b/internal/core/dispatch/life_test.go
@@ -154,3 +154,65 @@
 	b.report("w0", Report{Born: 2, ClockMs: 20, Ended: []EndedTask{done(1, "second.0.0.0"), done(2, "second.0.0.1")}, Running: []RunningTask{}})
 	assert.Equal(t, len(b.core.jobs), 0)
 }
+
+// drained runs a job on a worker that then announces that it drains.
+func drained(t *testing.T) (*bed, []WorkerInfo) {
+	b := newBed(t)
+	list := b.fleet(2, whole)
+	b.core.SetWorkers(b.clock(), list)
+	b.add(single("j", 1, 1, whole))
+	ran := b.accept()[0].Worker
+	b.now += time.Second
+	b.report(ran, Report{Born: 1, ClockMs: b.now.Milliseconds() + 1})
+	if list[0].ID != ran {
+		list[0], list[1] = list[1], list[0]
+	}
+	list[0].Draining, list[0].ClockMs = true, b.now.Milliseconds()+1
+	b.core.SetWorkers(b.clock(), list)
+	b.step()
+	return b, list
+}
+
+// The load: a planned reduction. What ran on the worker is started elsewhere once its entry
+// is gone.
+func TestADrainingWorkerWhoseEntryGoesSoonHasLeft(t *testing.T) {
+	b, list := drained(t)
+	b.now += time.Second
+	b.core.SetWorkers(b.clock(), list[1:])
+	b.step()
+	assert.Equal(t, len(b.starts), 1)
+	assert.Equal(t, b.starts[0].Worker, list[1].ID)
+}
+
+// The load: a draining worker that is cut off. Its entry goes for its silence, and it may
+// still run what it was told to.
+func TestADrainingWorkerWhoseEntryGoesForSilenceIsWaitedFor(t *testing.T) {
+	b, list := drained(t)
+	b.now += 2 * time.Second
+	b.report(list[0].ID, Report{Born: 1, ClockMs: b.now.Milliseconds() + 1})
+	b.now += 2500 * time.Millisecond
+	b.core.SetWorkers(b.clock(), list[1:])
+	b.step()
+	assert.Equal(t, len(b.starts), 0)
+}
+
+// The load: a draining worker that does not answer. How old its entry is cannot be told.
+func TestADrainingWorkerThatWasNotHeardLatelyIsWaitedFor(t *testing.T) {
+	b, list := drained(t)
+	b.now += heardLately + time.Second
+	list[0].ClockMs = b.now.Milliseconds()
+	b.core.SetWorkers(b.clock(), list)
+	b.core.SetWorkers(b.clock(), list[1:])
+	b.step()
+	assert.Equal(t, len(b.starts), 0)
+}
+
+// The load: an entry that lapses while the worker does not drain.
+func TestAnEntryThatGoesWithoutADrainIsWaitedFor(t *testing.T) {
+	b, list := drained(t)
+	list[0].Draining = false
+	b.core.SetWorkers(b.clock(), list)
+	b.core.SetWorkers(b.clock(), list[1:])
+	b.step()
+	assert.Equal(t, len(b.starts), 0)
+}
--- a/internal/core/dispatch/settle.go
+++ b/internal/core/dispatch/settle.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -23,6 +24,7 @@
 			w.listed = false
 			c.dirty = true
 			c.note(Note{What: "worker unlisted", Worker: w.ID})
+			c.checkLeft(now, w)
 		}
 	}
 }
@@ -50,6 +52,7 @@
 		clockMs, clockAt = info.ClockMs, now.Mono
 	}
 	w.WorkerInfo = info
+	w.entryClockMs = info.ClockMs
 	w.ClockMs, w.clockAt = clockMs, clockAt
 	w.listed = true
 	clear(w.labels)
@@ -59,6 +62,29 @@
 	w.labels[info.Rack] = true
 }
 
+// checkLeft ends the runs of a draining worker whose entry is gone sooner than silence would
+// have it removed: the worker has left, and nothing runs on it any more. The load: planned
+// reductions, where what ran would otherwise be waited for until its lease ends.
+func (c *Core) checkLeft(now Now, w *worker) {
+	age := time.Duration(w.clockAtLeast(now.Mono)-w.entryClockMs) * time.Millisecond
+	if !w.Draining || w.heardAt == 0 || now.Mono > w.heardAt+heardLately || age >= leftBeats*c.set.Beat {
+		return
+	}
+	c.note(Note{What: "worker left", Worker: w.ID, Why: fmt.Sprintf("entry %v old", age)})
+	for _, r := range c.runsOf(w) {
+		c.settle(now, r, job.EndLost, r.saved)
+	}
+}
+
+const (
+	// heardLately is how old the last answer may be by which a worker's clock is judged; a
+	// look is answered every two seconds where something runs.
+	heardLately = 3 * time.Second
+	// leftBeats is how many beats after its last one an entry may be gone for its worker to
+	// have left: silence removes it after three.
+	leftBeats = 2
+)
+
 // newLife ends the runs of a worker's former life. Orders name the worker by its id, which
 // the new life may share: a start that the former one is not known to have carried out may
 // be, or may come to be, at work in the new one, and is stopped there.
--- a/internal/core/dispatch/world.go
+++ b/internal/core/dispatch/world.go
@@ -30,6 +30,8 @@
 	SpreadFactor float64
 	// StopTime is how long a stop takes at most.
 	StopTime time.Duration
+	// Beat is how often a worker writes its entry.
+	Beat time.Duration
 	// UpkeepTime is how long a machine's upkeep takes.
 	UpkeepTime time.Duration
 }
@@ -213,6 +215,8 @@
 	// ends holds the runs in the order in which they are expected to end, until the runs
 	// change.
 	ends []*run
+	// entryClockMs is the worker's clock as it wrote its newest entry.
+	entryClockMs int64
 	// clockAt is when the worker's clock was at least clockMs.
 	clockAt time.Duration
 	// leaseMs is the latest lease end that was sent, by the worker's clock.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,6 +33,8 @@
 	MaxLease time.Duration
 	// StopTime is how long a worker takes to stop a run, at most.
 	StopTime time.Duration
+	// Beat is how often a worker writes its entry.
+	Beat time.Duration
 	// UpkeepTime is how long a machine's upkeep takes.
 	UpkeepTime time.Duration
 	// KeepEnded is how long an ended job has to be shown.
