--- a/internal/core/dispatch/bed_test.go
+++ b/internal/core/dispatch/bed_test.go
@@ -85,6 +85,16 @@
 	return started
 }
 
+// loseStart adds a job of one task and loses the answer to its start.
+func (b *bed) loseStart(priority int) Start {
+	b.add(single("j", priority, 1, one))
+	start := b.starts[0]
+	b.starts = nil
+	b.core.Started(b.clock(), start, Unanswered)
+	b.step()
+	return start
+}
+
 // end lists the end of a run in the answer to the worker's open look.
 func (b *bed) end(s Start, how job.End) {
 	b.ends[s.Worker]++
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -90,11 +90,7 @@
 func TestUnansweredStartIsStoppedBeforeTheNextRun(t *testing.T) {
 	b := newBed(t)
 	b.core.SetWorkers(b.clock(), b.fleet(2, whole))
-	b.add(single("j", 1, 1, one))
-	first := b.starts[0]
-	b.starts = nil
-	b.core.Started(b.clock(), first, Unanswered)
-	b.step()
+	first := b.loseStart(1)
 	assert.Equal(t, len(b.stops), 1)
 	b.now += time.Second
 	b.step()
--- a/internal/core/dispatch/life_test.go
+++ b/internal/core/dispatch/life_test.go
@@ -114,10 +114,7 @@
 	b := newBed(t)
 	list := b.fleet(1, whole)
 	b.core.SetWorkers(b.clock(), list)
-	b.add(single("j", 1, 1, one))
-	start := b.starts[0]
-	b.core.Started(b.clock(), start, Unanswered)
-	b.step()
+	start := b.loseStart(1)
 	b.core.Stopped(b.clock(), b.stops[0], Accepted)
 	b.stops = nil
 	b.now += 100 * time.Millisecond
--- a/internal/core/dispatch/reach_test.go
+++ b/internal/core/dispatch/reach_test.go
@@ -78,11 +78,7 @@
 	b := newBed(t)
 	b.core.SetWorkers(b.clock(), b.fleet(2, whole))
 	b.pass(b.core.set.inheritedLease())
-	b.add(single("j", 1, 1, one))
-	first := b.starts[0]
-	b.starts = nil
-	b.core.Started(b.clock(), first, Unanswered)
-	b.step()
+	b.loseStart(1)
 	b.loseContact(startLease - time.Second)
 	assert.Equal(t, len(b.starts), 0)
 	b.loseContact(2 * time.Second)
@@ -95,11 +91,7 @@
 func TestUnansweredStartAfterATakeoverWaitsForTheLeaseOfTheFormerDecider(t *testing.T) {
 	b := newBed(t)
 	b.core.SetWorkers(b.clock(), b.fleet(2, whole))
-	b.add(single("j", 1, 1, one))
-	first := b.starts[0]
-	b.starts = nil
-	b.core.Started(b.clock(), first, Unanswered)
-	b.step()
+	b.loseStart(1)
 	b.loseContact(b.core.set.inheritedLease() - time.Second)
 	assert.Equal(t, len(b.starts), 0)
 	b.loseContact(2 * time.Second)
