standin: the clients' calls stand beside the platform they speak to

test/soak knew statuses and names of the wire; it now asks standin.Client, which tells taken, refused, unknown and unclear apart.

--- a/internal/core/dispatch/protocol_test.go
+++ b/internal/core/dispatch/protocol_test.go
@@ -36,6 +36,7 @@
 	appendTime   = 4 * time.Millisecond
 	formerLast   = 5 * time.Second
 	entryLast    = 3 * beatTime
+	cancelTime   = 3 * time.Second
 	calmTime     = 90 * time.Second
 	capacityCPU  = 4000
 	slowestClock = 0.98
@@ -54,7 +55,11 @@
 	records []sharedlog.Record
 	fence   int64
 	jobs    map[string]*job.Job
-	cancels map[string]bool
+	// cancels holds when jobs were cancelled.
+	cancels map[string]time.Duration
+	// inTouch says that the call that is carried out was made by a holder that the log
+	// answers, and is not late.
+	inTouch bool
 	// idOnly says that a worker takes calls that were meant for its former life, unless they
 	// are seconds late: a start that reaches a life which no decider has heard of yet, and
 	// which knows no fence, could not be told from a good one.
@@ -312,6 +317,7 @@
 		case p.born != born && born != 0 && (late || !w.idOnly):
 			return dispatch.OtherLife, true
 		}
+		w.inTouch = !late && !h.cut
 		return carryOut(p), true
 	}
 	delay, fate := w.fate()
@@ -636,6 +642,9 @@
 	if f == nil {
 		w.broken("UNASKED: %s is told to start %s", p.id, name)
 	}
+	if at, ok := w.cancels[s.Task.Job]; ok && w.inTouch && w.now > at+cancelTime {
+		w.broken("UNASKED: %s is told to start %s, which was cancelled %v ago", p.id, name, w.now-at)
+	}
 	step := w.stepOf(s.Task)
 	for _, other := range w.workers {
 		if e := other.runs[name]; e != nil {
@@ -750,7 +759,7 @@
 }
 
 func newWorld(t *rapid.T) *world {
-	w := &world{t: t, jobs: map[string]*job.Job{}, cancels: map[string]bool{}, facts: map[string]*fact{}, ended: map[string]job.State{}}
+	w := &world{t: t, jobs: map[string]*job.Job{}, cancels: map[string]time.Duration{}, facts: map[string]*fact{}, ended: map[string]job.State{}}
 	w.idOnly = rapid.Bool().Draw(t, "id only")
 	for i := range rapid.IntRange(2, 3).Draw(t, "workers") {
 		p := &played{w: w, id: fmt.Sprintf("w%d", i), born: 1, up: true, rate: 1, runs: map[string]*execution{}, over: map[string]int{}}
@@ -805,10 +814,10 @@
 		return
 	}
 	id := rapid.SampledFrom(ids).Draw(w.t, "cancelled")
-	if w.cancels[id] {
+	if _, ok := w.cancels[id]; ok {
 		return
 	}
-	w.cancels[id] = true
+	w.cancels[id] = w.now
 	w.records = append(w.records, ledger.CancelRecord(id))
 	for _, h := range w.holders {
 		if !h.gone && !h.cut {
--- a/test/soak/caller.go
+++ b/test/soak/caller.go
@@ -1,11 +1,8 @@
 package soak
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"sync"
 	"time"
 
@@ -14,8 +11,6 @@
 )
 
 const (
-	// callLimit is how long a caller waits for an answer.
-	callLimit = 3 * time.Second
 	// tries is how often a caller hands a job in that it was not told of.
 	tries = 5
 	// pollEvery is the pause between questions about a job.
@@ -31,7 +26,7 @@
 	soak   *soak
 	id     string
 	job    *job.Job
-	client *http.Client
+	client *standin.Client
 
 	acceptedAt time.Time
 	cancelled  bool
@@ -40,38 +35,16 @@
 	end     job.State
 }
 
-// call makes one call at some host. No answer is status zero.
-func (c *caller) call(ctx context.Context, method string, body []byte) (int, []byte) {
-	ctx, cancel := context.WithTimeout(ctx, callLimit)
-	defer cancel()
-	h := c.soak.hosts[c.soak.draw(len(c.soak.hosts))]
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.front+"/jobs/"+c.id, bytes.NewReader(body))
-	if err != nil {
-		c.soak.t.Errorf("call: %v", err)
-		return 0, nil
-	}
-	req.Host = hostHeader
-	req.Header.Set("Authorization", "Bearer "+key)
-	resp, err := c.client.Do(req)
-	if err != nil {
-		return 0, nil
-	}
-	defer resp.Body.Close()
-	var answer bytes.Buffer
-	if _, err := answer.ReadFrom(resp.Body); err != nil {
-		return 0, nil
-	}
-	return resp.StatusCode, answer.Bytes()
-}
+// front returns the address of some host.
+func (c *caller) front() string { return c.soak.host().front }
 
 // submit draws a job and hands it in once.
-func (c *caller) submit(ctx context.Context) int {
+func (c *caller) submit(ctx context.Context) standin.Answer {
 	if c.job == nil {
 		c.job = c.soak.drawJob(c.id)
 		c.soak.audit.Submitted(c.job)
 	}
-	status, _ := c.call(ctx, http.MethodPost, standin.JobBody(c.job))
-	return status
+	return c.client.Submit(ctx, c.front(), c.job)
 }
 
 func (s *soak) drawJob(id string) *job.Job {
@@ -92,12 +65,12 @@
 // run hands the job in and follows it until ctx ends.
 func (c *caller) run(ctx context.Context) {
 	for range tries {
-		switch status := c.submit(ctx); status {
-		case http.StatusOK:
+		switch c.submit(ctx) {
+		case standin.Taken:
 			c.acceptedAt = time.Now()
 			c.follow(ctx)
 			return
-		case 0, http.StatusBadGateway, http.StatusGatewayTimeout:
+		case standin.Unclear:
 			c.unclear = true
 		}
 		pause(ctx, pollEvery)
@@ -110,24 +83,19 @@
 func (c *caller) follow(ctx context.Context) {
 	if c.soak.draw(cancelShare) == 0 {
 		pause(ctx, c.soak.upTo(2*time.Second))
-		if status, _ := c.call(ctx, http.MethodDelete, nil); status != http.StatusGone {
-			c.cancelled = true
-		}
+		c.cancelled = c.client.Cancel(ctx, c.front(), c.id) != standin.Unknown
 	}
 	for ctx.Err() == nil && c.end == "" {
-		status, answer := c.call(ctx, http.MethodGet, nil)
-		var body struct {
-			State job.State `json:"state"`
-		}
+		answer, state := c.client.State(ctx, c.front(), c.id)
 		switch {
-		case status == http.StatusOK && json.Unmarshal(answer, &body) == nil:
-			if body.State != job.Pending && body.State != job.Running {
-				c.end = body.State
+		case answer == standin.Taken:
+			if state != job.Pending && state != job.Running {
+				c.end = state
 			}
-		case status == http.StatusGone && !c.acceptedAt.IsZero() && !c.cancelled && time.Since(c.acceptedAt) > visibleTime:
+		case answer == standin.Unknown && !c.acceptedAt.IsZero() && !c.cancelled && time.Since(c.acceptedAt) > visibleTime:
 			c.soak.t.Errorf("LOST: job %s was accepted at %v and is not known", c.id, c.acceptedAt.Format(time.RFC3339Nano))
 			return
-		case status == http.StatusGone && c.acceptedAt.IsZero():
+		case answer == standin.Unknown && c.acceptedAt.IsZero():
 			return // it was never taken
 		}
 		pause(ctx, pollEvery)
@@ -159,7 +127,7 @@
 	var wait sync.WaitGroup
 	for n := range callers {
 		wait.Go(func() {
-			client := &http.Client{}
+			client := standin.NewClient(hostHeader, key)
 			for i := 0; submitting.Err() == nil; i++ {
 				c := &caller{soak: s, id: fmt.Sprintf("%08x%08x", n+1, i+1), client: client}
 				mu.Lock()
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -183,8 +183,8 @@
 
 func (s *soak) awaitReady() {
 	for end := time.Now().Add(startTime); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		c := &caller{soak: s, id: fmt.Sprintf("%016x", s.draw(1<<30)), client: &http.Client{Timeout: time.Second}}
-		if c.submit(context.Background()) == http.StatusOK {
+		c := &caller{soak: s, id: fmt.Sprintf("%016x", s.draw(1<<30)), client: standin.NewClient(hostHeader, key)}
+		if c.submit(context.Background()) == standin.Taken {
 			return
 		}
 	}
