dispatch: a life that only a record names keeps the former decider's leases

Cause: a placement on a life that the list of workers does not show yet begins that life, which sets the bound of inherited leases to none. The adopted run was then taken as lapsed at once if its worker did not answer, and its worker as one that new work may be placed on (rules TWICE and LIMIT).

Change: an adopted run sets the bound, and so does a life that begins while the former decider may still be at work.

Test: APlacementOnALifeThatIsNotListedYetLapses, failed before.

--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -131,6 +131,7 @@
 		w, over := c.workerFor(now, r.Worker, r.Born)
 		adopted := &run{task: t, number: r.Run, worker: w, phase: adopted, inherited: true, need: t.step.spec.Charge(), began: now.Mono, percentAt: now.Mono, saved: r.Checkpoint, pacing: pacing{percent: unknownPace}}
 		c.put(adopted)
+		w.inheritedUntil = c.inheritedUntil
 		if over {
 			c.stop(now, adopted, "worker reborn")
 		}
@@ -152,8 +153,8 @@
 }
 
 // workerFor returns the worker that a recorded placement names, and whether that life of it
-// is over. The list of workers may be behind: the record is then the first to
-// tell of the present life.
+// is over. The list of workers may be behind: the record is then the first to tell of the
+// present life.
 func (c *Core) workerFor(now Now, id string, born int64) (w *worker, over bool) {
 	w = c.workers[id]
 	if w == nil {
--- a/internal/core/dispatch/life_test.go
+++ b/internal/core/dispatch/life_test.go
@@ -213,3 +213,29 @@
 	b.step()
 	assert.Equal(t, len(b.starts), 0)
 }
+
+// The load: a worker that was reborn just before a takeover and is cut off. What the record
+// says to be there keeps its room, and is over when the former decider's lease is.
+func TestAPlacementOnALifeThatIsNotListedYetLapses(t *testing.T) {
+	b := newBed(t)
+	list := b.fleet(2, whole)
+	b.core.SetWorkers(b.clock(), list)
+	b.core.AddJob(b.clock(), single("j", 1, 1, whole), map[string]job.TaskRecord{"j.0.0.0": {Run: 1, Worker: "w0", Born: 2, Active: true}})
+	b.step()
+	b.add(single("other", 1, 2, whole))
+	assert.Equal(t, b.startsOn("w0"), 0)
+	b.loseContact(b.core.set.inheritedLease() - time.Second)
+	assert.Equal(t, b.core.workers["w0"].used, whole)
+	b.loseContact(3 * time.Second)
+	assert.Equal(t, b.core.workers["w0"].used, job.Resources{})
+}
+
+func (b *bed) startsOn(id string) int {
+	n := 0
+	for _, s := range b.starts {
+		if s.Worker == id {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/core/dispatch/settle.go
+++ b/internal/core/dispatch/settle.go
@@ -92,6 +92,9 @@
 	c.note(Note{What: "worker reborn", Worker: w.ID})
 	w.Born = born
 	w.ClockMs, w.clockAt, w.leaseMs, w.inheritedUntil = 0, now.Mono, 0, 0
+	if now.Mono < c.inheritedUntil-c.set.longestLease() {
+		w.inheritedUntil = c.inheritedUntil // the former decider may still be at work
+	}
 	w.settled, w.noted, w.acked = 0, 0, 0
 	w.heard, w.fenced, w.misses = false, false, 0
 	c.dirty = true
