dispatch: leases that orders to a former life gave to the next are waited for

An order that was meant for a worker's former life, which the next one takes, names the end of a lease by the former clock: on the new one it lasts as long as the worker grants, 10 s, while the bound went by the 8 s that a decider asks for. A run on such a worker that is cut off was repeated two seconds early (TWICE).

Change: the bounds of inherited leases go by the longest lease that a worker grants, and each new life begins with one. A start that stays unanswered on a worker reborn within the last 10.5 s, or after a takeover, waits that long.

Ruled out: a shorter lease asked for (it is the end by the wrong clock that lasts).

--- a/internal/core/dispatch/bed_test.go
+++ b/internal/core/dispatch/bed_test.go
@@ -27,7 +27,7 @@
 
 func newBed(t *testing.T) *bed {
 	b := &bed{t: t, ends: map[string]int64{}}
-	b.core = New(b.clock(), Settings{Lease: 8 * time.Second, HoldWait: 2 * time.Second, UnheardLease: 5 * time.Second, SpreadFactor: 3, StopTime: 200 * time.Millisecond, Beat: 1500 * time.Millisecond})
+	b.core = New(b.clock(), Settings{Lease: 8 * time.Second, MaxLease: 10 * time.Second, HoldWait: 2 * time.Second, UnheardLease: 5 * time.Second, SpreadFactor: 3, StopTime: 200 * time.Millisecond, Beat: 1500 * time.Millisecond})
 	return b
 }
 
--- a/internal/core/dispatch/protocol_test.go
+++ b/internal/core/dispatch/protocol_test.go
@@ -147,7 +147,7 @@
 	if len(w.holders) == 0 {
 		unheard = 0
 	}
-	h.core = dispatch.New(h.now(), dispatch.Settings{Lease: leaseAsked, HoldWait: 2 * time.Second, UnheardLease: unheard, SpreadFactor: 3, StopTime: stopLast})
+	h.core = dispatch.New(h.now(), dispatch.Settings{Lease: leaseAsked, MaxLease: leaseMost, HoldWait: 2 * time.Second, UnheardLease: unheard, SpreadFactor: 3, StopTime: stopLast})
 	w.holder = h
 	w.holders = append(w.holders, h)
 	h.restore()
--- a/internal/core/dispatch/settle.go
+++ b/internal/core/dispatch/settle.go
@@ -91,10 +91,10 @@
 func (c *Core) newLife(now Now, w *worker, born int64) {
 	c.note(Note{What: "worker reborn", Worker: w.ID})
 	w.Born = born
-	w.ClockMs, w.clockAt, w.leaseMs, w.inheritedUntil = 0, now.Mono, 0, 0
-	if now.Mono < c.inheritedUntil-c.set.longestLease() {
-		w.inheritedUntil = c.inheritedUntil // the former decider may still be at work
-	}
+	w.ClockMs, w.clockAt, w.leaseMs = 0, now.Mono, 0
+	// Orders to the former life may have given leases to this one, and a former decider may
+	// still be at work.
+	w.inheritedUntil = max(c.inheritedUntil, now.Mono+c.set.longestLease())
 	w.settled, w.noted, w.acked = 0, 0, 0
 	w.heard, w.fenced, w.misses = false, false, 0
 	c.dirty = true
@@ -104,7 +104,6 @@
 			c.settle(now, r, job.EndLost, r.saved)
 			continue
 		}
-		w.inheritedUntil = now.Mono + c.set.longestLease()
 		if r.phase == stopping {
 			r.stopAcked = false
 			c.sendStop(now, r)
--- a/internal/core/dispatch/world.go
+++ b/internal/core/dispatch/world.go
@@ -21,6 +21,8 @@
 type Settings struct {
 	// Lease is how long a worker goes on without hearing from the decider.
 	Lease time.Duration
+	// MaxLease is the longest lease that a worker grants, whoever asks.
+	MaxLease time.Duration
 	// HoldWait is how long a look at a worker waits for an end.
 	HoldWait time.Duration
 	// UnheardLease bounds how long a former decider may go on renewing leases after
@@ -65,9 +67,10 @@
 	return s.UnheardLease + s.longestLease()
 }
 
-// longestLease is how long a lease may last that is given now.
+// longestLease is how long a lease may last that somebody gives now. Its end is told by a
+// worker's clock: one that was meant for a former life is granted for as long as may be.
 func (s Settings) longestLease() time.Duration {
-	return time.Duration(float64(s.Lease)/slowestClock) + lapseMargin
+	return time.Duration(float64(max(s.Lease, s.MaxLease))/slowestClock) + lapseMargin
 }
 
 // WorkerInfo is what a worker says of itself.
--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -61,7 +61,7 @@
 	return &decider{
 		host: h, epoch: fence.Epoch, sequence: fence.Sequence, events: make(chan func(dispatch.Now), maxEvents), began: now, appendedAt: now, sweptAt: now,
 		core: dispatch.New(dispatch.Now{UnixMs: now.UnixMilli()}, dispatch.Settings{
-			Lease: min(workerLease, h.set.MaxLease), HoldWait: lookWait,
+			Lease: min(workerLease, h.set.MaxLease), MaxLease: h.set.MaxLease, HoldWait: lookWait,
 			UnheardLease: unheard, SpreadFactor: h.set.SpreadFactor, StopTime: h.set.StopTime, Beat: h.set.Beat, UpkeepTime: h.set.UpkeepTime,
 		}),
 	}
