dispatch: the protocol's model stands in four files

Its world and rules, its deciders, its calls and its workers; 900 lines in one were too many to find one's way.

--- /dev/null
+++ b/internal/core/dispatch/protocol_calls_test.go
@@ -0,0 +1,115 @@
+package dispatch_test
+
+import (
+	"time"
+
+	"pgregory.net/rapid"
+
+	"agatewinch/internal/core/dispatch"
+)
+
+// send makes one call; its fate is drawn.
+func (h *holder) send(id string, born int64, carryOut func(*played) dispatch.Outcome, answer func(dispatch.Outcome)) {
+	w := h.w
+	reply := func(o dispatch.Outcome) {
+		if h.gone {
+			return
+		}
+		if o == dispatch.Fenced {
+			h.gone = true
+			w.say("epoch %d is refused by a worker", h.epoch)
+			return
+		}
+		answer(o)
+		h.drive()
+	}
+	reach := func(late bool) (dispatch.Outcome, bool) {
+		p := w.find(id)
+		switch {
+		case p == nil || p.cutOff || !p.up:
+			return dispatch.Unanswered, false
+		case p.born != born && born != 0 && (late || !w.idOnly):
+			return dispatch.OtherLife, true
+		}
+		w.inTouch = !late && !h.cut
+		return carryOut(p), true
+	}
+	delay, fate := w.fate()
+	switch fate {
+	case answered:
+		w.after(delay, func() {
+			o, ok := reach(false)
+			if !ok {
+				w.after(callTime-delay, func() { reply(o) })
+				return
+			}
+			w.after(delay, func() { reply(o) })
+		})
+	case answerLost:
+		w.after(delay, func() { reach(false) })
+		w.after(callTime, func() { reply(dispatch.Unanswered) })
+	case carriedOutLate:
+		w.after(lateFirst+delay*50, func() { reach(true) })
+		w.after(callTime, func() { reply(dispatch.Unanswered) })
+	case dropped:
+		w.after(callTime, func() { reply(dispatch.Unanswered) })
+	case neverSent:
+		w.after(time.Millisecond, func() { reply(dispatch.NoConnection) })
+	}
+}
+
+type fate int
+
+const (
+	answered fate = iota
+	answerLost
+	carriedOutLate
+	dropped
+	neverSent
+)
+
+// fate draws what becomes of a call. Delays go to 200 ms.
+func (w *world) fate() (time.Duration, fate) {
+	delay := time.Millisecond
+	if w.calm {
+		return delay, answered
+	}
+	if rapid.IntRange(0, 9).Draw(w.t, "slow") == 9 {
+		delay = time.Duration(rapid.IntRange(1, 200).Draw(w.t, "delay")) * time.Millisecond
+	}
+	return delay, rapid.SampledFrom([]fate{answered, answered, answered, answered, answered, answered, answered, answerLost, carriedOutLate, dropped, neverSent}).Draw(w.t, "fate")
+}
+
+// look makes a call that waits for an end.
+func (h *holder) look(hold dispatch.Hold) {
+	w := h.w
+	var p *played
+	var life int64
+	h.send(hold.Worker, 0, func(at *played) dispatch.Outcome {
+		p, life = at, at.born
+		if hold.Born != 0 && p.born != hold.Born && !w.idOnly {
+			return dispatch.OtherLife
+		}
+		return p.renew(hold, h.epoch)
+	}, func(o dispatch.Outcome) {
+		if o != dispatch.Accepted {
+			h.core.HoldFailed(h.now(), hold, o)
+			return
+		}
+		wait := time.Duration(0)
+		if len(p.endsAfter(hold.Ack)) == 0 {
+			wait = min(hold.Wait, time.Duration(rapid.IntRange(1, 20).Draw(w.t, "wait"))*100*time.Millisecond)
+		}
+		w.after(wait, func() {
+			if h.gone {
+				return
+			}
+			if !p.up || p.cutOff || p.born != life {
+				h.core.HoldFailed(h.now(), hold, dispatch.Unanswered)
+			} else {
+				h.core.Held(h.now(), hold, p.report(hold.Ack))
+			}
+			h.drive()
+		})
+	})
+}
--- /dev/null
+++ b/internal/core/dispatch/protocol_holder_test.go
@@ -0,0 +1,186 @@
+package dispatch_test
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"agatewinch/internal/core/dispatch"
+	"agatewinch/internal/core/job"
+	"agatewinch/internal/ledger"
+	"agatewinch/internal/sharedlog"
+)
+
+// holder is one decider with its core.
+type holder struct {
+	w         *world
+	epoch     int64
+	core      *dispatch.Core
+	began     time.Duration
+	appending bool
+	gone      bool
+	// cut says that the log does not answer this holder.
+	cut bool
+}
+
+func (h *holder) now() dispatch.Now {
+	return dispatch.Now{Mono: h.w.now - h.began, UnixMs: h.w.now.Milliseconds()}
+}
+
+func (w *world) takeOver() {
+	h := &holder{w: w, epoch: w.fence + 1, began: w.now}
+	w.fence = h.epoch
+	w.say("epoch %d takes over", h.epoch)
+	for _, former := range w.holders {
+		w.after(formerLast, func() { former.gone = true })
+	}
+	unheard := formerLast
+	if len(w.holders) == 0 {
+		unheard = 0
+	}
+	h.core = dispatch.New(h.now(), dispatch.Settings{Lease: leaseAsked, MaxLease: leaseMost, HoldWait: 2 * time.Second, UnheardLease: unheard, SpreadFactor: 3, StopTime: stopLast})
+	w.holder = h
+	w.holders = append(w.holders, h)
+	h.restore()
+	h.beat()
+	h.list()
+}
+
+func (h *holder) restore() {
+	l := ledger.New()
+	if err := l.Apply(h.w.records); err != nil {
+		h.w.broken("the log cannot be read: %v", err)
+	}
+	h.core.SetWorkers(h.now(), h.w.entries())
+	l.EachByArrival(func(id string, e *ledger.Entry) {
+		if e.Ended != nil {
+			h.core.AddEnded(h.now(), e.Job, e.Ended.State, e.Tasks)
+			return
+		}
+		h.core.AddJob(h.now(), e.Job, e.Tasks)
+		if e.Cancelled {
+			h.core.CancelJob(h.now(), id)
+		}
+	})
+	h.drive()
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func (h *holder) beat() {
+	if h.gone {
+		return
+	}
+	h.core.Tick(h.now())
+	h.drive()
+	h.w.after(tickTime, h.beat)
+}
+
+func (h *holder) list() {
+	if h.gone {
+		return
+	}
+	if !h.cut {
+		h.core.SetWorkers(h.now(), h.w.entries())
+		h.drive()
+	}
+	h.w.after(listTime, h.list)
+}
+
+// drive carries out what the core wants, as the process round it does.
+func (h *holder) drive() {
+	if h.gone {
+		return
+	}
+	a := h.core.TakeActions(h.now())
+	for _, n := range a.Notes {
+		h.w.say("epoch %d: %s %s run %d on %s: %.30s", h.epoch, n.What, cmp.Or(n.Task, n.Job), n.Run, n.Worker, n.Why)
+	}
+	for _, s := range a.Starts {
+		h.send(s.Worker, s.Born, func(p *played) dispatch.Outcome { return p.start(s, h.epoch) },
+			func(o dispatch.Outcome) { h.core.Started(h.now(), s, o) })
+	}
+	for _, s := range a.Stops {
+		h.send(s.Worker, s.Born, func(p *played) dispatch.Outcome { return p.stop(s, h.epoch) },
+			func(o dispatch.Outcome) { h.core.Stopped(h.now(), s, o) })
+	}
+	for _, hold := range a.Holds {
+		h.look(hold)
+	}
+	if wake := h.core.Wake(); wake > 0 {
+		h.w.after(max(time.Millisecond, wake-h.now().Mono), h.drive)
+	}
+	h.append()
+}
+
+func (h *holder) append() {
+	if h.appending {
+		return
+	}
+	batch := h.core.TakeBatch()
+	if batch == nil {
+		return
+	}
+	h.appending = true
+	h.tryAppend(batch)
+}
+
+func (h *holder) tryAppend(batch *dispatch.Batch) {
+	h.w.after(appendTime, func() {
+		switch {
+		case h.gone:
+		case h.cut:
+			h.tryAppend(batch)
+		case h.epoch < h.w.fence:
+			h.gone = true
+			h.w.say("epoch %d is refused by the log", h.epoch)
+		default:
+			h.w.record(batch)
+			h.appending = false
+			h.core.Recorded(h.now(), batch)
+			h.drive()
+		}
+	})
+}
+
+func (w *world) record(b *dispatch.Batch) {
+	add := func(r sharedlog.Record, err error) {
+		if err != nil {
+			w.broken("record: %v", err)
+		}
+		w.records = append(w.records, r)
+	}
+	for _, t := range b.Tasks {
+		add(ledger.TaskRecord(t.ID, t.Record))
+	}
+	for _, e := range b.Ends {
+		w.jobEnds(e)
+		add(ledger.EndRecord(e.ID, ledger.Ended{State: e.State, AtMs: e.AtMs}))
+	}
+	for _, id := range b.Dropped {
+		w.records = append(w.records, ledger.DropTask(id))
+	}
+}
+
+func (w *world) jobEnds(e dispatch.JobEnd) {
+	w.say("job %s is shown as %s", e.ID, e.State)
+	if was, ok := w.ended[e.ID]; ok && was != e.State {
+		w.broken("job %s ended as %s, then as %s", e.ID, was, e.State)
+	}
+	w.ended[e.ID] = e.State
+	if e.State != job.Succeeded {
+		return
+	}
+	for name, f := range w.facts {
+		if id, _ := job.ParseTaskID(name); id.Job == e.ID && !f.done {
+			w.broken("MIXED: job %s is shown as succeeded, %s has not ended so", e.ID, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/dispatch/protocol_worker_test.go
@@ -0,0 +1,234 @@
+package dispatch_test
+
+import (
+	"time"
+
+	"agatewinch/internal/core/dispatch"
+	"agatewinch/internal/core/job"
+)
+
+// played is a worker.
+type played struct {
+	w      *world
+	id     string
+	born   int64
+	bornAt time.Duration
+	rate   float64
+	up     bool
+	cutOff bool
+	// drains says that the worker is about to leave.
+	drains bool
+	epoch  int64
+	// leaseMs is the end of the lease by the worker's clock.
+	leaseMs int64
+	runs    map[string]*execution
+	// over is the highest run of a task that was stopped or has ended here.
+	over   map[string]int
+	ends   []endOf
+	number int64
+	// entry is what the list shows, until it lapses.
+	entry   *dispatch.WorkerInfo
+	entryAt time.Duration
+}
+
+type execution struct {
+	id       job.TaskID
+	run      int
+	began    time.Duration
+	need     job.Resources
+	stopping bool
+	// working says that the run is at work: for a gang, that all members are there.
+	working bool
+}
+
+type endOf struct {
+	dispatch.EndedTask
+	at    time.Duration
+	noted bool
+	// lapsed says that the worker's lease ended between the run's end and its
+	// acknowledgement: it then counts as not taken note of.
+	lapsed bool
+}
+
+func (w *world) find(id string) *played {
+	for _, p := range w.workers {
+		if p.id == id {
+			return p
+		}
+	}
+	return nil
+}
+
+func (w *world) entries() []dispatch.WorkerInfo {
+	var list []dispatch.WorkerInfo
+	for _, p := range w.workers {
+		if p.entry != nil && w.now-p.entryAt < entryLast {
+			list = append(list, *p.entry)
+		}
+	}
+	return list
+}
+
+func (p *played) clock() int64 { return int64(float64((p.w.now - p.bornAt).Milliseconds()) * p.rate) }
+
+func (p *played) beat() {
+	if p.up {
+		p.entry = &dispatch.WorkerInfo{
+			ID: p.id, Address: "192.0.2.1:1", Service: "service", Rack: "r", Zone: "z", Born: p.born, ClockMs: max(1, p.clock()), Draining: p.drains,
+			Capacity: job.Resources{CPU: capacityCPU, MemMB: 1000, Accelerators: 8},
+		}
+		p.entryAt = p.w.now
+		p.settleLeases()
+	}
+	p.w.after(beatTime, p.beat)
+}
+
+func (p *played) fenced(epoch int64) bool {
+	if epoch < p.epoch {
+		return true
+	}
+	p.epoch = epoch
+	return false
+}
+
+func (p *played) renew(h dispatch.Hold, epoch int64) dispatch.Outcome {
+	p.settleLeases()
+	if p.fenced(epoch) {
+		return dispatch.Fenced
+	}
+	p.extend(h.LeaseUntilMs)
+	p.w.say("%s is looked at under epoch %d, born %d, last end %d", p.id, epoch, h.Born, h.Ack)
+	for i := range p.ends {
+		if e := &p.ends[i]; e.Number <= h.Ack && !e.noted && !e.lapsed {
+			e.noted = true
+			if h.Born != 0 && h.Born != p.born {
+				e.lapsed = true // the number was another life's
+				continue
+			}
+			p.w.noted(*e)
+		}
+	}
+	return dispatch.Accepted
+}
+
+func (p *played) extend(until int64) {
+	p.leaseMs = max(p.leaseMs, min(until, p.clock()+leaseMost.Milliseconds()))
+	life := p.born
+	p.w.after(time.Duration(float64(p.leaseMs-p.clock())/slowestClock+1)*time.Millisecond, func() {
+		if p.born == life {
+			p.settleLeases()
+		}
+	})
+}
+
+// settleLeases kills what runs once the lease is over.
+func (p *played) settleLeases() {
+	if !p.up || p.clock() < p.leaseMs {
+		return
+	}
+	for i := range p.ends {
+		p.ends[i].lapsed = p.ends[i].lapsed || !p.ends[i].noted
+	}
+	for _, name := range sortedKeys(p.runs) {
+		p.end(p.runs[name], job.EndLapsed)
+	}
+}
+
+func (p *played) start(s dispatch.Start, epoch int64) dispatch.Outcome {
+	p.settleLeases()
+	if p.fenced(epoch) {
+		return dispatch.Fenced
+	}
+	name := s.Task.String()
+	p.extend(s.LeaseUntilMs)
+	if e := p.runs[name]; e != nil && e.run == s.Run {
+		return dispatch.Accepted
+	}
+	if s.Run <= p.over[name] || p.runs[name] != nil {
+		return dispatch.Refused
+	}
+	if p.clock() >= s.LeaseUntilMs {
+		return dispatch.Refused
+	}
+	p.w.begins(p, s)
+	e := &execution{id: s.Task, run: s.Run, began: p.w.now, need: p.w.stepOf(s.Task).Need}
+	p.runs[name] = e
+	p.w.say("%s starts %s run %d under epoch %d", p.id, name, s.Run, epoch)
+	p.w.work(p, e)
+	return dispatch.Accepted
+}
+
+func (p *played) stop(s dispatch.Stop, epoch int64) dispatch.Outcome {
+	p.settleLeases()
+	if p.fenced(epoch) {
+		return dispatch.Fenced
+	}
+	name := s.Task.String()
+	p.over[name] = max(p.over[name], s.Run)
+	if e := p.runs[name]; e != nil && e.run <= s.Run && !e.stopping {
+		e.stopping = true
+		p.w.after(p.w.upTo(stopLast), func() { p.end(e, job.EndStopped) })
+	}
+	return dispatch.Accepted
+}
+
+// end lists a run's end, if it still runs in this life.
+func (p *played) end(e *execution, how job.End) {
+	name := e.id.String()
+	if p.runs[name] != e {
+		return
+	}
+	delete(p.runs, name)
+	p.over[name] = max(p.over[name], e.run)
+	p.number++
+	if how == job.EndDone {
+		p.w.facts[name].done = true
+	}
+	p.ends = append(p.ends, endOf{EndedTask: dispatch.EndedTask{Number: p.number, Task: name, Run: e.run, How: how}, at: p.w.now})
+	p.w.say("%s ends %s run %d: %s", p.id, name, e.run, how)
+	if how != job.EndDone && p.w.stepOf(e.id).Gang {
+		p.w.breakGang(e)
+	}
+}
+
+func (p *played) endsAfter(ack int64) []dispatch.EndedTask {
+	var out []dispatch.EndedTask
+	for _, e := range p.ends {
+		if e.Number > ack {
+			out = append(out, e.EndedTask)
+		}
+	}
+	return out
+}
+
+func (p *played) report(ack int64) dispatch.Report {
+	p.settleLeases()
+	rep := dispatch.Report{Born: p.born, ClockMs: max(1, p.clock()), Ended: p.endsAfter(ack)}
+	for _, name := range sortedKeys(p.runs) {
+		e := p.runs[name]
+		percent := int((p.w.now - e.began).Milliseconds() / 50)
+		rep.Running = append(rep.Running, dispatch.RunningTask{Task: name, Run: e.run, Percent: min(99, percent)})
+	}
+	return rep
+}
+
+// crash ends a life; the next one begins after a while.
+func (p *played) crash(away time.Duration) {
+	if !p.up {
+		return
+	}
+	p.w.say("%s crashes", p.id)
+	lost := p.runs
+	p.up = false
+	p.runs, p.over, p.ends = map[string]*execution{}, map[string]int{}, nil
+	for _, name := range sortedKeys(lost) {
+		if p.w.stepOf(lost[name].id).Gang {
+			p.w.breakGang(lost[name])
+		}
+	}
+	p.w.after(away, func() {
+		p.born, p.bornAt, p.up, p.drains = p.w.now.Milliseconds()+1, p.w.now, true, false
+		p.epoch, p.leaseMs, p.number = 0, 0, 0
+		p.w.say("%s is reborn", p.id)
+	})
+}
