--- a/internal/core/dispatch/upkeep.go
+++ b/internal/core/dispatch/upkeep.go
@@ -123,9 +123,11 @@
 	for _, v := range c.waves {
 		for _, u := range v.upkeeps {
 			m, listed := c.machines[u.machine]
-			back := listed && m.Up && u.phase == upkeepBegun && askedAt > u.begunAt
-			if back || !listed && u.phase < upkeepOrdered {
-				u.phase = upkeepDone // machines that left need no upkeep
+			// A machine that has left needs no upkeep, and is not waited for after one.
+			left := !listed && u.phase < upkeepOrdered
+			back := u.phase == upkeepBegun && askedAt > u.begunAt && (m.Up || !listed)
+			if left || back {
+				u.phase = upkeepDone
 				c.dirty = true
 			}
 		}
--- a/internal/core/dispatch/upkeep_test.go
+++ b/internal/core/dispatch/upkeep_test.go
@@ -218,3 +218,21 @@
 	b.core.Tick(b.clock())
 	assert.DeepEqual(t, b.core.TakeActions(b.clock()).Reports, []WaveReport{{1, false}})
 }
+
+func TestAMachineThatLeavesAtItsUpkeepIsNotWaitedFor(t *testing.T) {
+	b := newUpkeepBed(t, 2)
+	b.wave(1, time.Minute, "m0", "m1")
+	b.core.Tick(b.clock())
+	first := b.core.TakeActions(b.clock()).Upkeeps
+	assert.Equal(t, len(first), 1)
+	b.core.UpkeepAnswered(b.clock(), first[0], Accepted)
+	b.now += time.Second
+	other := Machine{ID: "m0", Worker: "w0", Up: true}
+	if first[0].Machine == "m0" {
+		other = Machine{ID: "m1", Worker: "w1", Up: true}
+	}
+	b.core.SetMachines(b.clock(), b.now, []Machine{other})
+	second := b.core.TakeActions(b.clock()).Upkeeps
+	assert.Equal(t, len(second), 1)
+	assert.Equal(t, second[0].Machine, other.ID)
+}
--- a/internal/entry/decider.go
+++ b/internal/entry/decider.go
@@ -184,21 +184,13 @@
 
 // followWorkers reads the list of workers.
 func (d *decider) followWorkers(ctx context.Context) {
-	lost := false
+	reads := dependency{topic: "workers"}
 	for ctx.Err() == nil {
 		sleep(ctx, listEvery)
 		list, err := d.host.list.List(ctx)
-		if err != nil {
-			if !lost && ctx.Err() == nil {
-				lost = true
-				event.Error(d.host.out, err, event.LogLost, "topic", "workers")
-			}
+		if !reads.answered(ctx, d.host.out, err) {
 			continue
 		}
-		if lost {
-			lost = false
-			event.Info(d.host.out, event.LogRegained, "topic", "workers")
-		}
 		d.post(func(now dispatch.Now) { d.core.SetWorkers(now, list) })
 	}
 }
--- a/internal/entry/waves.go
+++ b/internal/entry/waves.go
@@ -41,26 +41,30 @@
 // followWaves hands waves that are not done to the core, and lists the machines while one
 // is open.
 func (d *decider) followWaves(ctx context.Context) {
+	reports, machines := dependency{topic: "reports on waves"}, dependency{topic: "machines"}
 	known := 0
 	for ctx.Err() == nil {
 		sleep(ctx, machinesEvery)
-		all := d.host.waves.list()
-		if len(all) > known && d.addWaves(ctx, all[known:]) {
-			known = len(all)
+		if all := d.host.waves.list(); len(all) > known {
+			done, err := d.host.fleet.Finished(ctx)
+			if reports.answered(ctx, d.host.out, err) {
+				d.addWaves(all[known:], done)
+				known = len(all)
+			}
+		}
+		if !d.wavesOpen.Load() {
+			continue
 		}
-		if d.wavesOpen.Load() {
-			d.listMachines(ctx)
+		askedAt := d.now().Mono
+		list, err := d.host.fleet.Machines(ctx)
+		if machines.answered(ctx, d.host.out, err) {
+			d.post(func(now dispatch.Now) { d.core.SetMachines(now, askedAt, list) })
 		}
 	}
 }
 
-// addWaves reports whether it is known which of the waves a former decider finished.
-func (d *decider) addWaves(ctx context.Context, fresh []dispatch.Wave) bool {
-	done, err := d.host.fleet.Finished(ctx)
-	if err != nil {
-		event.Error(d.host.out, err, event.LogLost, "topic", "reports on waves")
-		return false
-	}
+// addWaves hands those waves to the core that no former decider has finished.
+func (d *decider) addWaves(fresh []dispatch.Wave, done map[int64]bool) {
 	d.post(func(dispatch.Now) {
 		for _, w := range fresh {
 			if !done[w.Number] {
@@ -68,17 +72,6 @@
 			}
 		}
 	})
-	return true
-}
-
-func (d *decider) listMachines(ctx context.Context) {
-	askedAt := d.now().Mono
-	machines, err := d.host.fleet.Machines(ctx)
-	if err != nil {
-		event.Error(d.host.out, err, event.LogLost, "topic", "machines")
-		return
-	}
-	d.post(func(now dispatch.Now) { d.core.SetMachines(now, askedAt, machines) })
 }
 
 // carryOutWaves sends orders for upkeep and reports.
