harness: readings of the kernel's table of sockets are shared

Each connection that a proxy accepts read /proc/net/tcp for itself. The kernel takes long for a long table; what waited timed out and was tried again, which made it longer.

Ruled out: a fault of the product or of the new check of overlaps (no goroutine there), and the soak's own proxies, which do not look processes up.

No check of a test changed.

Tests: 300 look-ups during one reading share the next ones; 50 connections are told apart.

--- /dev/null
+++ b/test/harness/source_test.go
@@ -0,0 +1,63 @@
+package harness
+
+import (
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestSocketsOfManyConnectionsAreToldApart(t *testing.T) {
+	listener, err := net.Listen("tcp", loopback+":0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	var wait sync.WaitGroup
+	var seen sync.Map
+	for range 50 {
+		client, err := net.Dial("tcp", listener.Addr().String())
+		assert.NilError(t, err)
+		defer client.Close()
+		wait.Go(func() {
+			inode, ok := inodeOf(client.LocalAddr(), client.RemoteAddr())
+			assert.Check(t, ok)
+			_, known := seen.LoadOrStore(inode, true)
+			assert.Check(t, !known, "inode %s twice", inode)
+		})
+	}
+	wait.Wait()
+}
+
+// The load: hundreds of connections while one reading of the table goes on.
+func TestReadingsOfTheTableAreShared(t *testing.T) {
+	var readings atomic.Int64
+	first, goOn := make(chan struct{}), make(chan struct{})
+	table := &socketTable{}
+	table.readFile = func() ([]byte, error) {
+		if readings.Add(1) == 1 {
+			close(first)
+			<-goOn
+		}
+		return []byte(" 0: A B 01 0:0 0:0 0 0 0 " + strconv.Itoa(int(readings.Load())) + " 1\n"), nil
+	}
+	var wait sync.WaitGroup
+	wait.Go(func() { _, _ = table.read() })
+	<-first
+	var entered sync.WaitGroup
+	for range 300 {
+		entered.Add(1)
+		wait.Go(func() {
+			entered.Done()
+			got, err := table.read()
+			assert.Check(t, err)
+			// What was read before the call is not told.
+			assert.Check(t, got["A B"] != "1", "%v", got)
+		})
+	}
+	entered.Wait()
+	close(goOn)
+	wait.Wait()
+	assert.Assert(t, readings.Load() <= 5, "%d readings", readings.Load())
+}
