Workers begin the tasks of a gang only once all members have started

Cause: the starts of a gang go to several workers, and no order of them is atomic.

Change: a start names the number of members that start together, and workers hold a started member until all of them have started, as on the operators' platform. A member that waited until its lease expired is reported as never begun. A start without that number begins at once, as before.

Ruled out: checking the role and the lease once more before each start only makes the window smaller; a start at an agreed time moves the pause before the last reservation; the log as an arbiter would need workers that read it.

--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -27,6 +27,8 @@
 	Worker WorkerID
 	// Resume is true when the task continues from a checkpoint.
 	Resume bool
+	// Members is the number of tasks of the attempt that start together.
+	Members int
 }
 
 // Release cancels a reservation. Answered by StopDone.
--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -175,13 +175,19 @@
 }
 
 func (c *Core) startAll(now Instant, j *job) {
+	members := 0
+	for _, t := range j.tasks {
+		if t.state != taskDone {
+			members++
+		}
+	}
 	for _, t := range j.tasks {
 		if t.state == taskDone {
 			continue
 		}
 		t.state = taskStarting
 		t.started = startUnknown
-		c.emit(Start{Task: t.Task, Worker: t.Worker, Resume: j.resume})
+		c.emit(Start{Task: t.Task, Worker: t.Worker, Resume: j.resume, Members: members})
 		c.startCallTimer(now, t)
 	}
 	j.startedAt = now
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -144,6 +144,9 @@
 	TTL  time.Duration `json:"ttl,omitempty"`
 	// Resume is set for an OpStart that continues from a checkpoint.
 	Resume bool `json:"resume,omitempty"`
+	// Members is set for an OpStart of a gang member: the number of tasks of the attempt that
+	// start together. The workers begin none of them before all of these starts have arrived.
+	Members int `json:"members,omitempty"`
 }
 
 // OpResult is a worker's reply to one operation.
@@ -185,7 +188,8 @@
 	Output []byte         `json:"output,omitempty"`
 	Ran    time.Duration  `json:"ran,omitempty"`
 	Lag    time.Duration  `json:"lag,omitempty"`
-	// Started is false in a ReportExpired for a reservation whose task was not started.
+	// Started is false in a ReportExpired for a task that never began to run: its start, or that
+	// of another member of its gang, did not arrive in time.
 	Started bool `json:"started,omitempty"`
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -261,7 +261,7 @@
 		})
 	case core.Start:
 		s.onJobStarting(a.Task.Job)
-		s.send(act, a.Worker, platform.Op{Kind: platform.OpStart, Task: a.Task, Resume: a.Resume})
+		s.send(act, a.Worker, platform.Op{Kind: platform.OpStart, Task: a.Task, Resume: a.Resume, Members: a.Members})
 	case core.Release:
 		s.send(act, a.Worker, platform.Op{Kind: platform.OpRelease, Task: a.Task})
 	case core.Stop:
--- a/internal/standin/bench_test.go
+++ b/internal/standin/bench_test.go
@@ -28,7 +28,7 @@
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(b, err)
 		addrs = append(addrs, listener.Addr().String())
-		w := newWorker(def, WorkerFaults{MaxConns: 64}, l, c)
+		w := newWorker(def, WorkerFaults{MaxConns: 64}, l, c, newRendezvous())
 		go func() {
 			_ = serveHTTP(ctx, &limitedListener{Listener: listener, counter: &w.conns}, workerHandler(w))
 		}()
--- a/internal/standin/report.go
+++ b/internal/standin/report.go
@@ -52,7 +52,7 @@
 	}
 	now := time.Now()
 	for _, t := range w.tasks {
-		if !t.Started || now.Sub(t.usageAt) < w.faults.UsageEvery {
+		if !t.begun || now.Sub(t.usageAt) < w.faults.UsageEvery {
 			continue
 		}
 		t.usageAt = now
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -66,10 +66,10 @@
 		workers: map[core.WorkerID]*worker{}, addrs: map[core.WorkerID]string{},
 	}
 	hosts := append([]platform.Host(nil), opts.EntryHosts...)
-	stored := newCheckpoints()
+	stored, gangs := newCheckpoints(), newRendezvous()
 	for i, def := range opts.Workers {
 		addr := net.JoinHostPort(ip, strconv.Itoa(port+i))
-		s.workers[def.ID] = newWorker(def, opts.WorkerFaults, s.ledger, stored)
+		s.workers[def.ID] = newWorker(def, opts.WorkerFaults, s.ledger, stored, gangs)
 		s.addrs[def.ID] = addr
 		hosts = append(hosts, platform.Host{ID: string(def.ID), Kind: platform.BackendHost, Zone: def.Zone, Addr: addr, State: platform.HostLive})
 	}
--- a/internal/standin/task.go
+++ b/internal/standin/task.go
@@ -12,12 +12,18 @@
 // throttledSpeed is the speed of a throttled task, as a fraction of full speed.
 const throttledSpeed = 0.5
 
-// heldTask is a reservation or a running task.
+// heldTask is a reservation, a member of a gang that waits for the others, or a running task.
 type heldTask struct {
 	platform.HeldTask
+	worker    *worker
 	behaviour Behaviour
 	holder    platform.Holder
 	timer     *time.Timer
+	// begun is set once the task runs. A started member of a gang begins only when all members
+	// have started.
+	begun bool
+	// startKind is the kind of the ledger entry of the start.
+	startKind EntryKind
 	// remaining is the work left at speedSince, when the current speed was set, as
 	// time at full speed. total is the task's whole work.
 	remaining  time.Duration
@@ -81,7 +87,7 @@
 	if !w.fits(op) {
 		return platform.OpResult{Reason: core.RefusedBusy}
 	}
-	t := &heldTask{HeldTask: platform.HeldTask{Task: op.Task, Cell: op.Cell, Job: *op.Job}, holder: h}
+	t := &heldTask{HeldTask: platform.HeldTask{Task: op.Task, Cell: op.Cell, Job: *op.Job}, worker: w, holder: h}
 	t.timer = time.AfterFunc(op.TTL, func() { w.expireReservation(t) })
 	w.tasks[op.Task] = t
 	return platform.OpResult{OK: true}
@@ -109,8 +115,9 @@
 	w.report(platform.TaskReport{Kind: platform.ReportExpired, Task: t.Task})
 }
 
-// start runs a reserved task. With Resume it continues from the task's checkpoint, if there
-// is one; without Resume the checkpoint is discarded.
+// start runs a reserved task, or holds it until all members of its gang have started. With Resume it
+// continues from the task's checkpoint, if there is one; without Resume the checkpoint is
+// discarded.
 func (w *worker) start(h platform.Holder, op platform.Op) platform.OpResult {
 	t, ok := w.tasks[op.Task]
 	if !ok {
@@ -126,22 +133,31 @@
 	if t.total == 0 {
 		t.total = t.Job.Declared
 	}
-	kind := EntryStarted
+	t.startKind = EntryStarted
 	t.remaining = t.total
 	if done, found := w.checkpoints.take(t.Task); op.Resume && found {
-		kind = EntryResumed
+		t.startKind = EntryResumed
 		t.remaining -= done
 	}
 	if w.faults.FailAll && w.faults.FailAfter > 0 {
 		t.remaining = min(t.remaining, w.faults.FailAfter)
 	}
-	now := time.Now()
-	t.Started, t.startedAt, t.usageAt = true, now, now
-	w.setSpeed(t, now, 1)
-	w.ledger.addTask(kind, w.def.ID, t, false, "")
+	t.Started = true
+	if op.Members <= 1 {
+		w.begin(t, time.Now())
+	} else if gang := w.rendezvous.join(t, op.Members); gang != nil {
+		go beginGang(gang) // takes the locks of all workers of the gang
+	}
 	return platform.OpResult{OK: true}
 }
 
+// begin lets a started task run.
+func (w *worker) begin(t *heldTask, now time.Time) {
+	t.begun, t.startedAt, t.usageAt = true, now, now
+	w.setSpeed(t, now, 1)
+	w.ledger.addTask(t.startKind, w.def.ID, t, false, "")
+}
+
 // setSpeed sets a task's speed and the timer of its end.
 func (w *worker) setSpeed(t *heldTask, now time.Time, speed float64) {
 	t.speedSince, t.speed = now, speed
@@ -173,9 +189,11 @@
 	t.timer.Stop()
 	delete(w.tasks, t.Task)
 	w.tombstones.add(t.Task)
-	if t.Started {
+	if t.begun {
 		w.ledger.addTask(kind, w.def.ID, t, false, "")
+		return
 	}
+	w.rendezvous.leave(t)
 }
 
 // stop ends a task or reservation. Afterwards the task can never start, even if the worker
@@ -187,7 +205,7 @@
 		return platform.OpResult{OK: true}
 	}
 	var lost time.Duration
-	if t.Started {
+	if t.begun {
 		lost = t.workDone(time.Now())
 	}
 	w.drop(t, EntryStopped)
@@ -220,7 +238,7 @@
 // throttle slows a running task down for the rest of its run.
 func (w *worker) throttle(op platform.Op) platform.OpResult {
 	t, ok := w.tasks[op.Task]
-	if !ok || !t.Started {
+	if !ok || !t.begun {
 		return platform.OpResult{Reason: core.RefusedUnknown}
 	}
 	if t.speed == throttledSpeed {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -63,6 +63,7 @@
 	def         core.Worker
 	ledger      *ledger
 	checkpoints *checkpoints
+	rendezvous  *rendezvous
 	conns       connCounter
 
 	// mu guards the fields below. Calls, timers and the admin interface lock it; the methods for
@@ -83,8 +84,8 @@
 	changed                chan struct{}
 }
 
-func newWorker(def core.Worker, f WorkerFaults, l *ledger, c *checkpoints) *worker {
-	w := &worker{def: def, ledger: l, checkpoints: c, faults: f, changed: make(chan struct{}), unfrozen: make(chan struct{})}
+func newWorker(def core.Worker, f WorkerFaults, l *ledger, c *checkpoints, r *rendezvous) *worker {
+	w := &worker{def: def, ledger: l, checkpoints: c, rendezvous: r, faults: f, changed: make(chan struct{}), unfrozen: make(chan struct{})}
 	w.conns.limit.Store(int64(f.MaxConns))
 	w.reset()
 	return w
@@ -109,7 +110,8 @@
 	defer w.mu.Unlock()
 	for _, t := range w.tasks {
 		t.timer.Stop()
-		if t.Started {
+		w.rendezvous.leave(t)
+		if t.begun {
 			w.ledger.addTask(EntryLost, w.def.ID, t, false, "")
 		}
 	}
@@ -192,7 +194,7 @@
 	}
 	for ref, t := range w.tasks {
 		w.drop(t, EntryLeaseExpired)
-		w.report(platform.TaskReport{Kind: platform.ReportExpired, Task: ref, Started: t.Started})
+		w.report(platform.TaskReport{Kind: platform.ReportExpired, Task: ref, Started: t.begun})
 	}
 }
 
--- a/internal/standin/worker_test.go
+++ b/internal/standin/worker_test.go
@@ -19,7 +19,7 @@
 
 func testWorker(f WorkerFaults) *worker {
 	def := core.Worker{ID: "w1", CPU: 8, MemoryBytes: 1 << 30, Accelerators: 8, Slots: 8}
-	return newWorker(def, f, newLedger(), newCheckpoints())
+	return newWorker(def, f, newLedger(), newCheckpoints(), newRendezvous())
 }
 
 func testJob(b Behaviour) *core.Job {
