Odd entries and submissions cost only themselves; a paused leader gives no orders

Reported faults, looked for on the entry hosts.

Shown on the code before: a submission of 2^62 tasks times 4 was accepted (the product is 0), recorded, and would have ended every process that became the leader; 2^62 accelerators made the sum of a guarantee negative; a due time near 2^63 made the leader wake every millisecond. An entry among the workers' with port 70000, 0 or -1, a start in the year 285 million, or capacities near 2^63 named a worker to use; such a start under a working worker's name hid all its later entries and ended its runs here, so that they would have run twice. Any unreadable entry under a draining worker's name counted as its shutdown, with the same result. Deep nesting and numbers beyond 64 bits were refused before. An unexpected error in a decision costs the role, not the process.

The leader sent what it had decided before a pause, however long that was, and confirmed its configuration by a clock that stands still while the machine is suspended, so that a withdrawn key stayed in use for seconds. Change: orders need a permission, which each accepted record renews until the leader timeout after it was sent, by CLOCK_BOOTTIME; it is checked before each order, and withdrawn when a peer has agreed to take over. Without it the leader only extends leases. The configuration's age counts from the call that confirmed it, by the same clock.

Ruled out: fences alone; a worker that the successor has not called yet takes the former leader's orders. Withholding probes too: an outage of the log would end the leases of all that runs.

--- a/internal/core/dispatch/actions.go
+++ b/internal/core/dispatch/actions.go
@@ -162,4 +162,6 @@
 	NoConnection
 	// RefusedTicket means that the ticket was missing or not valid.
 	RefusedTicket
+	// Withheld means that nothing was sent, because this process may give no orders now.
+	Withheld
 )
--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -421,3 +421,12 @@
 	c.pendingActions = Actions{}
 	return out
 }
+
+// TakeProbes returns the probes that are due. It makes no decisions; orders and other calls that
+// were decided before stay pending until TakeActions.
+func (c *Core) TakeProbes(now Now) Actions {
+	c.emitProbes(now)
+	out := Actions{Probes: c.pendingActions.Probes, Notes: c.pendingActions.Notes}
+	c.pendingActions.Probes, c.pendingActions.Notes = nil, nil
+	return out
+}
--- a/internal/core/dispatch/incarnation_test.go
+++ b/internal/core/dispatch/incarnation_test.go
@@ -183,6 +183,28 @@
 	assert.Equal(t, h.starts[0].Worker, list[1].ID)
 }
 
+// Covers an entry of another writer under the ID of a working worker: the worker gets nothing new,
+// and what runs there goes on.
+func TestAWorkerWhoseEntryIsUnreadableKeepsItsRuns(t *testing.T) {
+	for _, draining := range []bool{true, false} {
+		h, list := drainingHarness(t)
+		list[0].Draining = draining
+		h.core.SetWorkers(h.clock(), list)
+		h.now += time.Second
+		odd := append([]WorkerInfo{{ID: list[0].ID, Unreadable: true}, {ID: "other", Unreadable: true}}, list[1:]...)
+		h.core.SetWorkers(h.clock(), odd)
+		h.flush()
+		assert.Equal(t, len(h.starts), 0)
+		assert.Equal(t, len(h.stops), 0)
+		assert.Equal(t, len(h.core.workers[list[0].ID].runs), 1)
+		assert.Assert(t, !h.core.workers[list[0].ID].usable(h.now))
+		assert.Assert(t, h.core.workers["other"] == nil)
+
+		h.core.SetWorkers(h.clock(), list)
+		assert.Equal(t, h.core.workers[list[0].ID].usable(h.now), !draining)
+	}
+}
+
 // Covers a draining worker that is partitioned from the network: its entry expires for lack of
 // heartbeats, but its runs may continue.
 func TestADrainingWorkerWhoseEntryExpiresIsWaitedFor(t *testing.T) {
--- a/internal/core/dispatch/outcome.go
+++ b/internal/core/dispatch/outcome.go
@@ -7,7 +7,7 @@
 )
 
 // outcomeNames are the outcomes as they appear in log lines, in the order of the constants.
-var outcomeNames = [...]string{"accepted", "unanswered", "refused", "no room", "unhealthy", "other life", "fenced", "no connection", "no valid ticket"}
+var outcomeNames = [...]string{"accepted", "unanswered", "refused", "no room", "unhealthy", "other life", "fenced", "no connection", "no valid ticket", "withheld"}
 
 // String returns the outcome's name.
 func (o Outcome) String() string { return outcomeNames[o] }
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -8,7 +8,12 @@
 func (c *Core) SetWorkers(now Now, list []WorkerInfo) {
 	present := make(map[string]bool, len(list))
 	before := len(c.sortedWorkers)
+	unreadable := map[string]bool{}
 	for _, info := range list {
+		if info.Unreadable {
+			unreadable[info.ID] = true
+			continue
+		}
 		present[info.ID] = true
 		c.setWorker(now, info)
 	}
@@ -19,6 +24,10 @@
 		if w.listed && !present[w.ID] {
 			w.listed = false
 			c.inputsChanged = true
+			if unreadable[w.ID] {
+				c.note(Note{Kind: "worker unlisted", Worker: w.ID, Why: "its entry cannot be read"})
+				continue // the worker itself has not removed its entry
+			}
 			c.note(Note{Kind: "worker unlisted", Worker: w.ID})
 			c.endRunsIfDeparted(now, w)
 		}
@@ -76,7 +85,7 @@
 	if !r.worker.runs[r] || r.worker.Incarnation != s.Incarnation {
 		return
 	}
-	if o != Unanswered && o != NoConnection {
+	if o != Unanswered && o != NoConnection && o != Withheld {
 		c.recordAnswer(now, r.worker)
 	}
 	c.note(Note{Kind: "start answered", Task: s.Task.String(), Run: s.Run, Worker: s.Worker, Why: o.String()})
@@ -91,6 +100,8 @@
 	case NoConnection:
 		c.recordUnanswered(now, r.worker, o)
 		c.endRun(now, r, job.EndNotStarted, r.task.checkpoint)
+	case Withheld:
+		c.endRun(now, r, job.EndNotStarted, r.task.checkpoint)
 	case RefusedTicket:
 		r.task.step.forgetTicket(r.worker)
 		r.task.notBefore = now.Mono + placementDelay
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -98,6 +98,10 @@
 	Draining    bool
 	// ClockMs is the worker's monotonic clock when it wrote the entry, in milliseconds.
 	ClockMs int64
+	// Unreadable is set if the newest entry under the worker's ID cannot be read. All fields but
+	// ID are then empty. Such an entry names no worker to use, and says nothing about a worker
+	// of that ID.
+	Unreadable bool
 }
 
 type phase uint8
--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -10,22 +10,28 @@
 )
 
 // dispatchActions logs the core's notes, sends its calls and starts the next append to the log.
-// Each outgoing call runs in a goroutine of its own, which posts the result to the core.
+// Each outgoing call runs in a goroutine of its own, which posts the result to the core. While the
+// leader's permission has run out, it makes no decisions and sends no orders.
 func (l *leader) dispatchActions(ctx context.Context) {
-	actions := l.core.TakeActions(l.now())
+	var actions dispatch.Actions
+	if l.permission.valid() {
+		actions = l.core.TakeActions(l.now())
+	} else {
+		actions = l.core.TakeProbes(l.now())
+	}
 	for _, n := range actions.Notes {
 		event.Info(l.host.logger, event.Decision, "what", n.Kind, "job", n.Job, "task", n.Task, "run", n.Run, "worker", n.Worker, "why", n.Why, "epoch", l.epoch)
 	}
 	for _, s := range actions.Starts {
 		l.observeStartLatency(s)
 		go func() {
-			o := l.host.workers.Start(ctx, s, l.epoch)
+			o := l.order(func() dispatch.Outcome { return l.host.workers.Start(ctx, s, l.epoch) })
 			l.post(func(now dispatch.Now) { l.checkFence(o, s.Worker); l.core.StartAnswered(now, s, o) })
 		}()
 	}
 	for _, s := range actions.Stops {
 		go func() {
-			o := l.host.workers.Stop(ctx, s, l.epoch)
+			o := l.order(func() dispatch.Outcome { return l.host.workers.Stop(ctx, s, l.epoch) })
 			l.post(func(now dispatch.Now) { l.checkFence(o, s.Worker); l.core.StopAnswered(now, s, o) })
 		}()
 	}
@@ -44,7 +50,7 @@
 	}
 	for _, p := range actions.Paces {
 		go func() {
-			o := l.host.workers.Pace(ctx, p, l.epoch)
+			o := l.order(func() dispatch.Outcome { return l.host.workers.Pace(ctx, p, l.epoch) })
 			l.post(func(now dispatch.Now) { l.checkFence(o, p.Worker); l.core.PaceAnswered(now, p, o) })
 		}()
 	}
@@ -58,6 +64,15 @@
 	l.append(ctx)
 }
 
+// order sends an order unless the permission has run out since it was decided, for example because
+// the process was paused.
+func (l *leader) order(send func() dispatch.Outcome) dispatch.Outcome {
+	if !l.permission.valid() {
+		return dispatch.Withheld
+	}
+	return send()
+}
+
 // observeStartLatency records the time from a job's acceptance to the start call for run 1 of task 0
 // of step 0, in each occurrence of the job.
 func (l *leader) observeStartLatency(s dispatch.Start) {
--- a/internal/entry/dispatchloop.go
+++ b/internal/entry/dispatchloop.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"agatewinch/internal/core/dispatch"
 	"agatewinch/internal/event"
 	"agatewinch/internal/ledger"
@@ -42,6 +45,7 @@
 	events    chan func(dispatch.Now)
 	startedAt time.Time
 
+	permission     *permission
 	sequence       int64
 	appendInFlight bool
 	// appendedAt is when the log last accepted a record of this leader, or when the leader
@@ -65,10 +69,11 @@
 // flight, so that posting a result does not block, even after run has returned.
 const maxEvents = 4096
 
-func newLeader(h *Host, fence sharedlog.Fence, formerRenewalTime time.Duration) *leader {
+// newLeader returns the leader after a claim of the role that was sent at claimedAt, by sinceBoot.
+func newLeader(h *Host, fence sharedlog.Fence, claimedAt, formerRenewalTime time.Duration) *leader {
 	now := time.Now()
 	return &leader{
-		host: h, epoch: fence.Epoch, sequence: fence.Sequence, events: make(chan func(dispatch.Now), maxEvents), startedAt: now, appendedAt: now, sweptAt: now,
+		host: h, epoch: fence.Epoch, permission: newPermission(h.sinceBoot, claimedAt), sequence: fence.Sequence, events: make(chan func(dispatch.Now), maxEvents), startedAt: now, appendedAt: now, sweptAt: now,
 		core: dispatch.New(dispatch.Now{UnixMs: now.UnixMilli()}, dispatch.Settings{
 			LeaseTTL: min(workerLeaseTTL, h.settings.MaxLeaseTTL), MaxLeaseTTL: h.settings.MaxLeaseTTL, ProbeWait: probeWait,
 			FormerRenewalTime: formerRenewalTime, SpreadFactor: h.settings.SpreadFactor, MaxStopTime: h.settings.MaxStopTime, HeartbeatInterval: h.settings.HeartbeatInterval, UpkeepTime: h.settings.UpkeepTime,
@@ -96,7 +101,7 @@
 	for {
 		l.addNewJobs()
 		l.dispatchActions(ctx)
-		if at := l.core.Wake(); at > 0 {
+		if at := l.core.Wake(); at > 0 && l.permission.valid() {
 			wake.Reset(max(0, at-l.now().Mono))
 		}
 		select {
@@ -126,6 +131,19 @@
 	}
 }
 
+// runGuarded is run, but an unexpected error in a decision costs only the role: the host goes on
+// serving callers, and leaves the role to other hosts for some time.
+func (l *leader) runGuarded(ctx context.Context, stop <-chan struct{}) (reason string) {
+	defer func() {
+		if v := recover(); v != nil {
+			l.host.role.suspendClaims()
+			event.Error(l.host.logger, trace.Errorf("%v", v), event.DecisionFailed, "epoch", l.epoch, "stack", string(debug.Stack()))
+			reason = "a decision failed"
+		}
+	}()
+	return l.run(ctx, stop)
+}
+
 // drainEvents handles the results that are waiting for the core, before the next scheduling cycle.
 func (l *leader) drainEvents() {
 	for {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -229,7 +229,7 @@
 		h.applyRecords([]sharedlog.Record{r})
 	}
 	assert.NilError(t, h.stateReader.loadNewest(ctx))
-	l := newLeader(h, sharedlog.Fence{Epoch: 1}, 0)
+	l := newLeader(h, sharedlog.Fence{Epoch: 1}, h.sinceBoot(), 0)
 	l.sweptAt = time.Time{}
 	l.sweep(ctx)
 	(<-l.events)(l.now())
@@ -249,18 +249,18 @@
 	_, err := h.Catalog()
 	assert.Equal(t, errkind.Of(err).Kind, errkind.NoConfiguration)
 	c := &catalog.Catalog{Version: 3}
-	h.setCatalog(c.Index())
+	h.setCatalog(c.Index(), h.sinceBoot())
 	_, err = h.Catalog()
 	assert.NilError(t, err)
-	h.catalogConfirmedAt = time.Now().Add(-h.settings.ConfigApplyTime - h.settings.ConfigApplyExtension)
+	h.catalogConfirmedAt -= h.settings.ConfigApplyTime + h.settings.ConfigApplyExtension
 	_, err = h.Catalog()
 	assert.Equal(t, errkind.Of(err).Kind, errkind.NoConfiguration)
 }
 
 func TestOlderConfigurationIsIgnored(t *testing.T) {
 	h := newHost(memlog.New(), &workers{}, "host")
-	h.setCatalog((&catalog.Catalog{Version: 3}).Index())
-	h.setCatalog((&catalog.Catalog{Version: 2}).Index())
+	h.setCatalog((&catalog.Catalog{Version: 3}).Index(), h.sinceBoot())
+	h.setCatalog((&catalog.Catalog{Version: 2}).Index(), h.sinceBoot())
 	assert.Equal(t, h.newestCatalog().Version, int64(3))
 }
 
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
 
+	"agatewinch/internal/boottime"
 	"agatewinch/internal/catalog"
 	"agatewinch/internal/event"
 	"agatewinch/internal/ledger"
@@ -40,10 +41,14 @@
 	writer      *jobWriter
 	role        *role
 
+	// sinceBoot is a steady clock that counts pauses of the process and its machine.
+	sinceBoot func() time.Duration
+
 	mu             sync.Mutex
 	currentCatalog *catalog.Catalog
-	// catalogConfirmedAt is when the configuration source last answered.
-	catalogConfirmedAt time.Time
+	// catalogConfirmedAt is when the call was sent that the configuration source last answered,
+	// by sinceBoot.
+	catalogConfirmedAt time.Duration
 	// requiredVersion is the oldest configuration version that this host may use for its answers.
 	requiredVersion int64
 	// catalogLost is set while reads of the configuration fail.
@@ -66,7 +71,7 @@
 
 // New returns a host; Run starts it.
 func New(settings Settings, deps Dependencies) *Host {
-	h := &Host{
+	h := &Host{sinceBoot: boottime.Now,
 		settings: settings, log: deps.Log, catalogSource: deps.Catalog, workerList: deps.WorkerList, workers: deps.Workers, advisor: deps.Advisor, fleet: deps.Fleet, logger: deps.Logger,
 		incarnation: time.Now().UnixMilli(), metrics: metrics.New(metrics.SourceEntry), ledger: ledger.New(), jobsSignal: make(chan struct{}, 1),
 	}
@@ -140,7 +145,7 @@
 // logAge returns the time since the log or the configuration source last answered this host.
 func (h *Host) logAge() time.Duration {
 	h.mu.Lock()
-	age := time.Since(h.catalogConfirmedAt)
+	age := h.sinceBoot() - h.catalogConfirmedAt
 	h.mu.Unlock()
 	for _, reader := range append(h.jobReaders[:len(h.jobReaders):len(h.jobReaders)], h.stateReader) {
 		a, _ := reader.contactAge()
@@ -149,11 +154,12 @@
 	return age
 }
 
-// setCatalog handles an answer of the configuration source: c is nil if there is no new version.
-func (h *Host) setCatalog(c *catalog.Catalog) {
+// setCatalog handles an answer of the configuration source to a call that was sent at askedAt, by
+// sinceBoot: c is nil if there is no new version.
+func (h *Host) setCatalog(c *catalog.Catalog, askedAt time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.catalogConfirmedAt = time.Now()
+	h.catalogConfirmedAt = max(h.catalogConfirmedAt, askedAt)
 	if c == nil || (h.currentCatalog != nil && c.Version <= h.currentCatalog.Version) {
 		return
 	}
--- a/internal/entry/role.go
+++ b/internal/entry/role.go
@@ -101,8 +101,9 @@
 		if !r.shouldClaim() {
 			continue
 		}
+		claimedAt := r.host.sinceBoot()
 		if fence, ok := r.claim(ctx); ok {
-			r.lead(ctx, fence)
+			r.lead(ctx, fence, claimedAt)
 		}
 	}
 	return nil
@@ -197,16 +198,17 @@
 	return h.ledger.HasJobsOfAllTasks()
 }
 
-// lead schedules jobs until the role is lost or given up.
-func (r *role) lead(ctx context.Context, fence sharedlog.Fence) {
+// lead schedules jobs until the role is lost or given up. The claim began at claimedAt, by
+// sinceBoot.
+func (r *role) lead(ctx context.Context, fence sharedlog.Fence, claimedAt time.Duration) {
 	epoch := fence.Epoch
 	event.Info(r.host.logger, event.SchedulerActive, "epoch", epoch)
 	r.setLeading(true)
 	for _, reader := range r.host.jobReaders {
 		reader.readNow()
 	}
-	l := newLeader(r.host, fence, r.formerRenewalTime)
-	reason := l.run(ctx, r.stop)
+	l := newLeader(r.host, fence, claimedAt, r.formerRenewalTime)
+	reason := l.runGuarded(ctx, r.stop)
 	r.setLeading(false)
 	r.host.stateReader.resume()
 	event.Info(r.host.logger, event.SchedulerStandby, "epoch", epoch, "why", reason)
--- a/internal/entry/role_test.go
+++ b/internal/entry/role_test.go
@@ -53,7 +53,7 @@
 	var claims sync.WaitGroup
 	for i := range 2 {
 		h := newHost(log, &workers{}, fmt.Sprintf("host-%d", i))
-		h.setCatalog((&catalog.Catalog{Version: 1}).Index())
+		h.setCatalog((&catalog.Catalog{Version: 1}).Index(), h.sinceBoot())
 		for _, reader := range append(h.jobReaders, h.stateReader) {
 			assert.NilError(t, reader.loadNewest(context.Background()))
 			assert.NilError(t, reader.readOnce(context.Background(), 0))
@@ -74,7 +74,7 @@
 func hostWithAnUnknownJob(t *testing.T, log sharedlog.Log) (*Host, *job.Job) {
 	t.Helper()
 	h := newHost(log, &workers{runs: map[string]execution{}}, "host")
-	h.setCatalog((&catalog.Catalog{Version: 1}).Index())
+	h.setCatalog((&catalog.Catalog{Version: 1}).Index(), h.sinceBoot())
 	j := submission("0000000000000001")
 	running, err := ledger.TaskRecord(job.TaskID{Job: j.ID}, job.TaskRecord{Run: 1, Worker: "w0", Incarnation: 1, Active: true})
 	assert.NilError(t, err)
@@ -145,7 +145,7 @@
 		assert.NilError(t, err)
 		h.applyRecords([]sharedlog.Record{r})
 	}
-	l := newLeader(h, sharedlog.Fence{Epoch: 1}, 0)
+	l := newLeader(h, sharedlog.Fence{Epoch: 1}, h.sinceBoot(), 0)
 	l.restore()
 	submitted, err := ledger.JobRecord(j)
 	assert.NilError(t, err)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -32,7 +32,7 @@
 	if h.currentCatalog.Version < h.requiredVersion {
 		return nil, retryableError(errkind.NoConfiguration, retryAfterSeconds, "a peer has a newer configuration than this host")
 	}
-	if time.Since(h.catalogConfirmedAt) > h.settings.ConfigApplyTime+h.settings.ConfigApplyExtension-catalogMargin {
+	if h.sinceBoot()-h.catalogConfirmedAt > h.settings.ConfigApplyTime+h.settings.ConfigApplyExtension-catalogMargin {
 		return nil, retryableError(errkind.NoConfiguration, retryAfterSeconds, "this host cannot confirm that its configuration is the newest")
 	}
 	return h.currentCatalog, nil
--- a/internal/entry/statelog.go
+++ b/internal/entry/statelog.go
@@ -48,8 +48,8 @@
 	l.appendInFlight = true
 	sequence := l.sequence
 	go func() {
-		err := l.appendWithRetry(ctx, records, sequence)
-		l.post(func(now dispatch.Now) { l.appendDone(now, batch, err) })
+		sentAt, err := l.appendWithRetry(ctx, records, sequence)
+		l.post(func(now dispatch.Now) { l.appendDone(now, batch, sentAt, err) })
 	}()
 }
 
@@ -84,22 +84,24 @@
 
 // appendWithRetry repeats an append, with the same sequence number, while the log refuses it or
 // leaves its outcome unknown. If the log keeps refusing it, a peer is asked to take over the
-// role.
-func (l *leader) appendWithRetry(ctx context.Context, records []sharedlog.Record, sequence int64) error {
+// role, and this leader gives no more orders once one has agreed. It returns when the accepted
+// append was sent, by sinceBoot.
+func (l *leader) appendWithRetry(ctx context.Context, records []sharedlog.Record, sequence int64) (time.Duration, error) {
 	retry := newBackoff()
 	var refusedAt time.Time
 	asked := false
 	for {
+		sentAt := l.host.sinceBoot()
 		offset, err := l.host.log.Append(ctx, ledger.TopicState, records, sharedlog.AppendOptions{Fence: &sharedlog.Fence{Epoch: l.epoch, Sequence: sequence}})
 		if err == nil {
 			l.host.stateReader.ingest(offset, records, offset+int64(len(records)))
-			return nil
+			return sentAt, nil
 		}
 		if ctx.Err() != nil {
-			return ctx.Err()
+			return 0, ctx.Err()
 		}
 		if !errors.Is(err, sharedlog.ErrUnknown) && !errors.Is(err, sharedlog.ErrRefused) {
-			return err
+			return 0, err
 		}
 		event.Error(l.host.logger, err, event.LogWriteError, "records", len(records), "epoch", l.epoch)
 		switch {
@@ -110,13 +112,15 @@
 		case !asked && time.Since(refusedAt) >= successorDelay && l.host.successors != nil:
 			// The log may serve other hosts, which would otherwise take over only after
 			// leaderTimeout.
-			asked = l.host.successors.AskSuccessor(ctx, l.epoch, l.host.settings.Host)
+			if asked = l.host.successors.AskSuccessor(ctx, l.epoch, l.host.settings.Host); asked {
+				l.permission.withdraw()
+			}
 		}
 		sleep(ctx, retry.NextBackOff())
 	}
 }
 
-func (l *leader) appendDone(now dispatch.Now, batch *dispatch.Batch, err error) {
+func (l *leader) appendDone(now dispatch.Now, batch *dispatch.Batch, sentAt time.Duration, err error) {
 	l.appendInFlight = false
 	if err != nil {
 		event.Error(l.host.logger, err, event.RoleSuperseded, "epoch", l.epoch)
@@ -124,6 +128,7 @@
 		return
 	}
 	l.appendedAt = time.Now()
+	l.permission.renew(sentAt)
 	if batch != nil {
 		l.core.Recorded(now, batch)
 	}
@@ -150,7 +155,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	if err := l.appendWithRetry(ctx, []sharedlog.Record{rec}, l.sequence+1); err != nil {
+	if _, err := l.appendWithRetry(ctx, []sharedlog.Record{rec}, l.sequence+1); err != nil {
 		return why + "; " + err.Error()
 	}
 	return why
--- a/internal/entry/topicreader.go
+++ b/internal/entry/topicreader.go
@@ -334,6 +334,7 @@
 func (h *Host) followCatalog(ctx context.Context) error {
 	retry := newBackoff()
 	for ctx.Err() == nil {
+		askedAt := h.sinceBoot()
 		c, err := h.catalogSource.Next(ctx, catalogWait)
 		if err != nil {
 			if ctx.Err() == nil && !h.catalogLost.Swap(true) {
@@ -346,7 +347,7 @@
 			event.Info(h.logger, event.LogRegained, "topic", "configuration")
 		}
 		retry.Reset()
-		h.setCatalog(c)
+		h.setCatalog(c, askedAt)
 	}
 	return nil
 }
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -10,9 +10,10 @@
 	LogLost                = Event{7101, "log lost", "The topic of the platform's log, or the list or service, named by the line cannot be reached; this host continues with the state it has."}
 	LogRegained            = Event{7102, "log regained", "The topic, list or service named by the line can be reached again."}
 	RecordUnreadable       = Event{7103, "record unreadable", "A record of the log cannot be read; it is skipped."}
-	WorkerEntryUnreadable  = Event{7104, "worker entry unreadable", "An entry in the list of workers cannot be decoded; it is ignored, and no worker of that key is listed."}
+	WorkerEntryUnreadable  = Event{7104, "worker entry unreadable", "An entry in the list of workers cannot be decoded; it is logged once, and the worker of that key gets no new tasks until it has written its entry again; what runs there goes on."}
 	SettingsRead           = Event{7105, "settings read", "The settings file was read again after SIGHUP, but changes take effect only after a restart; an error shown says why the file cannot be used."}
 	LinesDropped           = Event{7106, "log lines dropped", "More log lines were produced than the limits on rate and backlog allow; the number of lines dropped is shown."}
 	WorkerAnswerUnreadable = Event{7107, "worker answer unreadable", "A worker's list of runs cannot be decoded; the call counts as unanswered."}
 	WaveRead               = Event{7108, "wave read", "The operators requested upkeep of machines; the leader drains them, a few at a time."}
+	DecisionFailed         = Event{7109, "decision failed", "An unexpected error ended this host's time as the leader; it goes on serving callers, and another host claims the role. The error and the place are shown."}
 )
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -217,15 +217,20 @@
 		}
 		return nil
 	}
-	e := l.entry(id)
-	if e.Job != nil {
+	if e := l.entries[id]; e != nil && e.Job != nil {
 		return nil // a repeated submission is ignored
 	}
 	var j job.Job
 	if err := cbor.Unmarshal(value, &j); err != nil {
 		return err
 	}
-	e.Job = &j
+	if j.ID != id {
+		return trace.BadParameter("the record's key does not name its job")
+	}
+	if err := j.Validate(); err != nil {
+		return trace.Wrap(err)
+	}
+	l.entry(id).Job = &j
 	l.updated = append(l.updated, id)
 	return nil
 }
