A gang that a lost worker broke starts elsewhere at once

Workers taken at short notice leave their entry behind, so that the member counted as present until the lease expired: job was broken at 28.3 s, given up at 34.4 s and, a takeover later, again at 43.6 s.

Change: a member ends as broken only after another has ended; if all members but one on a silent worker ended so, that one ended first, and the gang may start again. Runs that cannot end before a draining worker may leave (remaining_ms) are stopped, with their checkpoint, and moved. An unanswered stop shows that a worker is silent, as an unanswered probe does.

Found by 300,000 plays of the order model on the way, not by this change: a start in flight of a run that was stopped and found absent was not stopped in the worker's next incarnation (TWICE). The test named after it fails before. The model's draining workers now tell the time that remains.

Ruled out: counting a drained worker as gone when its time is over; it may stay many seconds longer. A shorter lease: it has to outlast a takeover.

--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -396,7 +396,7 @@
 		c.endRun(now, r, job.EndNotStarted, r.task.checkpoint)
 		return
 	}
-	r.phase = starting
+	r.phase, r.startPending = starting, true
 	c.pendingActions.Starts = append(c.pendingActions.Starts, Start{
 		Target: w.target(), Task: r.task.id, Run: r.number, Payload: r.task.step.job.spec.Payload,
 		Checkpoint: r.checkpoint, Ticket: ticket, LeaseUntilMs: c.extendLease(now, w, startLeaseTTL), run: r,
--- a/internal/core/dispatch/incarnation_test.go
+++ b/internal/core/dispatch/incarnation_test.go
@@ -153,6 +153,35 @@
 	assert.Equal(t, len(h.core.jobs), 0)
 }
 
+// Covers a start that is still in flight when its run has been stopped and found absent: it may be
+// executed in the next incarnation, which does not know of the stop. Found by the model.
+func TestAStartInFlightOfAnEndedRunIsStoppedInTheNextIncarnation(t *testing.T) {
+	h := newHarness(t)
+	list := h.fleet(2, whole)
+	h.core.SetWorkers(h.clock(), list)
+	h.add(gang("g", 1, 2, whole))
+	missing, refused := h.starts[0], h.starts[1]
+	h.core.StartAnswered(h.clock(), refused, RefusedCapacity)
+	h.flush()
+	assert.Equal(t, h.stops[0].Worker, missing.Worker)
+	h.core.StopAnswered(h.clock(), h.stops[0], Accepted)
+	h.stops = nil
+	h.now += 100 * time.Millisecond
+	h.flush()
+	h.answerProbe(missing.Worker, WorkerReport{Incarnation: 1, ClockMs: h.now.Milliseconds(), Running: []RunInProgress{}})
+	for i := range list {
+		if list[i].ID == missing.Worker {
+			list[i].Incarnation = 2
+		}
+	}
+	h.core.SetWorkers(h.clock(), list)
+	h.flush()
+	assert.Equal(t, len(h.stops), 1)
+	assert.Equal(t, h.stops[0].Task, missing.Task)
+	assert.Equal(t, h.stops[0].Run, missing.Run)
+	assert.Equal(t, h.stops[0].Incarnation, int64(2))
+}
+
 // drainingHarness runs a job on a worker that then reports that it is draining. The worker is the
 // first in the returned list.
 func drainingHarness(t *testing.T) (*harness, []WorkerInfo) {
--- a/internal/core/dispatch/protocol_test.go
+++ b/internal/core/dispatch/protocol_test.go
@@ -379,7 +379,7 @@
 		},
 		"drain": func() {
 			w := sim.drawWorker()
-			w.draining = true
+			w.draining, w.leavesAt = true, sim.now+2*time.Second
 			sim.after(2*time.Second+sim.drawDuration(3*time.Second), func() { w.crash(time.Second) })
 		},
 		"time passes": func() {},
--- a/internal/core/dispatch/protocol_worker_test.go
+++ b/internal/core/dispatch/protocol_worker_test.go
@@ -16,8 +16,9 @@
 	clockRate   float64
 	up          bool
 	partitioned bool
-	// draining is true while the worker is about to shut down.
+	// draining is true while the worker is about to shut down, no sooner than at leavesAt.
 	draining bool
+	leavesAt time.Duration
 	epoch    int64
 	// leaseUntilMs is the end of the lease by the worker's clock.
 	leaseUntilMs int64
@@ -80,6 +81,9 @@
 			ID: w.id, Address: "192.0.2.1:1", Service: "service", Rack: "r", Zone: "z", Incarnation: w.incarnation, ClockMs: max(1, w.clock()), Draining: w.draining,
 			Capacity: job.Resources{CPU: capacityCPU, MemMB: 1000, Accelerators: 8},
 		}
+		if w.draining {
+			w.entry.MinRemaining = max(time.Millisecond, w.leavesAt-w.sim.now)
+		}
 		w.entryAt = w.sim.now
 		w.expireLease()
 	}
--- a/internal/core/dispatch/reachability.go
+++ b/internal/core/dispatch/reachability.go
@@ -30,6 +30,7 @@
 	w.nextProbeAt = now.Mono
 	c.note(Note{Kind: "worker unreachable", Worker: w.ID, Why: o.String()})
 	c.suspectZone(now, w)
+	c.endFirstEndedOn(now, w)
 }
 
 // recordAnswer records that w has answered, and makes it reachable again.
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -20,6 +20,7 @@
 	if before != len(c.sortedWorkers) {
 		c.setRackPositions()
 	}
+	c.evacuate(now)
 	for _, w := range c.sortedWorkers {
 		if w.listed && !present[w.ID] {
 			w.listed = false
@@ -61,6 +62,7 @@
 	w.entryClockMs = info.ClockMs
 	w.ClockMs, w.clockAt = clockMs, clockAt
 	w.listed = true
+	w.setLeaveTime(now)
 	clear(w.labels)
 	for _, l := range info.Labels {
 		w.labels[l] = true
@@ -82,6 +84,7 @@
 // because the process running the core gives up the leader role.
 func (c *Core) StartAnswered(now Now, s Start, o Outcome) {
 	r := s.run
+	r.startPending = false
 	if !r.worker.runs[r] || r.worker.Incarnation != s.Incarnation {
 		return
 	}
@@ -142,6 +145,9 @@
 		r.stopAcked, r.stopAckedAt = true, now.Mono
 		return
 	}
+	if o == Unanswered || o == NoConnection {
+		c.recordUnanswered(now, r.worker, o)
+	}
 	r.nextStopAt = now.Mono + stopRetry
 }
 
@@ -150,6 +156,9 @@
 func (c *Core) endRun(now Now, r *run, end job.End, checkpoint string) {
 	t, s, j := r.task, r.task.step, r.task.step.job
 	c.removeRun(r)
+	if r.startPending && !r.listed {
+		r.worker.addLateStart(now, r)
+	}
 	if checkpoint != "" {
 		t.checkpoint = checkpoint
 	}
@@ -168,7 +177,9 @@
 		t.notBefore = now.Mono + placementDelay
 	}
 	if s.spec.Gang && end != job.EndDone && !t.done {
+		s.gangEnds.record(r.number, end)
 		c.breakGang(now, s, r.number)
+		c.endFirstEnded(now, s)
 	}
 	c.record(t)
 	if !j.cancelledOrEnded() {
@@ -253,5 +264,6 @@
 		}
 	}
 	c.stopStalledRuns(now)
+	c.evacuate(now)
 	c.advanceWaves(now)
 }
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -96,6 +96,9 @@
 	// incarnation has a higher value.
 	Incarnation int64
 	Draining    bool
+	// MinRemaining is the time, from the writing of the entry, for which a draining worker stays at
+	// least. It is zero if that is not known.
+	MinRemaining time.Duration
 	// ClockMs is the worker's monotonic clock when it wrote the entry, in milliseconds.
 	ClockMs int64
 	// Unreadable is set if the newest entry under the worker's ID cannot be read. All fields but
@@ -140,6 +143,8 @@
 	pacing pacing
 	// percentAt is when percent last changed, or when the run was placed or confirmed.
 	percentAt time.Duration
+	// startPending is set while the start is in flight.
+	startPending bool
 	// confirmed is set once the worker has accepted the start or listed the run, at confirmedAt.
 	confirmed   bool
 	confirmedAt time.Duration
@@ -181,6 +186,7 @@
 	// latestRun is the number of the gang's newest run, and failures the count of its failed runs.
 	latestRun int
 	failures  int
+	gangEnds  gangEnds
 	// failedRun is the number of the gang's run whose failure was counted last, so that
 	// further failed members of it do not count.
 	failedRun int
@@ -240,6 +246,8 @@
 	// runsByEnd caches the runs in the order of their expected ends. It is nil after a run was
 	// added, removed or stopped; progress reports do not reset it.
 	runsByEnd []*run
+	// leavesAt is the earliest time at which a draining worker leaves; zero if that is not known.
+	leavesAt time.Duration
 	// entryClockMs is the worker's clock when it wrote its newest entry.
 	entryClockMs int64
 	// clockAt is the local time at which the worker's clock was at least ClockMs. Both are taken
