Work that would be preempted before it is done waits for calm

Load: urgent bursts on a busy fleet. Work without checkpoints loses all of it and delays the urgent work that stops it.

Change: the leader counts how often running work that loses its progress was preempted lately (stops over run-seconds, fading with 10 s). Such work starts only if it will be done with a probability of a third or more, below which the expected loss exceeds the expected work; never held back are urgent work, work with checkpoints, and anything while a fleet has much idle capacity. What stopping work with checkpoints costs now follows stop_ms and restore_ms instead of a constant of 700 ms that fitted the first site.

--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -34,6 +34,8 @@
 	// false until one has.
 	lastUrgentArrival time.Duration
 	urgentArrived     bool
+	// hazard estimates how often running work is preempted.
+	hazard hazard
 	// lastArrival is when the newest job of any priority arrived.
 	lastArrival time.Duration
 	// meanUrgentWork is the moving average of the work of urgent jobs, in core-seconds.
@@ -196,6 +198,7 @@
 }
 
 func (c *Core) addRun(r *run) {
+	c.hazard.advance(r.placedAt)
 	r.task.current = r
 	r.worker.runs[r] = true
 	r.worker.adjustRunCounts(r.task.step, 1)
@@ -205,6 +208,7 @@
 	}
 	r.task.step.job.activeRuns++
 	r.task.step.activeRuns++
+	c.countExposed(r.task.step, 1)
 	r.worker.runsByEnd = nil
 }
 
@@ -221,6 +225,7 @@
 	}
 	r.task.step.job.activeRuns--
 	r.task.step.activeRuns--
+	c.countExposed(r.task.step, -1)
 	r.worker.runsByEnd = nil
 	if r.task.current == r {
 		r.task.current = nil
--- a/internal/core/dispatch/cycle.go
+++ b/internal/core/dispatch/cycle.go
@@ -17,6 +17,8 @@
 	// valid when further runs are placed in the cycle: steps are handled in the order of
 	// byPriority, so that no later step may preempt these runs.
 	runsByLoss map[*worker][]*run
+	// utilisation is that of the scarcest resource; negative until it has been computed.
+	utilisation float64
 }
 
 // pool identifies the set of workers that may run a step.
@@ -51,7 +53,7 @@
 }
 
 func newCycle() *cycle {
-	return &cycle{pools: map[pool]*poolWorkers{}, slots: map[slotShape]*slots{}, runsByLoss: map[*worker][]*run{}}
+	return &cycle{pools: map[pool]*poolWorkers{}, slots: map[slotShape]*slots{}, runsByLoss: map[*worker][]*run{}, utilisation: -1}
 }
 
 // pool returns the pool of s.
--- a/internal/core/dispatch/gang.go
+++ b/internal/core/dispatch/gang.go
@@ -18,6 +18,9 @@
 	if len(waiting) < len(s.tasks) {
 		return
 	}
+	if c.wouldBeLost(now, s) {
+		return
+	}
 	workers := c.findGangWorkers(now, s)
 	if workers == nil {
 		if s.job.spec.Priority == urgentPriority {
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -73,6 +73,9 @@
 	if full[key] {
 		return
 	}
+	if c.wouldBeLost(now, s) {
+		return
+	}
 	waiting := c.waiting(now, s)
 	anyFree := c.slotsFor(now, s).free > 0
 	for i, t := range waiting {
@@ -184,13 +187,21 @@
 		c.wakeAt(now, until)
 		return false
 	}
-	var used, all job.Resources
-	for _, w := range c.sortedWorkers {
-		if w.listed {
-			used, all = used.Plus(w.used), all.Plus(w.Capacity)
+	return c.utilisation() < quietUtilisation
+}
+
+// utilisation returns the utilisation of the scarcest resource, computed once in a cycle.
+func (c *Core) utilisation() float64 {
+	if c.cycle.utilisation < 0 {
+		var used, all job.Resources
+		for _, w := range c.sortedWorkers {
+			if w.listed {
+				used, all = used.Plus(w.used), all.Plus(w.Capacity)
+			}
 		}
+		c.cycle.utilisation = max(fraction(used.CPU, all.CPU), fraction(used.MemMB, all.MemMB), fraction(used.Accelerators, all.Accelerators))
 	}
-	return max(fraction(used.CPU, all.CPU), fraction(used.MemMB, all.MemMB), fraction(used.Accelerators, all.Accelerators)) < quietUtilisation
+	return c.cycle.utilisation
 }
 
 // rackWait returns the given wait for a rack, shortened on a quiet fleet.
--- a/internal/core/dispatch/preempt.go
+++ b/internal/core/dispatch/preempt.go
@@ -116,6 +116,7 @@
 	}
 	s.plan = plan
 	for _, r := range best.victims {
+		c.countPreemption(now, r)
 		c.stop(now, r, "preempted")
 		if r.task.step.spec.Gang {
 			c.breakGang(now, r.task.step, r.number)
@@ -326,9 +327,6 @@
 }
 
 const (
-	// checkpointLoss is the most run time that a task with checkpoints loses at a stop,
-	// including the time to restore it.
-	checkpointLoss = 700 * time.Millisecond
 	// stopCost is the fixed loss of each stop in core-seconds, in addition to the lost work: it
 	// accounts for the new placement and the call.
 	stopCost = 10
@@ -338,6 +336,10 @@
 	urgentLoss = 1000
 )
 
+// checkpointLoss is the most run time that a task with checkpoints loses at a stop: it saves a
+// checkpoint when it is stopped, and its next run restores that.
+func (s Settings) checkpointLoss() time.Duration { return s.MaxStopTime + s.RestoreTime }
+
 // lossOf returns the loss, in core-seconds, of stopping r and the rest of its gang.
 func (c *Core) lossOf(now Now, r *run) float64 {
 	sum := 0.0
@@ -347,7 +349,7 @@
 			lost = now.Mono - m.confirmedAt
 		}
 		if m.task.step.spec.Checkpoints {
-			lost = min(lost, checkpointLoss)
+			lost = min(lost, c.settings.checkpointLoss())
 		}
 		sum += stopCost + lost.Seconds()*m.need.Cores()
 		if r.task.step.job.spec.Priority == urgentPriority {
--- a/internal/core/dispatch/preempt_test.go
+++ b/internal/core/dispatch/preempt_test.go
@@ -64,3 +64,20 @@
 	}
 	return len(tasks)
 }
+
+// What stopping a task with checkpoints costs follows the platform's times, not those of one site.
+func TestLossOfWorkWithCheckpointsIsTheTimeToStopAndRestore(t *testing.T) {
+	for _, restore := range []time.Duration{0, 100 * time.Millisecond, 2 * time.Second} {
+		h := newHarness(t)
+		h.core.settings.RestoreTime = restore
+		h.core.SetWorkers(h.clock(), h.fleet(1, whole))
+		j := single("j", 2, 1, one)
+		j.Steps[0].Checkpoints = true
+		h.add(j)
+		h.accept()
+		h.now += 10 * time.Second
+		w := h.core.workers["w0"]
+		want := stopCost + (h.core.settings.MaxStopTime + restore).Seconds()*one.Cores()
+		assert.Equal(t, h.core.lossOf(h.clock(), h.core.runsOf(w)[0]), want)
+	}
+}
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -38,6 +38,8 @@
 	SpreadFactor float64
 	// MaxStopTime is the longest time that a run takes to stop.
 	MaxStopTime time.Duration
+	// RestoreTime is the time that a run takes to resume from a checkpoint.
+	RestoreTime time.Duration
 	// HeartbeatInterval is the interval of a worker's heartbeats, each of which rewrites its entry.
 	HeartbeatInterval time.Duration
 	// UpkeepTime is the duration of a machine's upkeep.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -37,6 +37,8 @@
 	MaxLeaseTTL time.Duration
 	// MaxStopTime is the longest time a worker takes to stop a run.
 	MaxStopTime time.Duration
+	// RestoreTime is how long a run takes to resume from a checkpoint.
+	RestoreTime time.Duration
 	// HeartbeatInterval is how often a worker rewrites its entry in the list of workers.
 	HeartbeatInterval time.Duration
 	// UpkeepTime is how long the upkeep of one machine takes.
