--- a/internal/core/dispatch/preempt_test.go
+++ b/internal/core/dispatch/preempt_test.go
@@ -77,7 +77,7 @@
 		h.accept()
 		h.now += 10 * time.Second
 		w := h.core.workers["w0"]
-		want := stopCost + (h.core.settings.MaxStopTime + restore).Seconds()*one.Cores()
+		want := stopCost + (h.core.settings.MaxStopTime+restore).Seconds()*one.Cores()
 		assert.Equal(t, h.core.lossOf(h.clock(), h.core.runsOf(w)[0]), want)
 	}
 }
--- a/internal/entry/dispatchloop.go
+++ b/internal/entry/dispatchloop.go
@@ -160,7 +160,7 @@
 // read, the core has no workers until pollWorkerList has read it.
 func (l *leader) restore() {
 	now := l.now()
-	l.host.ledger.TakeUpdated() // discarded: all jobs are added below
+	l.host.ledger.TrackUpdates(true) // all earlier jobs are added below
 	if list, err := l.host.workerList.List(context.Background()); err == nil {
 		l.core.SetWorkers(now, list)
 	} else {
--- a/internal/entry/role.go
+++ b/internal/entry/role.go
@@ -210,6 +210,7 @@
 	l := newLeader(r.host, fence, claimedAt, r.formerRenewalTime)
 	reason := l.runGuarded(ctx, r.stop)
 	r.setLeading(false)
+	r.host.ledger.TrackUpdates(false)
 	r.host.stateReader.resume()
 	event.Info(r.host.logger, event.SchedulerStandby, "epoch", epoch, "why", reason)
 	r.mu.Lock()
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -85,8 +85,10 @@
 	role    Role
 	// stateRecords counts the records of the leader that were applied.
 	stateRecords uint64
-	// updated holds the IDs of jobs submitted or cancelled since the last TakeUpdated.
-	updated []string
+	// updated holds the IDs of jobs submitted or cancelled since the last TakeUpdated, while
+	// tracking is set.
+	updated  []string
+	tracking bool
 }
 
 // New returns an empty ledger.
@@ -170,7 +172,7 @@
 		id := r.Key[len(keyCancel):]
 		if !tombstone {
 			l.entry(id).Cancelled = true
-			l.updated = append(l.updated, id)
+			l.recordUpdate(id)
 		}
 	case strings.HasPrefix(r.Key, keyHost):
 		var e HostEntry
@@ -231,7 +233,7 @@
 		return trace.Wrap(err)
 	}
 	l.entry(id).Job = &j
-	l.updated = append(l.updated, id)
+	l.recordUpdate(id)
 	return nil
 }
 
@@ -277,7 +279,22 @@
 	return l.stateRecords
 }
 
-// TakeUpdated returns the IDs of the jobs that were submitted or cancelled since the last call.
+// TrackUpdates turns the list of TakeUpdated, which only a leader takes, on or off. Turning it on
+// again empties it.
+func (l *Ledger) TrackUpdates(on bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tracking, l.updated = on, nil
+}
+
+func (l *Ledger) recordUpdate(id string) {
+	if l.tracking {
+		l.updated = append(l.updated, id)
+	}
+}
+
+// TakeUpdated returns the IDs of the jobs that were submitted or cancelled since the last call, or
+// since TrackUpdates turned the list on.
 func (l *Ledger) TakeUpdated() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -90,7 +90,7 @@
 	}
 	data, err := cbor.Marshal(body)
 	if err != nil {
-		return trace.Wrap(err)
+		return trace.Wrap(ErrNotSent, "encode the body of a %s message: %v", kind, err)
 	}
 	conn, err := c.connect(ctx)
 	if err != nil || conn == nil {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -256,6 +256,14 @@
 	assert.Equal(t, f.received.Load(), int64(bound))
 }
 
+// A message that cannot be encoded was never sent, so that the caller may be told so.
+func TestMessageThatCannotBeEncodedIsNotSent(t *testing.T) {
+	f := newFixture(t)
+	err := f.client.Call(testContext(t), wire.KindSubmit, make(chan int), nil)
+	assert.Assert(t, errors.Is(err, peer.ErrNotSent), "%v", err)
+	assert.Equal(t, f.received.Load(), int64(0))
+}
+
 func TestConnectionsOverTheBoundAreRefusedUntilOneCloses(t *testing.T) {
 	f := newFixture(t)
 	ctx := testContext(t)
--- a/internal/routing/submit.go
+++ b/internal/routing/submit.go
@@ -188,7 +188,8 @@
 }
 
 // nextRequest returns the request with the remaining wait and timeout. Once the timeout has
-// passed, the tries only query the job if it is admitted or may have run; otherwise
+// passed, the tries only query the job if it, or an earlier submission with its ID, is admitted or
+// may have run; otherwise
 // nextRequest returns a DeadlineExceeded error.
 func (s *submission) nextRequest() (wire.Submit, error) {
 	req := s.req
@@ -201,7 +202,7 @@
 		req.Job.Timeout = left
 		return req, nil
 	}
-	if !s.mayHaveRun && s.admitted == nil {
+	if !s.mayHaveRun && !s.known && s.admitted == nil {
 		return req, errkind.New(errkind.DeadlineExceeded, "no scheduler accepted the job before its deadline")
 	}
 	s.queryOnly = true
--- a/internal/routing/submit_test.go
+++ b/internal/routing/submit_test.go
@@ -306,6 +306,23 @@
 	assert.Assert(t, errkind.Is(err, errkind.DeadlineExceeded), "%v", err)
 }
 
+// A caller repeats a request after its answer was lost. The job has run, so that the deadline of the
+// repeated request must not be reported as "not run".
+func TestDeadlineOfARepeatedRequestIsNotReportedAsNotRun(t *testing.T) {
+	cl := newFakeCluster("a")
+	a := cl.schedulers["s-a"]
+	a.script = always(answerLost)
+	r := cl.router()
+	req := nonIdempotentJob("j")
+	_, err := r.Submit(t.Context(), req)
+	assert.Assert(t, errkind.Is(err, errkind.OutcomeUnknown), "%v", err)
+	assert.Equal(t, cl.started("j"), 1)
+	a.script = always(unreachable)
+	req.Job.Timeout = 50 * time.Millisecond
+	_, err = r.Submit(t.Context(), req)
+	assert.Assert(t, errkind.Is(err, errkind.OutcomeUnknown), "%v", err)
+}
+
 func TestRetriesAreBoundedByAShareOfFirstTries(t *testing.T) {
 	cl := newFakeCluster("a", "b", "c")
 	for _, f := range cl.schedulers {
