--- a/internal/sim/simulation.go
+++ b/internal/sim/simulation.go
@@ -197,7 +197,7 @@
 	if sim.leader != nil {
 		sim.leader.fenced = true
 	}
-	sim.ledger.TakeUpdated() // discarded: the new core gets all jobs below
+	sim.ledger.TrackUpdates(true) // the new core gets all earlier jobs below
 	ldr.core.SetWorkers(sim.clock(), sim.workerInfos())
 	ldr.core.SetGuarantees(sim.guarantees())
 	sim.ledger.EachByArrival(func(id string, e *ledger.Entry) {
