The leader of a large fleet keeps up, and finds its workers after a takeover

Two causes at 97 hosts and 540 workers.

Processor time. Change: a search looks again only at workers that a choice concerns and ends at once where even all victims would not free enough; losses and racks are computed once in a cycle; waiting steps search at the same moments; between full cycles of a long queue only urgent work is considered; cycles take at most a third of the time.

The list of workers. Ruled out: a longer time for the read; the changes grow while it is repeated.

--- a/internal/core/dispatch/actions.go
+++ b/internal/core/dispatch/actions.go
@@ -61,6 +61,9 @@
 // Actions are the calls that the process running the core has to send, and the notes that it has
 // to write as log lines.
 type Actions struct {
+	// Scheduled is set if a scheduling cycle has run.
+	Scheduled bool
+
 	Starts         []Start
 	Stops          []Stop
 	Probes         []Probe
--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -17,17 +17,23 @@
 	seq     int
 	workers map[string]*worker
 	// sortedWorkers holds the workers sorted by ID, so that decisions are deterministic.
-	sortedWorkers  []*worker
+	sortedWorkers []*worker
+	// racks is the number of racks. racksIndexed is set while it and the rackIndex of all workers
+	// are up to date.
+	racks          int
+	racksIndexed   bool
 	tasks          map[string]*task
 	batch          *Batch
 	pendingActions Actions
 	// inputsChanged is set when an input of placement decisions has changed, and urgentMayStart
 	// when that change may allow urgent work to start.
 	inputsChanged, urgentMayStart bool
-	// lastCycleAt is when the last scheduling cycle ran, and backlog the number of steps that
-	// waited in it.
-	lastCycleAt time.Duration
-	backlog     int
+	// lastCycleAt is when the last scheduling cycle ran, lastFullCycleAt when the last one ran that
+	// was not urgent, and backlog the number of steps that waited in the last one.
+	lastCycleAt, lastFullCycleAt time.Duration
+	backlog                      int
+	// meanCycleTime is the moving average of the time that a cycle takes.
+	meanCycleTime time.Duration
 	// guaranteed is the number of accelerators that each organisation owns.
 	guaranteed map[string]int64
 	// lastUrgentArrival is when the newest job of urgent priority arrived; urgentArrived is
@@ -185,6 +191,7 @@
 func (c *Core) addWorker(info WorkerInfo) *worker {
 	w := &worker{WorkerInfo: info, inheritedUntil: c.inheritedUntil, runs: map[*run]bool{}, labels: map[string]bool{}}
 	c.workers[info.ID] = w
+	c.racksIndexed = false
 	i, _ := slices.BinarySearchFunc(c.sortedWorkers, info.ID, func(w *worker, id string) int {
 		if w.ID < id {
 			return -1
@@ -209,7 +216,7 @@
 	r.task.step.job.activeRuns++
 	r.task.step.activeRuns++
 	c.countExposed(r.task.step, 1)
-	r.worker.runsByEnd = nil
+	r.worker.runsByEnd, r.worker.runsByTask = nil, nil
 }
 
 // removeRun removes a run from its worker and frees its resources.
@@ -226,7 +233,7 @@
 	r.task.step.job.activeRuns--
 	r.task.step.activeRuns--
 	c.countExposed(r.task.step, -1)
-	r.worker.runsByEnd = nil
+	r.worker.runsByEnd, r.worker.runsByTask = nil, nil
 	if r.task.current == r {
 		r.task.current = nil
 	}
@@ -417,12 +424,20 @@
 
 // TakeActions runs a scheduling cycle if one is due, and returns the calls to send.
 func (c *Core) TakeActions(now Now) Actions {
-	if c.cycleDue(now) {
-		c.inputsChanged, c.urgentMayStart, c.lastCycleAt = false, false, now.Mono
-		c.schedule(now)
+	kind := c.cycleDue(now)
+	if kind != noCycle {
+		c.urgentMayStart, c.lastCycleAt = false, now.Mono
+		if kind == fullCycle {
+			c.inputsChanged, c.lastFullCycleAt = false, now.Mono
+		}
+		c.schedule(now, kind)
+	}
+	if kind == urgentCycle {
+		c.wakeAt(now, c.lastFullCycleAt+minCycleInterval)
 	}
 	c.emitProbes(now)
 	out := c.pendingActions
+	out.Scheduled = kind != noCycle
 	c.pendingActions = Actions{}
 	return out
 }
--- a/internal/core/dispatch/cycle.go
+++ b/internal/core/dispatch/cycle.go
@@ -17,6 +17,8 @@
 	// valid when further runs are placed in the cycle: steps are handled in the order of
 	// byPriority, so that no later step may preempt these runs.
 	runsByLoss map[*worker][]*run
+	// gangLoss caches the loss of stopping a gang that runs, by its step.
+	gangLoss map[*step]float64
 	// utilisation is that of the scarcest resource; negative until it has been computed.
 	utilisation float64
 }
@@ -48,12 +50,12 @@
 	free, rackFree int
 	// rackCapacity is the number that would fit in the largest rack if it were empty.
 	rackCapacity int
-	// byRack is the number that fits now in each rack.
-	byRack map[string]int
+	// byRack is the number that fits now in each rack, by rackIndex.
+	byRack []int
 }
 
 func newCycle() *cycle {
-	return &cycle{pools: map[pool]*poolWorkers{}, slots: map[slotShape]*slots{}, runsByLoss: map[*worker][]*run{}, utilisation: -1}
+	return &cycle{pools: map[pool]*poolWorkers{}, slots: map[slotShape]*slots{}, runsByLoss: map[*worker][]*run{}, gangLoss: map[*step]float64{}, utilisation: -1}
 }
 
 // pool returns the pool of s.
@@ -76,7 +78,7 @@
 				p.usable = append(p.usable, w)
 			}
 		}
-		p.racks = groupByRack(p.usable)
+		p.racks = c.byRackIndex(p.usable)
 		c.cycle.pools[key] = p
 	}
 	return p
@@ -87,7 +89,7 @@
 	key := slotShape{s.pool(), s.spec.Charge(), s.spec.MaxPerWorker}
 	sl := c.cycle.slots[key]
 	if sl == nil {
-		sl = &slots{byRack: map[string]int{}}
+		sl = &slots{byRack: make([]int, c.racks)}
 		for _, rack := range c.poolOf(now, s).racks {
 			free, capacity := 0, 0
 			for _, w := range rack {
@@ -97,13 +99,36 @@
 			sl.free += free
 			sl.rackFree = max(sl.rackFree, free)
 			sl.rackCapacity = max(sl.rackCapacity, capacity)
-			sl.byRack[rack[0].Rack] = free
+			sl.byRack[rack[0].rackIndex] = free
 		}
 		c.cycle.slots[key] = sl
 	}
 	return sl
 }
 
+// indexRacks numbers the racks in the order of their names.
+func (c *Core) indexRacks() {
+	if c.racksIndexed {
+		return
+	}
+	groups := groupByRack(c.sortedWorkers)
+	for i, g := range groups {
+		for _, w := range g {
+			w.rackIndex = i
+		}
+	}
+	c.racks, c.racksIndexed = len(groups), true
+}
+
+// byRackIndex groups workers by rack, in the order of the rack names, as groupByRack does.
+func (c *Core) byRackIndex(workers []*worker) [][]*worker {
+	groups := make([][]*worker, c.racks)
+	for _, w := range workers {
+		groups[w.rackIndex] = append(groups[w.rackIndex], w)
+	}
+	return slices.DeleteFunc(groups, func(g []*worker) bool { return len(g) == 0 })
+}
+
 // scored is a worker with its score for a step; a lower score is better.
 type scored struct {
 	worker *worker
--- a/internal/core/dispatch/gang.go
+++ b/internal/core/dispatch/gang.go
@@ -103,7 +103,7 @@
 	var best []*worker
 	bestTotal := 0.0
 	for _, rack := range p.racks {
-		if sl.byRack[rack[0].Rack] < len(s.tasks) {
+		if sl.byRack[rack[0].rackIndex] < len(s.tasks) {
 			continue
 		}
 		group := filter(rack, eligible)
--- a/internal/core/dispatch/preempt.go
+++ b/internal/core/dispatch/preempt.go
@@ -13,9 +13,15 @@
 // runs to stop.
 const planTimeout = 2500 * time.Millisecond
 
-// preemptInterval is the minimum time between two searches for runs to preempt for the same step.
+// preemptInterval is the mean time between two searches for runs to preempt for the same step.
 const preemptInterval = 100 * time.Millisecond
 
+// nextPreemption returns when a step that searches now may search again. The times are the same for
+// all steps, so that they share what a cycle computes.
+func nextPreemption(now time.Duration) time.Duration {
+	return ((now+preemptInterval/2)/preemptInterval + 1) * preemptInterval
+}
+
 // plan assigns a step's tasks to the workers on which a preemption is freeing capacity.
 type plan struct {
 	workerOf map[*task]*worker
@@ -83,7 +89,7 @@
 		c.wakeAt(now, s.nextPreemptAt)
 		return false
 	}
-	s.nextPreemptAt = now.Mono + preemptInterval
+	s.nextPreemptAt = nextPreemption(now.Mono)
 	p := c.poolOf(now, s)
 	groups := [][]*worker{p.usable}
 	if s.spec.SameRack && s.spec.Gang {
@@ -180,61 +186,122 @@
 // workers that already run urgent work.
 const packingLoss = 200.0
 
+// candidate is a worker that a search for runs to stop may choose for the next task.
+type candidate struct {
+	worker *worker
+	// free is what is free once the stopping runs and the victims chosen so far have ended, less
+	// the tasks placed so far. placed counts the step's tasks on the worker.
+	free   job.Resources
+	placed int
+	// victims are the runs to stop for one more task, and cost their loss; ok is false if even all
+	// runs that may be stopped would not free enough. They are out of date while stale is set.
+	victims []*run
+	cost    float64
+	ok      bool
+	stale   bool
+	// packing is the extra loss that counts for the worker, and left the rest that would stay free.
+	packing, left float64
+}
+
+// better reports whether k is a better choice than o.
+func (k *candidate) better(o *candidate) bool {
+	a, b := k.cost+k.packing, o.cost+o.packing
+	return a < b || a == b && k.left < o.left
+}
+
+// eviction search state: the candidates in the order of their group, their positions, and the runs
+// chosen so far.
+type evictionSearch struct {
+	candidates []candidate
+	index      map[*worker]int
+	chosen     map[*run]bool
+}
+
+// newEvictionSearch returns the search for n tasks of s in a group, or nil if even all runs that s may
+// preempt would not free enough.
+func (c *Core) newEvictionSearch(now Now, s *step, n int, group []*worker) *evictionSearch {
+	need := s.spec.Charge()
+	search := &evictionSearch{candidates: make([]candidate, len(group))}
+	room := 0
+	for i, w := range group {
+		all := w.freeAfterStops()
+		search.candidates[i] = candidate{worker: w, free: all, stale: true}
+		for _, r := range c.byLoss(now, w) {
+			if mayPreempt(s, r) {
+				all = all.Plus(r.need)
+			}
+		}
+		room += timesFit(all, need, s.spec.MaxPerWorker)
+	}
+	if room < n {
+		return nil
+	}
+	search.index, search.chosen = make(map[*worker]int, len(group)), map[*run]bool{}
+	for i := range search.candidates {
+		k := &search.candidates[i]
+		search.index[k.worker] = i
+		k.packing, k.left = packingLoss*k.worker.nonUrgentShare(need), leftover(k.worker, need)
+		if s.spec.MaxPerWorker > 0 {
+			k.placed = s.countOnWorker(k.worker)
+		}
+	}
+	return search
+}
+
+// choose marks a victim and the rest of its gang as chosen, adds them to e and counts what they free.
+func (search *evictionSearch) choose(victim *run, e *eviction) {
+	for _, m := range gangOf(victim) {
+		if search.chosen[m] {
+			continue
+		}
+		search.chosen[m] = true
+		e.victims = append(e.victims, m)
+		if i, ok := search.index[m.worker]; ok {
+			k := &search.candidates[i]
+			k.free, k.stale = k.free.Plus(m.need), true
+		}
+	}
+}
+
 // findEviction selects workers in a group for n tasks of s, and the runs to stop on them. It
-// returns nil if not all tasks can be placed. It does not stop any run.
+// returns nil if not all tasks can be placed. It does not stop any run. After each choice only the
+// workers that it concerns are considered anew: on a large fleet most are not.
 func (c *Core) findEviction(now Now, s *step, n int, group []*worker) *eviction {
-	need := s.spec.Charge()
-	chosen := map[*run]bool{}
-	free := map[*worker]job.Resources{}
-	for _, w := range group {
-		free[w] = w.freeAfterStops()
+	search := c.newEvictionSearch(now, s, n, group)
+	if search == nil {
+		return nil
 	}
+	need := s.spec.Charge()
 	e := &eviction{}
 	for range n {
-		var best *worker
-		var bestVictims []*run
-		bestCost, bestRank := 0.0, 0.0
-		for _, w := range group {
-			if s.spec.MaxPerWorker > 0 && s.countOnWorker(w)+countWorker(e.workers, w) >= s.spec.MaxPerWorker {
+		var best *candidate
+		for i := range search.candidates {
+			k := &search.candidates[i]
+			if s.spec.MaxPerWorker > 0 && k.placed >= s.spec.MaxPerWorker {
 				continue
 			}
-			victims, cost, ok := c.victims(now, s, w, free[w], need, chosen)
-			rank := cost + packingLoss*w.nonUrgentShare(need)
-			if ok && (best == nil || rank < bestRank || rank == bestRank && leftover(w, need) < leftover(best, need)) {
-				best, bestVictims, bestCost, bestRank = w, victims, cost, rank
+			if k.stale {
+				k.victims, k.cost, k.ok = c.victims(now, s, k.worker, k.free, need, search.chosen)
+				k.stale = false
+			}
+			if k.ok && (best == nil || k.better(best)) {
+				best = k
 			}
 		}
 		if best == nil {
 			return nil
 		}
-		for _, v := range bestVictims {
-			for _, m := range gangOf(v) {
-				if !chosen[m] {
-					chosen[m] = true
-					e.victims = append(e.victims, m)
-					if f, ok := free[m.worker]; ok {
-						free[m.worker] = f.Plus(m.need)
-					}
-				}
-			}
+		for _, v := range best.victims {
+			search.choose(v, e)
 		}
-		free[best] = free[best].Minus(need)
-		e.workers = append(e.workers, best)
-		e.cost += bestCost
+		best.free, best.stale = best.free.Minus(need), true
+		best.placed++
+		e.workers = append(e.workers, best.worker)
+		e.cost += best.cost
 	}
 	return e
 }
 
-func countWorker(workers []*worker, w *worker) int {
-	n := 0
-	for _, a := range workers {
-		if a == w {
-			n++
-		}
-	}
-	return n
-}
-
 // freeAfterStops returns the free capacity of w once its stopping runs have ended.
 func (w *worker) freeAfterStops() job.Resources {
 	return w.free().Plus(w.stoppingResources())
@@ -243,7 +310,7 @@
 // stoppingResources returns the resources of the stopping runs of w.
 func (w *worker) stoppingResources() job.Resources {
 	var sum job.Resources
-	for r := range w.runs {
+	for _, r := range w.orderedRuns() {
 		if r.phase == stopping {
 			sum = sum.Plus(r.need)
 		}
@@ -280,7 +347,7 @@
 			continue
 		}
 		needed = append(needed, picked[i])
-		cost += c.lossOf(now, picked[i])
+		cost += picked[i].loss
 	}
 	return needed, cost, true
 }
@@ -292,15 +359,28 @@
 		return runs
 	}
 	runs := c.runsOf(w)
-	loss := make(map[*run]float64, len(runs))
 	for _, r := range runs {
-		loss[r] = c.lossOf(now, r)
+		r.loss = c.cycleLoss(now, r)
 	}
-	slices.SortStableFunc(runs, func(a, b *run) int { return cmp.Compare(loss[a], loss[b]) })
+	slices.SortStableFunc(runs, func(a, b *run) int { return cmp.Compare(a.loss, b.loss) })
 	c.cycle.runsByLoss[w] = runs
 	return runs
 }
 
+// cycleLoss is lossOf, computed once in a cycle for all members of a gang.
+func (c *Core) cycleLoss(now Now, r *run) float64 {
+	s := r.task.step
+	if !s.spec.Gang || r.phase == stopping {
+		return c.lossOf(now, r)
+	}
+	loss, ok := c.cycle.gangLoss[s]
+	if !ok {
+		loss = c.lossOf(now, r)
+		c.cycle.gangLoss[s] = loss
+	}
+	return loss
+}
+
 // mayPreempt reports whether s may preempt r: r has lower priority, or s is within its
 // organisation's guarantee and r is not. Long-running, adopted and stopping runs, and runs of
 // tasks that are done, are never preempted.
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"slices"
+
 	"agatewinch/internal/core/job"
 )
 
@@ -20,6 +22,7 @@
 	if before != len(c.sortedWorkers) {
 		c.setRackPositions()
 	}
+	c.racksIndexed = false
 	c.evacuate(now)
 	for _, w := range c.sortedWorkers {
 		if w.listed && !present[w.ID] {
@@ -70,14 +73,20 @@
 	w.labels[info.Rack] = true
 }
 
-// runsOf returns the runs on w in a reproducible order.
-func (c *Core) runsOf(w *worker) []*run {
-	runs := make([]*run, 0, len(w.runs))
-	for r := range w.runs {
-		runs = append(runs, r)
-	}
-	sortRuns(runs)
-	return runs
+// runsOf returns the runs on w in a reproducible order. The caller may add and remove runs while it
+// goes through them.
+func (c *Core) runsOf(w *worker) []*run { return slices.Clone(w.orderedRuns()) }
+
+// orderedRuns returns the runs on w in a reproducible order, as a slice that is shared.
+func (w *worker) orderedRuns() []*run {
+	if w.runsByTask == nil {
+		w.runsByTask = make([]*run, 0, len(w.runs))
+		for r := range w.runs {
+			w.runsByTask = append(w.runsByTask, r)
+		}
+		sortRuns(w.runsByTask)
+	}
+	return w.runsByTask
 }
 
 // StartAnswered handles the outcome of a start order. If it is Fenced, the run is left as it is,
--- a/internal/core/dispatch/schedule.go
+++ b/internal/core/dispatch/schedule.go
@@ -19,19 +19,54 @@
 	minCycleInterval = 20 * time.Millisecond
 )
 
-// cycleDue reports whether a scheduling cycle should run now. Rate-limiting matters when the
-// queue is long and a run ends every few milliseconds.
-func (c *Core) cycleDue(now Now) bool {
+// cycleKind says which steps a scheduling cycle considers.
+type cycleKind uint8
+
+const (
+	noCycle cycleKind = iota
+	// urgentCycle considers urgent steps only. It runs between full cycles while these are
+	// rate-limited.
+	urgentCycle
+	fullCycle
+)
+
+// maxCycleShare bounds the share of time that scheduling cycles take: where a cycle is expensive, the
+// rest is left to renewing leases, to ends of runs and to callers.
+const maxCycleShare = 1.0 / 3
+
+// cycleDue returns which scheduling cycle should run now. Rate-limiting matters when the queue is long
+// and a run ends every few milliseconds.
+func (c *Core) cycleDue(now Now) cycleKind {
+	woken := c.wake > 0 && now.Mono >= c.wake
+	if !woken && !c.inputsChanged {
+		return noCycle
+	}
+	if earliest := c.lastCycleAt + time.Duration(float64(c.meanCycleTime)/maxCycleShare); now.Mono < earliest {
+		if woken || c.wake == 0 || earliest < c.wake {
+			c.wake = earliest
+		}
+		return noCycle
+	}
+	nextFull := c.lastFullCycleAt + minCycleInterval
 	switch {
-	case c.wake > 0 && now.Mono >= c.wake:
-		return true
-	case !c.inputsChanged:
-		return false
-	case c.urgentMayStart || c.backlog < largeBacklog || now.Mono >= c.lastCycleAt+minCycleInterval:
-		return true
-	}
-	c.wakeAt(now, c.lastCycleAt+minCycleInterval)
-	return false
+	case woken, c.backlog < largeBacklog, now.Mono >= nextFull:
+		return fullCycle
+	case c.urgentMayStart:
+		return urgentCycle
+	}
+	c.wakeAt(now, nextFull)
+	return noCycle
+}
+
+// cycleTimeWeight is the weight of the newest cycle in the moving average of the time of a cycle.
+const cycleTimeWeight = 0.25
+
+// CycleTook tells the core how long a call of TakeActions took in which a cycle ran.
+func (c *Core) CycleTook(d time.Duration) {
+	if c.meanCycleTime == 0 {
+		c.meanCycleTime = d
+	}
+	c.meanCycleTime += time.Duration(cycleTimeWeight * float64(d-c.meanCycleTime))
 }
 
 // Wake returns the monotonic time (Now.Mono) at which TakeActions must be called even if no event
@@ -39,10 +74,12 @@
 func (c *Core) Wake() time.Duration { return c.wake }
 
 // schedule runs one scheduling cycle: it first executes preemption plans whose capacity has
-// become free, then places the other ready steps in order of priority.
-func (c *Core) schedule(now Now) {
+// become free, then places the other ready steps in order of priority. An urgent cycle ends with the
+// urgent steps, and a full one follows.
+func (c *Core) schedule(now Now, kind cycleKind) {
 	c.wake = 0
 	c.cycle = newCycle()
+	c.indexRacks()
 	c.applyGuarantees()
 	steps := c.readySteps(now)
 	c.backlog = len(steps)
@@ -58,8 +95,13 @@
 		c.requestAdvice(now, s)
 	}
 	full := fullShapes{}
-	c.renewReservations(now)
+	if kind == fullCycle {
+		c.renewReservations(now)
+	}
 	for _, s := range steps {
+		if kind == urgentCycle && s.job.spec.Priority != urgentPriority {
+			break
+		}
 		if s.plan != nil || s.spec.Gang && s.advice.inFlight {
 			continue
 		}
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -150,6 +150,9 @@
 	// confirmed is set once the worker has accepted the start or listed the run, at confirmedAt.
 	confirmed   bool
 	confirmedAt time.Duration
+	// loss is the work that is lost if the run is stopped, in core-seconds, as byLoss computed it in
+	// this scheduling cycle.
+	loss float64
 	// listed is set once the current incarnation of the worker has listed the run.
 	listed bool
 	// stopSent, stopAcked and stopAckedAt track the stop call; nextStopAt is when it may be
@@ -245,6 +248,10 @@
 	// serving counts the serving runs, which answer requests, and bestEffort the best-effort runs,
 	// which use idle CPU.
 	serving, bestEffort int
+	// runsByTask caches the runs in the order of sortRuns. It is nil after a run was added or removed.
+	runsByTask []*run
+	// rackIndex is the position of the worker's rack among the names of all racks.
+	rackIndex int
 	// runsByEnd caches the runs in the order of their expected ends. It is nil after a run was
 	// added, removed or stopped; progress reports do not reset it.
 	runsByEnd []*run
--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -15,7 +15,11 @@
 func (l *leader) dispatchActions(ctx context.Context) {
 	var actions dispatch.Actions
 	if l.permission.valid() {
+		began := time.Now()
 		actions = l.core.TakeActions(l.now())
+		if actions.Scheduled {
+			l.core.CycleTook(time.Since(began))
+		}
 	} else {
 		actions = l.core.TakeProbes(l.now())
 	}
--- a/internal/entry/dispatchloop.go
+++ b/internal/entry/dispatchloop.go
@@ -61,6 +61,8 @@
 	// unreachableSince is when most workers stopped answering this host; zero while they
 	// answer.
 	unreachableSince time.Time
+	// workersListed is set once the list of workers has been read.
+	workersListed bool
 	// wavesOpen is set while an upkeep wave is open, so that the machines have to be listed.
 	wavesOpen atomic.Bool
 }
@@ -117,9 +119,9 @@
 		case <-tick.C:
 			l.core.Tick(l.now())
 			l.sweep(ctx)
-			if l.mostWorkersUnreachable() {
+			if why := l.cannotServe(); why != "" {
 				l.host.role.suspendClaims()
-				return l.release(ctx, "most workers do not answer this host")
+				return l.release(ctx, why)
 			}
 		}
 		if l.lossReason != "" {
@@ -162,7 +164,7 @@
 	now := l.now()
 	l.host.ledger.TrackUpdates(true) // all earlier jobs are added below
 	if list, err := l.host.workerList.List(context.Background()); err == nil {
-		l.core.SetWorkers(now, list)
+		l.setWorkers(now, list)
 	} else {
 		event.Error(l.host.logger, err, event.LogLost, "topic", "workers")
 	}
@@ -222,10 +224,27 @@
 		if !reads.observe(ctx, l.host.logger, err) {
 			continue
 		}
-		l.post(func(now dispatch.Now) { l.core.SetWorkers(now, list) })
+		l.post(func(now dispatch.Now) { l.setWorkers(now, list) })
 	}
 }
 
+func (l *leader) setWorkers(now dispatch.Now, list []dispatch.WorkerInfo) {
+	l.workersListed = true
+	l.core.SetWorkers(now, list)
+}
+
+// cannotServe returns why this host should leave the role to another one, or the empty string. A
+// leader that has never read the list of workers, or that most of them do not answer, places nothing.
+func (l *leader) cannotServe() string {
+	switch {
+	case !l.workersListed && time.Since(l.startedAt) >= minLeaderTime:
+		return "the list of workers cannot be read"
+	case l.mostWorkersUnreachable():
+		return "most workers do not answer this host"
+	}
+	return ""
+}
+
 // mostWorkersUnreachable reports whether most workers have not answered this host for
 // unreachableTimeout. It covers a network partition around the leader's zone, while hosts in
 // other zones still reach the workers.
--- a/internal/entry/role_test.go
+++ b/internal/entry/role_test.go
@@ -248,6 +248,37 @@
 	assert.Equal(t, len(w.starts), 2)
 }
 
+// listOfOthers fails to list the workers for the host that asks first.
+type listOfOthers struct {
+	*workers
+	host  string
+	first *atomic.Pointer[string]
+}
+
+func (l listOfOthers) List(ctx context.Context) ([]dispatch.WorkerInfo, error) {
+	l.first.CompareAndSwap(nil, &l.host)
+	if *l.first.Load() == l.host {
+		return nil, sharedlog.ErrUnknown
+	}
+	return l.workers.List(ctx)
+}
+
+// The leader can append to the log, but the list of workers does not reach it.
+func TestLeaderWithoutAListOfWorkersGivesUpTheRole(t *testing.T) {
+	log, first := memlog.New(), &atomic.Pointer[string]{}
+	hosts, _ := runWith(t, 2, func(w *workers, name string) *Host {
+		h := newHost(log, w, name)
+		h.workerList = listOfOthers{w, name, first}
+		return h
+	})
+	assert.NilError(t, hosts[1].Submit(context.Background(), &queue, "org", submission("0000000000000001")))
+	eventually(t, func() bool {
+		state, err := hosts[1].State(context.Background(), &queue, "org", "0000000000000001")
+		return err == nil && state == job.Succeeded
+	})
+	assert.Assert(t, hosts[0].ledger.Role().Holder != *first.Load())
+}
+
 // directSuccessors calls the hosts of a test directly, without the network.
 type directSuccessors struct{ hosts atomic.Pointer[[]*Host] }
 
--- a/internal/entry/topicreader.go
+++ b/internal/entry/topicreader.go
@@ -25,6 +25,8 @@
 	lastContact time.Time
 	// caughtUp is set once the topic has been read to its end.
 	caughtUp bool
+	// behind is set while the last read has left records.
+	behind bool
 	// lost is set while reads fail.
 	lost bool
 	// failedAt is when a read last failed: the log refused it or did not answer.
@@ -75,7 +77,7 @@
 		}
 		retry.Reset()
 		progressed = r.position() != before
-		if progressed && !r.host.role.isLeading() {
+		if progressed && !r.isBehind() && !r.host.role.isLeading() {
 			r.pauseForBatch(ctx)
 			progressed = false
 		}
@@ -141,9 +143,8 @@
 	}
 	r.host.applyRecords(records)
 	r.nextOffset += int64(len(records))
-	if r.nextOffset >= end {
-		r.caughtUp = true
-	}
+	r.behind = r.nextOffset < end
+	r.caughtUp = r.caughtUp || !r.behind
 	r.markAnswered()
 	if len(records) > 0 {
 		close(r.applied)
@@ -271,6 +272,12 @@
 	return r.nextOffset
 }
 
+func (r *topicReader) isBehind() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.behind
+}
+
 func (r *topicReader) isLost() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
