The leader role goes to one of the largest hosts

Small hosts waited 152 ms longer, less than the spread of the claims (150 ms) and of the checks (100 ms) together.

Change: hosts record their processor share with their address, and a host waits by how much it lacks to the largest one; half of its share is enough to come after all of them. Where all hosts are alike nobody waits for a larger one; the constant of 0.8 cores that this replaces made them.

Tests: TestHostWithMoreCPUClaimsFirst (now for 50 pairs of names, against the spread of claims and checks), TestSmallHostsClaimAtOnceWhereNoneIsLarger. Ruled out: a hand-over by a leader that falls behind; it costs a second takeover.

--- a/internal/entry/jobwriter_test.go
+++ b/internal/entry/jobwriter_test.go
@@ -87,8 +87,25 @@
 }
 
 func TestHostWithMoreCPUClaimsFirst(t *testing.T) {
-	small, large := newHost(memlog.New(), &workers{}, "host"), newHost(memlog.New(), &workers{}, "host")
-	small.settings.Cores, large.settings.Cores = 0.2, 0.8
-	assert.Assert(t, large.role.claimDelay() < small.role.claimDelay())
-	assert.Assert(t, small.role.claimDelay() < lowCPUDelay+claimSpread)
+	for n := range 50 {
+		small, large := newHost(memlog.New(), &workers{}, fmt.Sprintf("small-%d", n)), newHost(memlog.New(), &workers{}, fmt.Sprintf("large-%d", n))
+		small.settings.Cores, large.settings.Cores = 0.2, 0.8
+		for _, h := range []*Host{small, large} {
+			rec, err := ledger.HostRecord("other", ledger.HostEntry{Cores: 0.8})
+			assert.NilError(t, err)
+			h.applyRecords([]sharedlog.Record{rec})
+		}
+		assert.Assert(t, large.role.claimDelay()+claimCheckInterval < small.role.claimDelay())
+		assert.Assert(t, small.role.claimDelay() < lowCPUDelay+claimSpread)
+	}
+}
+
+// Where all hosts are alike, none of them waits for a larger one.
+func TestSmallHostsClaimAtOnceWhereNoneIsLarger(t *testing.T) {
+	h := newHost(memlog.New(), &workers{}, "host")
+	h.settings.Cores = 0.2
+	rec, err := ledger.HostRecord("other", ledger.HostEntry{Cores: 0.2})
+	assert.NilError(t, err)
+	h.applyRecords([]sharedlog.Record{rec})
+	assert.Assert(t, h.role.claimDelay() <= claimSpread)
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -22,7 +22,7 @@
 			return nil
 		}
 	}
-	entry := ledger.HostEntry{Address: h.settings.PeerListen, Zone: h.settings.Zone}
+	entry := ledger.HostEntry{Address: h.settings.PeerListen, Zone: h.settings.Zone, Cores: h.settings.Cores}
 	if h.ledger.Hosts()[h.settings.Host] == entry {
 		return nil
 	}
--- a/internal/entry/role.go
+++ b/internal/entry/role.go
@@ -25,12 +25,11 @@
 	// claimSpread is the range over which hosts spread their claims, so that one of them comes
 	// first.
 	claimSpread = 150 * time.Millisecond
-	// lowCPUDelay is the extra claim delay of a host with no CPU share, compared with one that
-	// has sufficientCores, so that the leader runs on a host that can keep up.
-	lowCPUDelay = 200 * time.Millisecond
-	// sufficientCores, a fraction of a processor core, is more than the leader uses on the largest
-	// sites.
-	sufficientCores = 0.8
+	// lowCPUDelay is the extra claim delay of a host with no CPU share, compared with the largest
+	// host: a leader needs the more processor time the larger the fleet. A host with half the
+	// share of the largest ones then claims after all of them, however claimSpread and
+	// claimCheckInterval fall.
+	lowCPUDelay = 2 * (claimSpread + claimCheckInterval)
 	// claimCheckInterval is how often a standby checks whether it should claim the role.
 	claimCheckInterval = 100 * time.Millisecond
 	// maxTimeWithoutLog is how long a leader keeps renewing worker leases while the log does not
@@ -77,7 +76,10 @@
 // claimDelay returns how long this host delays its claim so that other hosts can claim the role
 // first. It is longer on hosts with less CPU, and differs between hosts.
 func (r *role) claimDelay() time.Duration {
-	lack := max(0, sufficientCores-r.host.settings.Cores) / sufficientCores
+	lack := 0.0
+	if most := r.host.ledger.MostCores(); most > 0 {
+		lack = max(0, 1-r.host.settings.Cores/most)
+	}
 	return time.Duration(lack*float64(lowCPUDelay)) + time.Duration(hostHash(r.host.settings.Host)%1000)*claimSpread/1000
 }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -56,6 +56,8 @@
 	// Address is the address at which peers reach the host.
 	Address string `cbor:"1,keyasint"`
 	Zone    string `cbor:"2,keyasint"`
+	// Cores is the number of processor cores that the host may use; zero if it is not known.
+	Cores float64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Ended is the record of a job's end.
@@ -272,6 +274,17 @@
 	return maps.Clone(l.hosts)
 }
 
+// MostCores returns the number of processor cores of the largest host.
+func (l *Ledger) MostCores() float64 {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	most := 0.0
+	for _, e := range l.hosts {
+		most = max(most, e.Cores)
+	}
+	return most
+}
+
 // StateRecords returns the number of leader records that were applied.
 func (l *Ledger) StateRecords() uint64 {
 	l.mu.RLock()
