A refused leader asks the largest hosts to take over

Change: hosts with the most processor cores are asked first, in all zones. Test: TestLargestHostsAreAskedToTakeOver.

--- a/internal/entry/jobwriter_test.go
+++ b/internal/entry/jobwriter_test.go
@@ -109,3 +109,16 @@
 	h.applyRecords([]sharedlog.Record{rec})
 	assert.Assert(t, h.role.claimDelay() <= claimSpread)
 }
+
+// A leader that the log refuses asks the largest hosts of all zones, not any host of its own.
+func TestLargestHostsAreAskedToTakeOver(t *testing.T) {
+	h := newHost(memlog.New(), &workers{}, "host")
+	h.settings.Zone = "a"
+	for i, e := range []ledger.HostEntry{{Address: "small-a", Zone: "a", Cores: 0.2}, {Address: "large-b", Zone: "b", Cores: 0.8}, {Address: "small-b", Zone: "b", Cores: 0.2}, {Address: "large-a", Zone: "a", Cores: 0.8}} {
+		rec, err := ledger.HostRecord(fmt.Sprintf("host-%d", i), e)
+		assert.NilError(t, err)
+		h.applyRecords([]sharedlog.Record{rec})
+	}
+	asked := h.Successors()
+	assert.DeepEqual(t, asked, []string{"large-a", "large-b", "small-a", "small-b"})
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"math/rand/v2"
@@ -65,6 +66,18 @@
 	return append(sameZone, otherZones...)
 }
 
+// Successors implements relay.Host. It returns the other hosts, those with the most processor cores
+// first, so that the leader role does not go to a host that cannot keep up with a large fleet.
+func (h *Host) Successors() []string {
+	cores := map[string]float64{}
+	for _, e := range h.ledger.Hosts() {
+		cores[e.Address] = e.Cores
+	}
+	peers := h.Peers()
+	slices.SortStableFunc(peers, func(a, b string) int { return cmp.Compare(cores[b], cores[a]) })
+	return peers
+}
+
 // Version implements relay.Host.
 func (h *Host) Version() int64 {
 	h.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -43,6 +43,9 @@
 type Host interface {
 	// Peers returns the addresses of the other hosts in order of preference.
 	Peers() []string
+	// Successors returns the addresses of the peers in the order in which they should be asked to
+	// take over the leader role.
+	Successors() []string
 	// Version returns the version of the newest configuration that the host knows of.
 	Version() int64
 	// TakeOver makes the host claim the leader role without waiting for the leader's timeout.
@@ -115,7 +118,7 @@
 func (r *Relay) askPeers(req *http.Request, body []byte, own *Answer) *Answer {
 	unknown := own.kind() == errkind.OutcomeUnknown
 	message := Request{Method: req.Method, Host: req.Host, Path: req.URL.RequestURI(), Header: req.Header, Body: body, RemoteAddress: req.RemoteAddr, MinVersion: r.host.Version()}
-	for _, address := range r.pickPeers() {
+	for _, address := range r.pick(r.host.Peers()) {
 		answer, err := r.call(req.Context(), address, &message)
 		r.logOutcome(req, address, own, answer, err)
 		switch {
@@ -154,7 +157,7 @@
 
 // AskSuccessor asks peers to take over the leader role, until one of them agrees.
 func (r *Relay) AskSuccessor(ctx context.Context, epoch int64, holder string) bool {
-	for _, address := range r.pickPeers() {
+	for _, address := range r.pick(r.host.Successors()) {
 		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 		err := r.client(address).Call(ctx, wire.KindTakeOver, TakeOver{Epoch: epoch, Holder: holder}, &struct{}{})
 		cancel()
@@ -181,9 +184,8 @@
 	return c
 }
 
-// pickPeers returns the peers to call for one request.
-func (r *Relay) pickPeers() []string {
-	all := r.host.Peers()
+// pick returns the peers to call for one request, of those given in the order of preference.
+func (r *Relay) pick(all []string) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var picked []string
