--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -28,7 +28,7 @@
 func (h *host) Peers() []string { return h.peers }
 
 func (h *host) Successors() []string { return h.peers }
-func (h *host) Version() int64  { return h.version }
+func (h *host) Version() int64       { return h.version }
 func (h *host) TakeOver(epoch int64, _ string) error {
 	h.epoch.Store(epoch)
 	return h.refusal
