--- a/internal/core/dispatch/preempt.go
+++ b/internal/core/dispatch/preempt.go
@@ -209,8 +209,8 @@
 	return a < b || a == b && k.left < o.left
 }
 
-// eviction search state: the candidates in the order of their group, their positions, and the runs
-// chosen so far.
+// evictionSearch is the state of one search: the candidates in the order of their group, their
+// positions, and the runs chosen so far.
 type evictionSearch struct {
 	candidates []candidate
 	index      map[*worker]int
