scheduler: let the test of a queued job make sure that the job is queued

Cause, traced: the failing log restores 3 records, every passing one 2. The test ended the first leader right after it had accepted the job, while the leader did not know yet that w1 is leaving: it may have placed the job, and the third record is that placement. That is the documented behaviour (docs/design/gangs.md): nobody can prove to the new leader that no task of a job that is not idempotent ran. The case is allowed; it is not the one that the test names.

Change: the test waits, as another of this file does, until the leader places nothing on w1; what it asserts is unchanged. The other case has a test of its own, TestJobWithARecordedPlacementIsUnknownUnderTheNewLeader: outcome unknown, ran unknown, no start.

--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -244,6 +244,7 @@
 	first := c.start("h1")
 	c.waitServing(first)
 	c.backend.change("w1", func(w *fakeWorker) { w.leaving = true })
+	c.eventually("the leader places nothing on w1", func() bool { return first.stats.Load().FreeAccelerators == 8 })
 	req := submission("r1", false, false)
 	_, err := first.submit(t, req)
 	assert.NilError(t, err)
@@ -254,6 +255,30 @@
 	c.eventually("both tasks started", func() bool { return c.backend.startsOf(req.Job.ID) == 2 })
 }
 
+// The leader ends between the record of a placement and its first start. Nobody can tell the new
+// leader that no task ran, so that a job that is not idempotent ends as unknown and never starts.
+func TestJobWithARecordedPlacementIsUnknownUnderTheNewLeader(t *testing.T) {
+	c := newCluster(t)
+	first := c.start("h1")
+	c.waitServing(first)
+	c.backend.change("w1", func(w *fakeWorker) { w.leaving = true }) // the leader does not know yet
+	req := submission("r1", false, false)
+	before := len(c.log.Records(platform.StreamJobs))
+	_, err := first.submit(t, req)
+	assert.NilError(t, err)
+	c.eventually("the placement is recorded", func() bool { return len(c.log.Records(platform.StreamJobs)) >= before+2 })
+	first.kill()
+	assert.Equal(t, c.backend.startsOf(req.Job.ID), 0)
+	c.backend.change("w1", func(w *fakeWorker) { w.leaving = false })
+	second := c.start("h2")
+	c.waitActive(second)
+	reply, err := second.handleWait(t.Context(), wire.Wait{Job: req.Job.ID, Wait: 20 * time.Second})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Outcome.Kind, errkind.OutcomeUnknown)
+	assert.Equal(t, reply.Outcome.Ran, errkind.RanUnknown)
+	assert.Equal(t, c.backend.startsOf(req.Job.ID), 0)
+}
+
 func TestRetryWithAnotherBodyIsRefused(t *testing.T) {
 	c := newCluster(t)
 	n := c.start("h1")
