A repeated append does not renew the leader's permission

The log answers the repeat of an append with its first answer, whatever has happened since. A leader whose answer was lost, and that was paused while a successor took over, repeated the append, was told 200 and counted the permission from the repeat: it acted on a permission that had run out. Fences on the log and on the workers that the successor had called were all that kept it from harm.

Change: the permission counts from the first try. A leader without one appends at once instead of at the next renewal. Upkeep orders, which had only the check before the decision, are checked just before they are sent too.

Ruled out: no repeats; a lost answer would then end every leader's time.

Tests, which fail before: TestRepeatedAppendDoesNotRenewThePermission, TestLeaderWithoutPermissionAppendsAtOnce.

--- a/internal/entry/permission.go
+++ b/internal/entry/permission.go
@@ -6,8 +6,8 @@
 )
 
 // permission is the leader's permission to send orders. Each record that the log accepts from the
-// leader renews it until leaderTimeout after the record was sent, because another host claims the
-// role no sooner. It is measured by a clock that also counts the time for which the process was
+// leader renews it until leaderTimeout after the record was first sent, because another host claims
+// the role no sooner. It is measured by a clock that also counts the time for which the process was
 // paused or its machine suspended. A leader without it only extends leases, which its successor
 // allows for. It is safe for concurrent use.
 type permission struct {
--- a/internal/entry/permission_test.go
+++ b/internal/entry/permission_test.go
@@ -85,6 +85,52 @@
 	assert.Assert(t, !l.permission.valid())
 }
 
+// lostFirstAnswer loses the answer of the first append, after which the process is paused and a
+// successor claims the role. As the platform's log does, it answers the repeat as the first time.
+type lostFirstAnswer struct {
+	sharedlog.Log
+	clock   *pausableClock
+	appends int
+}
+
+func (l *lostFirstAnswer) Append(ctx context.Context, t sharedlog.Topic, records []sharedlog.Record, opt sharedlog.AppendOptions) (int64, error) {
+	l.appends++
+	offset, err := l.Log.Append(ctx, t, records, opt)
+	if l.appends > 1 || err != nil {
+		return offset, err
+	}
+	l.clock.skip(leaderTimeout)
+	successor := sharedlog.Fence{Epoch: opt.Fence.Epoch + 1, Sequence: 1}
+	if _, err := l.Log.Append(ctx, t, records, sharedlog.AppendOptions{Fence: &successor}); err != nil {
+		return 0, err
+	}
+	return 0, sharedlog.ErrUnknown
+}
+
+// The answer to a repeated append says that the leader held the role when it was first sent, and
+// nothing about the time since.
+func TestRepeatedAppendDoesNotRenewThePermission(t *testing.T) {
+	l, _, clock := pausedLeader(t)
+	log := &lostFirstAnswer{Log: memlog.New(), clock: clock}
+	l.host.log = log
+	record := recordOf(t, submission("0000000000000002"))
+	sentAt, err := l.appendWithRetry(t.Context(), []sharedlog.Record{record}, l.sequence+1)
+	assert.NilError(t, err)
+	assert.Equal(t, log.appends, 2)
+	l.appendDone(l.now(), nil, sentAt, nil)
+	assert.Assert(t, !l.permission.valid())
+}
+
+// A leader without its permission asks for a new one at once, not only at the next renewal.
+func TestLeaderWithoutPermissionAppendsAtOnce(t *testing.T) {
+	l, _, _ := pausedLeader(t)
+	l.appendedAt = time.Now()
+	l.dispatchActions(t.Context())
+	assert.Assert(t, l.appendInFlight)
+	(<-l.events)(l.now())
+	assert.Assert(t, l.permission.valid())
+}
+
 // A configuration that was confirmed before a suspension must not be used after it: keys may have
 // been withdrawn meanwhile.
 func TestConfigurationConfirmedBeforeASuspensionIsNotUsed(t *testing.T) {
--- a/internal/entry/statelog.go
+++ b/internal/entry/statelog.go
@@ -22,13 +22,14 @@
 )
 
 // append writes the core's open batch and the tombstones of expired jobs, or renews the role if there
-// is nothing to write and renewInterval has passed. Only one append is in flight at a time.
+// is nothing to write and renewInterval has passed or the permission has run out. Only one append is in
+// flight at a time.
 func (l *leader) append(ctx context.Context) {
 	if l.appendInFlight || l.lossReason != "" {
 		return
 	}
 	batch := l.core.TakeBatch()
-	if batch == nil && len(l.expired) == 0 && time.Since(l.appendedAt) < renewInterval {
+	if batch == nil && len(l.expired) == 0 && l.permission.valid() && time.Since(l.appendedAt) < renewInterval {
 		return
 	}
 	records := l.encodeBatch(batch)
@@ -84,14 +85,14 @@
 
 // appendWithRetry repeats an append, with the same sequence number, while the log refuses it or
 // leaves its outcome unknown. If the log keeps refusing it, a peer is asked to take over the
-// role, and this leader gives no more orders once one has agreed. It returns when the accepted
-// append was sent, by sinceBoot.
+// role, and this leader gives no more orders once one has agreed. It returns when the append
+// was first sent, by sinceBoot.
 func (l *leader) appendWithRetry(ctx context.Context, records []sharedlog.Record, sequence int64) (time.Duration, error) {
 	retry := newBackoff()
 	var refusedAt time.Time
 	asked := false
+	sentAt := l.host.sinceBoot() // of the first try: the log answers a repeat as it did the first time
 	for {
-		sentAt := l.host.sinceBoot()
 		offset, err := l.host.log.Append(ctx, ledger.TopicState, records, sharedlog.AppendOptions{Fence: &sharedlog.Fence{Epoch: l.epoch, Sequence: sequence}})
 		if err == nil {
 			l.host.stateReader.ingest(offset, records, offset+int64(len(records)))
--- a/internal/entry/waves.go
+++ b/internal/entry/waves.go
@@ -81,7 +81,7 @@
 	l.wavesOpen.Store(l.core.HasOpenWaves())
 	for _, u := range a.Upkeeps {
 		go func() {
-			o := l.host.fleet.Upkeep(ctx, u, l.epoch)
+			o := l.order(func() dispatch.Outcome { return l.host.fleet.Upkeep(ctx, u, l.epoch) })
 			l.post(func(now dispatch.Now) { l.checkFence(o, u.Machine); l.core.UpkeepAnswered(now, u, o) })
 		}()
 	}
