A job at its limit per worker does not hold back others of its shape

Cause: after a task has found no worker, placeTasks skips all further steps of its shape in the cycle. The first job had reached its limit of tasks on every worker; that depends on the step and is not a lack of capacity. As the first step of the shape in every cycle it hid the second job for good.

The new test isolates the shape: no reservation, no preemption and no quiet fleet is involved, and with the old place.go alone it fails: "place_test.go:24: assertion failed: 0 != 2". Ruled out: reservations (no gang waits) and work held back by preemptions (none occurs).

Fix: a shape is full only if no worker with enough capacity was skipped because of the step's limit. On the same path, a task that avoids a worker where it failed ended the search for its whole step; the next task is tried now. That test failed before as well: "place_test.go:43: 0 != 1".

--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -80,20 +80,24 @@
 	anyFree := c.slotsFor(now, s).free > 0
 	for i, t := range waiting {
 		var w *worker
+		atLimit := false
 		if anyFree {
-			w = c.bestWorker(now, s, t)
+			w, atLimit = c.bestWorker(now, s, t)
 		}
-		if w == nil {
-			if s.job.spec.Priority == urgentPriority {
-				c.preempt(now, s, waiting[i:])
-				return
-			}
-			if len(t.failedOn) == 0 && s.spec.DataRack == "" {
+		switch {
+		case w != nil:
+			c.place(now, t, w, t.latestRun+1)
+		case s.job.spec.Priority == urgentPriority:
+			c.preempt(now, s, waiting[i:])
+			return
+		case len(t.failedOn) > 0: // the other tasks may use the workers that t avoids
+		default:
+			// A worker on which s has reached its limit may have capacity for other steps of the shape.
+			if s.spec.DataRack == "" && !atLimit {
 				full[key] = true
 			}
 			return
 		}
-		c.place(now, t, w, t.latestRun+1)
 	}
 }
 
@@ -106,9 +110,10 @@
 // maxRackWait bounds the wait for a rack, because estimates are often wrong.
 const maxRackWait = 6 * time.Second
 
-// bestWorker returns the worker with the lowest score for t, or nil if none may take it now.
-func (c *Core) bestWorker(now Now, s *step, t *task) *worker {
-	var best *worker
+// bestWorker returns the worker with the lowest score for t, or nil if none may take it now. atLimit
+// is set if a worker with enough free capacity was skipped because it already has as many tasks of s
+// as s allows.
+func (c *Core) bestWorker(now Now, s *step, t *task) (best *worker, atLimit bool) {
 	var bestScore float64
 	need := s.spec.Charge()
 	anyRack := s.spec.DataRack == ""
@@ -128,6 +133,7 @@
 			continue
 		}
 		if s.spec.MaxPerWorker > 0 && s.countOnWorker(w) >= s.spec.MaxPerWorker {
+			atLimit = true
 			continue
 		}
 		if avoid && t.hasFailedOn(w) {
@@ -141,7 +147,7 @@
 			best, bestScore = w, score
 		}
 	}
-	return best
+	return best, atLimit
 }
 
 // hasAlternative reports whether there is a worker that is large enough for t and on which t
--- /dev/null
+++ b/internal/core/dispatch/place_test.go
@@ -0,0 +1,46 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"agatewinch/internal/core/job"
+)
+
+// Guards against a job that never starts on an idle fleet because an earlier one with tasks of the
+// same shape has reached its limit of tasks on every worker.
+func TestJobStartsBesideOneOfItsShapeThatHasReachedItsLimitPerWorker(t *testing.T) {
+	h := newHarness(t)
+	h.core.SetWorkers(h.clock(), h.fleet(3, whole))
+	first := single("first", 2, 4, one)
+	first.Steps[0].MaxPerWorker, first.Steps[0].LongRunning = 1, true
+	h.add(first)
+	assert.Equal(t, len(h.accept()), 3, "the fourth task exceeds the limit on each worker")
+	second := single("second", 2, 2, one)
+	second.Steps[0].MaxPerWorker = 1
+	h.add(second)
+	assert.Equal(t, len(h.starts), 2)
+	for _, s := range h.starts {
+		assert.Equal(t, s.Task.Job, "second")
+	}
+}
+
+// Guards against a task that waits for another worker after a failure and thereby blocks the tasks of
+// its step that have not failed anywhere.
+func TestTaskThatAvoidsAWorkerDoesNotBlockTheRestOfItsStep(t *testing.T) {
+	h := newHarness(t)
+	h.core.SetWorkers(h.clock(), h.fleet(2, whole))
+	h.add(single("full", 1, 1, whole))
+	h.accept()
+	h.add(single("j", 1, 9, one))
+	s := h.accept()
+	assert.Equal(t, len(s), 8, "one task waits for capacity")
+	failed := s[0]
+	h.endRun(failed, job.EndFailed)
+	h.advance(time.Second)
+	assert.Equal(t, len(h.starts), 1)
+	assert.Equal(t, h.starts[0].Task.Index, 8)
+	assert.Equal(t, h.starts[0].Worker, failed.Worker)
+}
