Guaranteed work reclaims from long-running tasks

Cause: mayPreempt never allowed a long-running run to be stopped, whoever needed the capacity.

The tests fail without the change: "preempt_test.go:117: 0 != 2" (no stop for the owner) and ":139: 0 != 1".

Fix: work within a guarantee may stop long-running runs of jobs that are not. Urgent work beyond a guarantee may not, as before (a test holds that too). A step's limit of unavailable tasks is kept within one search, in which the victims chosen so far count as unavailable; upkeep uses the same check.

Not fixed: if steps with such a limit hold more than a guarantee leaves, the owner waits. Partial reclaims of independent tasks are not made either: the search is for all waiting tasks of a step.

--- a/internal/core/dispatch/preempt.go
+++ b/internal/core/dispatch/preempt.go
@@ -250,6 +250,9 @@
 
 // choose marks a victim and the rest of its gang as chosen, adds them to e and counts what they free.
 func (search *evictionSearch) choose(victim *run, e *eviction) {
+	if victim.task.step.spec.MaxUnavailable > 0 {
+		search.invalidate() // other victims of the step may exceed its limit now
+	}
 	for _, m := range gangOf(victim) {
 		if search.chosen[m] {
 			continue
@@ -263,6 +266,26 @@
 	}
 }
 
+// invalidate marks the victims of all candidates as out of date.
+func (search *evictionSearch) invalidate() {
+	for i := range search.candidates {
+		search.candidates[i].stale = true
+	}
+}
+
+// mayStop reports whether the limit of unavailable tasks of r's step allows it to be stopped besides
+// the victims chosen so far and those picked on its worker.
+func (search *evictionSearch) mayStop(r *run, picked []*run) bool {
+	s := r.task.step
+	if s.spec.MaxUnavailable == 0 {
+		return true
+	}
+	if s.spec.Gang {
+		return len(s.tasks) <= s.spec.MaxUnavailable // the whole gang stops
+	}
+	return mayBeUnavailable(r, func(o *run) bool { return search.chosen[o] || slices.Contains(picked, o) })
+}
+
 // findEviction selects workers in a group for n tasks of s, and the runs to stop on them. It
 // returns nil if not all tasks can be placed. It does not stop any run. After each choice only the
 // workers that it concerns are considered anew: on a large fleet most are not.
@@ -281,7 +304,7 @@
 				continue
 			}
 			if k.stale {
-				k.victims, k.cost, k.ok = c.victims(now, s, k.worker, k.free, need, search.chosen)
+				k.victims, k.cost, k.ok = c.victims(now, s, k.worker, k.free, need, search)
 				k.stale = false
 			}
 			if k.ok && (best == nil || k.better(best)) {
@@ -321,13 +344,13 @@
 // victims selects runs to stop on w so that need fits, those with the least loss first, and
 // returns them with their total loss. It reports false if need would not fit even if all
 // runs that s may preempt were stopped.
-func (c *Core) victims(now Now, s *step, w *worker, free, need job.Resources, chosen map[*run]bool) ([]*run, float64, bool) {
+func (c *Core) victims(now Now, s *step, w *worker, free, need job.Resources, search *evictionSearch) ([]*run, float64, bool) {
 	if free.Fits(need) {
 		return nil, 0, true
 	}
 	var picked []*run
 	for _, r := range c.byLoss(now, w) {
-		if chosen[r] || !mayPreempt(s, r) {
+		if search.chosen[r] || !mayPreempt(s, r) || !search.mayStop(r, picked) {
 			continue
 		}
 		picked = append(picked, r)
@@ -381,13 +404,14 @@
 	return loss
 }
 
-// mayPreempt reports whether s may preempt r: r has lower priority, or s is within its
-// organisation's guarantee and r is not. Long-running, adopted and stopping runs, and runs of
-// tasks that are done, are never preempted.
+// mayPreempt reports whether s may preempt r: s is within its organisation's guarantee and r is not,
+// or r has lower priority and is not long-running. Adopted and stopping runs, and runs of tasks that
+// are done, are never preempted.
 func mayPreempt(s *step, r *run) bool {
 	other := r.task.step
-	lower := other.job.spec.Priority > s.job.spec.Priority || s.job.withinGuarantee && !other.job.withinGuarantee
-	return lower && !other.spec.LongRunning && !r.task.done &&
+	reclaims := s.job.withinGuarantee && !other.job.withinGuarantee
+	lower := other.job.spec.Priority > s.job.spec.Priority && !other.spec.LongRunning
+	return (reclaims || lower) && !r.task.done &&
 		(r.phase == running || r.phase == starting || r.phase == recording)
 }
 
--- a/internal/core/dispatch/preempt_test.go
+++ b/internal/core/dispatch/preempt_test.go
@@ -81,3 +81,69 @@
 		assert.Equal(t, h.core.lossOf(h.clock(), h.core.runsOf(w)[0]), want)
 	}
 }
+
+// lastingTasks runs one long-running task of another organisation on each of n workers.
+func lastingTasks(t *testing.T, n, maxUnavailable int) *harness {
+	t.Helper()
+	h := newHarness(t)
+	h.core.SetGuarantees(map[string]int64{"org": 16})
+	h.core.SetWorkers(h.clock(), h.fleet(n, whole))
+	lasting := single("lasting", 2, n, whole)
+	lasting.Org = "borrower"
+	lasting.Steps[0].LongRunning, lasting.Steps[0].MaxUnavailable = true, maxUnavailable
+	h.add(lasting)
+	assert.Equal(t, len(h.accept()), n)
+	h.advance(time.Second)
+	for _, p := range append([]Probe(nil), h.probes...) {
+		h.answerProbe(p.Worker, h.allRunning(p.Worker, servingPercent))
+	}
+	return h
+}
+
+// allRunning reports the runs of a worker with the given progress in percent.
+func (h *harness) allRunning(worker string, percent int) WorkerReport {
+	rep := WorkerReport{Incarnation: 1, ClockMs: h.now.Milliseconds() + 1}
+	for _, r := range h.core.runsOf(h.core.workers[worker]) {
+		rep.Running = append(rep.Running, RunInProgress{Task: r.task.id.String(), Run: r.number, Percent: percent})
+	}
+	return rep
+}
+
+// Guards against an organisation that cannot reclaim its guaranteed accelerators because long-running
+// tasks of another one, which do not end by themselves, hold the whole fleet.
+func TestGuaranteedWorkReclaimsFromLongRunningTasks(t *testing.T) {
+	h := lastingTasks(t, 3, 0)
+	h.add(single("urgent", urgentPriority, 2, whole))
+	assert.Equal(t, len(h.stops), 2)
+	for _, s := range h.stops {
+		h.answerProbe(s.Worker, WorkerReport{Incarnation: 1, ClockMs: h.now.Milliseconds() + 1, Ended: []EndedRun{{Number: 1, Task: s.Task.String(), Run: s.Run, End: job.EndStopped}}})
+	}
+	assert.Equal(t, len(h.starts), 2)
+	for _, s := range h.starts {
+		assert.Equal(t, s.Task.Job, "urgent")
+	}
+}
+
+// Long-running tasks serve users of their own: work without a claim to their capacity waits.
+func TestUrgentWorkBeyondAGuaranteeLeavesLongRunningTasksAlone(t *testing.T) {
+	h := lastingTasks(t, 3, 0)
+	h.add(single("urgent", urgentPriority, 3, whole))
+	h.advance(2 * time.Second)
+	assert.Equal(t, len(h.stops), 0)
+}
+
+// Guards against a reclaim that makes more tasks of a step unavailable at once than the step allows.
+func TestReclaimKeepsTheLimitOfUnavailableTasks(t *testing.T) {
+	h := lastingTasks(t, 3, 1)
+	h.add(single("urgent", urgentPriority, 1, whole))
+	assert.Equal(t, len(h.stops), 1)
+	h.add(single("urgent too", urgentPriority, 1, whole))
+	h.advance(time.Second)
+	assert.Equal(t, h.stoppedTasks(), 1)
+	both := lastingTasks(t, 3, 1)
+	both.add(gang("urgent", urgentPriority, 2, whole))
+	assert.Equal(t, both.stoppedTasks(), 0, "one task of the gang could not be placed")
+	allowed := lastingTasks(t, 3, 2)
+	allowed.add(gang("urgent", urgentPriority, 2, whole))
+	assert.Equal(t, allowed.stoppedTasks(), 2)
+}
--- a/internal/core/dispatch/upkeep.go
+++ b/internal/core/dispatch/upkeep.go
@@ -218,7 +218,7 @@
 // stopAll is set, as far as the steps' limits of unavailable tasks allow.
 func (c *Core) drainWorker(now Now, w *worker, stopAll bool) {
 	for _, r := range c.runsOf(w) {
-		if r.phase == stopping || !stopAll && !r.task.step.spec.LongRunning || !mayBeUnavailable(r) {
+		if r.phase == stopping || !stopAll && !r.task.step.spec.LongRunning || !mayBeUnavailable(r, nil) {
 			continue
 		}
 		c.stop(now, r, "upkeep")
@@ -229,15 +229,18 @@
 }
 
 // mayBeUnavailable reports whether r may be stopped without exceeding its step's limit of
-// unavailable tasks.
-func mayBeUnavailable(r *run) bool {
+// unavailable tasks. Runs for which stops, if not nil, returns true count as unavailable.
+func mayBeUnavailable(r *run, stops func(*run) bool) bool {
 	s := r.task.step
 	if s.spec.MaxUnavailable == 0 {
 		return true
 	}
 	unavailable := 0
 	for _, t := range s.tasks {
-		if t != r.task && (t.current == nil || t.current.phase != running || t.current.percent < servingPercent) {
+		if t == r.task {
+			continue
+		}
+		if o := t.current; o == nil || o.phase != running || o.percent < servingPercent || stops != nil && stops(o) {
 			unavailable++
 		}
 	}
