A failure that a cut-off worker lists late counts as an attempt

Cause: endFirstEnded ends the silent worker's member as lost as soon as all other members ended as broken. That proves that the run is over, not that it did not fail. When the worker listed the failure, applyLateEnd dropped it and the end was acknowledged all the same.

Ruled out: an expired lease (5.5 s of 8 s) and a takeover (one epoch).

Fix: the run gets a presumed end, which the task's record keeps for the next leader. A listed failure is counted once, in the batch that allows its acknowledgement. Since it may be listed after later runs have failed, a gang whose presumed ends might use up its attempts is not started until the outcome is known: listed, shown to be absent, the worker's lease expired or its next incarnation begun. Other paths that end a run unheard were looked through: expired leases (such ends do not count), incarnations (nobody lists them) and refused starts (nothing ran).

Changes to a check: the model exempted gangs from BUDGET and counted only ends acknowledged before a start. Both are stricter now, and it checks that no job is recorded as failed before its attempts are used up.

A gang whose last attempt may be used up waits for the silent worker's lease, as before ends were inferred.

--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -145,6 +145,7 @@
 		t.done = true
 		t.step.done++
 	}
+	c.restorePresumed(now, t, r.Presumed)
 	if r.Active {
 		w, ended := c.workerFor(now, r.Worker, r.Incarnation)
 		active := &run{task: t, number: r.Run, worker: w, phase: adopted, inherited: true, need: t.step.spec.Charge(), placedAt: now.Mono, percentAt: now.Mono, checkpoint: r.Checkpoint, pacing: pacing{percent: unknownPace}}
@@ -330,6 +331,9 @@
 			c.dropPlan(s)
 			for _, t := range s.tasks {
 				delete(c.tasks, t.id.String())
+				for _, p := range slices.Clone(t.presumed) {
+					c.resolve(p)
+				}
 			}
 		}
 	}
@@ -358,14 +362,19 @@
 		c.batch.Dropped = append(c.batch.Dropped, t.id)
 		return
 	}
-	r := job.TaskRecord{Run: t.latestRun, Done: t.done, Failures: t.failures, Checkpoint: t.checkpoint, Started: t.started}
+	c.batch.Tasks = append(c.batch.Tasks, TaskChange{ID: t.id, Record: t.record()})
+}
+
+// record returns the record of t for the log.
+func (t *task) record() job.TaskRecord {
+	r := job.TaskRecord{Run: t.latestRun, Done: t.done, Failures: t.failures, Checkpoint: t.checkpoint, Started: t.started, Presumed: t.presumedRecords()}
 	if t.step.spec.Gang {
 		r.Failures = t.step.failures
 	}
 	if t.current != nil {
 		r.Active, r.Worker, r.Incarnation = true, t.current.worker.ID, t.current.worker.Incarnation
 	}
-	c.batch.Tasks = append(c.batch.Tasks, TaskChange{ID: t.id, Record: r})
+	return r
 }
 
 // TakeBatch returns the changes that have to be written to the log, or nil.
--- a/internal/core/dispatch/gang.go
+++ b/internal/core/dispatch/gang.go
@@ -18,7 +18,7 @@
 	if len(waiting) < len(s.tasks) {
 		return
 	}
-	if c.wouldBeLost(now, s) {
+	if s.mayExhaustAttempts() || c.wouldBeLost(now, s) {
 		return
 	}
 	workers := c.findGangWorkers(now, s)
--- a/internal/core/dispatch/gangend_test.go
+++ b/internal/core/dispatch/gangend_test.go
@@ -126,3 +126,119 @@
 	left := h.core.workers["w0"].leavesAt - h.now
 	assert.Assert(t, left > 900*time.Millisecond && left < 1200*time.Millisecond, "%v", left)
 }
+
+// failFirstRunUnseen runs a gang of three that breaks on a silent worker: its member there has failed,
+// and the others list their ends as broken. It returns the failed run.
+func failFirstRunUnseen(t *testing.T, attempts int) (*harness, Start) {
+	t.Helper()
+	h := newHarness(t)
+	h.core.SetWorkers(h.clock(), h.fleet(4, whole))
+	g := gang("g", 1, 3, whole)
+	g.Attempts = attempts
+	h.add(g)
+	starts := h.accept()
+	h.now += time.Second
+	for _, s := range starts {
+		h.answerProbe(s.Worker, WorkerReport{Incarnation: 1, ClockMs: h.now.Milliseconds() + 1})
+	}
+	h.probeUnanswered(starts[2].Worker)
+	h.endRun(starts[0], job.EndBroken)
+	h.endRun(starts[1], job.EndBroken)
+	return h, starts[2]
+}
+
+// listFailure lets the worker of a run answer again and list the run as failed.
+func (h *harness) listFailure(s Start) {
+	h.t.Helper()
+	h.advance(probeRetry)
+	h.endRun(s, job.EndFailed)
+}
+
+// failAgain ends the gang's current run: its first member fails.
+func (h *harness) failAgain() {
+	h.t.Helper()
+	starts := h.accept()
+	assert.Equal(h.t, len(starts), 3)
+	h.endRun(starts[0], job.EndFailed)
+	h.endRun(starts[1], job.EndBroken)
+	h.endRun(starts[2], job.EndBroken)
+	h.advance(placementDelay)
+}
+
+// Guards against a run too many: a failure on a worker that was cut off, which the worker lists once it
+// is reachable again, counts as an attempt.
+func TestFailureThatIsListedAfterItsEndWasPresumedCounts(t *testing.T) {
+	h, failed := failFirstRunUnseen(t, 3)
+	assert.Equal(t, len(h.starts), 3, "the gang starts elsewhere at once")
+	h.listFailure(failed)
+	h.failAgain()
+	assert.Equal(t, h.core.jobs["g"].end, job.State(""))
+	h.failAgain()
+	assert.Assert(t, h.core.jobs["g"] == nil, "all three runs have failed")
+	assert.Equal(t, len(h.starts), 0)
+}
+
+// The worker may list the failure only after further runs have failed: none is started that would be
+// one too many.
+func TestRunThatMayExceedTheAttemptsWaitsForThePresumedEnd(t *testing.T) {
+	h, failed := failFirstRunUnseen(t, 2)
+	h.failAgain()
+	assert.Equal(t, len(h.starts), 0)
+	h.listFailure(failed)
+	assert.Equal(t, len(h.starts), 0)
+	assert.Assert(t, h.core.jobs["g"] == nil)
+}
+
+// The member on the silent worker was not to blame, or its worker is gone for good: the gang goes on.
+func TestGangGoesOnOnceThePresumedEndDoesNotCount(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		learn func(h *harness, s Start)
+	}{
+		{"listed as broken", func(h *harness, s Start) { h.advance(probeRetry); h.endRun(s, job.EndBroken) }},
+		{"not listed", func(h *harness, s Start) {
+			for range 2 { // the first probe was sent before the end was presumed
+				h.advance(probeRetry)
+				h.answerProbe(s.Worker, WorkerReport{Incarnation: 1, ClockMs: h.now.Milliseconds() + 1})
+			}
+		}},
+		{"worker restarted", func(h *harness, _ Start) {
+			list := h.fleet(4, whole)
+			for i := range list {
+				list[i].Incarnation = 2
+			}
+			h.core.SetWorkers(h.clock(), list)
+			h.flush()
+		}},
+		{"lease expired", func(h *harness, _ Start) { h.advance(10 * time.Second) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h, s := failFirstRunUnseen(t, 1)
+			assert.Equal(t, len(h.starts), 0, "the only attempt may have failed")
+			tc.learn(h, s)
+			assert.Equal(t, len(h.starts), 3)
+		})
+	}
+}
+
+// A leader that takes over knows which ends were presumed, and counts each failure once.
+func TestPresumedEndsOutliveATakeover(t *testing.T) {
+	h, failed := failFirstRunUnseen(t, 3)
+	records := map[string]job.TaskRecord{}
+	for _, s := range h.starts {
+		records[s.Task.String()] = h.core.tasks[s.Task.String()].record()
+	}
+	list := func(counted int) {
+		next := newHarness(t)
+		next.core.SetWorkers(next.clock(), next.fleet(4, whole))
+		g := gang("g", 1, 3, whole)
+		next.core.AddJob(next.clock(), g, records)
+		next.flush()
+		ended := []EndedRun{{Number: 1, Task: failed.Task.String(), Run: failed.Run, End: job.EndFailed}}
+		next.core.ProbeAnswered(next.clock(), Probe{Target: next.core.workers[failed.Worker].target()}, WorkerReport{Incarnation: 1, ClockMs: 1, Ended: ended})
+		assert.Equal(t, next.core.tasks[failed.Task.String()].step.failures, counted)
+		records[failed.Task.String()] = next.core.tasks[failed.Task.String()].record()
+	}
+	list(1)
+	list(1)
+}
--- a/internal/core/dispatch/probe.go
+++ b/internal/core/dispatch/probe.go
@@ -56,6 +56,7 @@
 	c.adjustPace(now, w)
 	if len(rep.Ended) < maxListedEnds {
 		c.endAbsent(now, w, p, listed)
+		c.resolveAbsent(w, p)
 	}
 }
 
@@ -75,14 +76,18 @@
 			c.endRun(now, t.current, e.End, e.Checkpoint)
 			continue
 		}
-		c.applyLateEnd(now, t, e)
+		c.applyLateEnd(now, t, w, e)
 	}
 }
 
-// applyLateEnd handles the end of a run that was already considered ended. Outside a gang, its
-// success still counts: the task is done, and its current run is stopped.
-func (c *Core) applyLateEnd(now Now, t *task, e EndedRun) {
-	c.note(Note{Kind: "late end", Task: e.Task, Run: e.Run, Why: string(e.End)})
+// applyLateEnd handles the end of a run that was already considered ended. The failure of a run whose
+// end was presumed is counted. Outside a gang, a success still counts: the task is done, and its
+// current run is stopped.
+func (c *Core) applyLateEnd(now Now, t *task, w *worker, e EndedRun) {
+	c.note(Note{Kind: "late end", Task: e.Task, Run: e.Run, Worker: w.ID, Why: string(e.End)})
+	if c.applyPresumedEnd(now, t, w, e) {
+		return
+	}
 	if e.End == job.EndDone && !t.done && !t.step.spec.Gang && !t.step.job.cancelledOrEnded() {
 		if t.current != nil {
 			c.stop(now, t.current, "done by another run")
@@ -191,6 +196,9 @@
 	if w.unreachable() && w.listed && !w.Draining {
 		return 0, true // it gets no new work until it answers a probe
 	}
+	if len(w.presumed) > 0 {
+		return 0, true // its answer tells how the runs have ended
+	}
 	wait, need := c.settings.ProbeWait, false
 	for r := range w.runs {
 		switch {
--- a/internal/core/dispatch/protocol_leader_test.go
+++ b/internal/core/dispatch/protocol_leader_test.go
@@ -177,6 +177,9 @@
 		sim.violation("job %s ended as %s, then as %s", e.ID, previous, e.State)
 	}
 	sim.ended[e.ID] = e.State
+	if e.State == job.Failed && !sim.hasExhaustedAttempts(e.ID) {
+		sim.violation("LOST: job %s is recorded as failed, but no task has failed as often as it may", e.ID)
+	}
 	if e.State != job.Succeeded {
 		return
 	}
--- a/internal/core/dispatch/protocol_test.go
+++ b/internal/core/dispatch/protocol_test.go
@@ -57,6 +57,8 @@
 	// logEpoch is the epoch of the latest leader; the log refuses those with lower epochs.
 	logEpoch int64
 	jobs     map[string]*job.Job
+	// hopeless holds the jobs all of whose runs fail.
+	hopeless map[string]bool
 	// cancels holds the times at which jobs were cancelled.
 	cancels map[string]time.Duration
 	// mustKnowCancels is true if the call being executed is not late and comes from a leader
@@ -80,8 +82,10 @@
 	done      bool
 	lastStart time.Duration
 	started   bool
-	// acknowledgedFailures counts the failed runs whose ends have been acknowledged.
-	acknowledgedFailures int
+	// failedRuns are the numbers of the runs that have failed, and acknowledgedFailures the times of
+	// those ends that have been acknowledged.
+	failedRuns           []int
+	acknowledgedFailures []time.Duration
 }
 
 // after schedules an event. Events at the same time run in the order in which they were
@@ -175,29 +179,60 @@
 			}
 		}
 	}
-	if !step.Gang && state.acknowledgedFailures >= sim.jobs[s.Task.Job].Attempts {
-		sim.violation("BUDGET: %s starts %s after %d failed runs", w.id, name, state.acknowledgedFailures)
+	if n := len(state.acknowledgedFailures); n >= sim.jobs[s.Task.Job].Attempts {
+		sim.violation("BUDGET: %s starts %s after %d failed runs", w.id, name, n)
 	}
 	state.started, state.lastStart = true, sim.now
 }
 
 // endAcknowledged handles the acknowledgement of an end: it checks that no run of the task has
-// started since the task was done, and counts failed runs.
+// started since the task was done or had failed as often as it may.
 func (sim *simulation) endAcknowledged(e endedExecution) {
 	state := sim.taskStates[e.Task]
 	if e.End == job.EndDone && state.lastStart > e.at {
 		sim.violation("TWICE: %s started again after run %d ended as done, which is now acknowledged", e.Task, e.Run)
 	}
-	if e.End == job.EndFailed {
-		state.acknowledgedFailures++
+	if e.End != job.EndFailed {
+		return
+	}
+	state.acknowledgedFailures = append(state.acknowledgedFailures, e.at)
+	before := 0
+	for _, at := range state.acknowledgedFailures {
+		if at < state.lastStart {
+			before++
+		}
+	}
+	if id, _ := job.ParseTaskID(e.Task); before >= sim.jobs[id.Job].Attempts {
+		sim.violation("BUDGET: %s started again after %d failed runs, of which run %d is acknowledged now", e.Task, before, e.Run)
+	}
+}
+
+// hasExhaustedAttempts reports whether a task of a job, or a gang, has failed as often as it may.
+func (sim *simulation) hasExhaustedAttempts(id string) bool {
+	j := sim.jobs[id]
+	for i := range j.Steps {
+		gangRuns := map[int]bool{}
+		for n := range j.Steps[i].Count {
+			runs := sim.taskStates[job.TaskID{Job: id, Step: i, Index: n}.String()].failedRuns
+			if len(runs) >= j.Attempts {
+				return true
+			}
+			for _, run := range runs {
+				gangRuns[run] = true
+			}
+		}
+		if j.Steps[i].Gang && len(gangRuns) >= j.Attempts {
+			return true
+		}
 	}
+	return false
 }
 
 // simulateRun schedules the end of a run, as done or sometimes as failed. A gang's runs end only
 // after all members have started, or after gangTimeout.
 func (sim *simulation) simulateRun(w *simWorker, e *execution) {
 	end, length := job.EndDone, sim.drawDuration(4*time.Second)
-	if !sim.faultFree && rapid.IntRange(0, 7).Draw(sim.t, "run fails") == 7 {
+	if sim.hopeless[e.id.Job] || !sim.faultFree && rapid.IntRange(0, 7).Draw(sim.t, "run fails") == 7 {
 		end = job.EndFailed
 	}
 	if !sim.stepOf(e.id).Gang {
@@ -265,7 +300,7 @@
 }
 
 func newSimulation(t *rapid.T) *simulation {
-	sim := &simulation{t: t, jobs: map[string]*job.Job{}, cancels: map[string]time.Duration{}, taskStates: map[string]*taskState{}, ended: map[string]job.State{}}
+	sim := &simulation{t: t, jobs: map[string]*job.Job{}, hopeless: map[string]bool{}, cancels: map[string]time.Duration{}, taskStates: map[string]*taskState{}, ended: map[string]job.State{}}
 	sim.ignoresIncarnation = rapid.Bool().Draw(t, "ignores incarnation")
 	for i := range rapid.IntRange(2, 3).Draw(t, "workers") {
 		w := &simWorker{sim: sim, id: fmt.Sprintf("w%d", i), incarnation: 1, up: true, clockRate: 1, runs: map[string]*execution{}, highestEnded: map[string]int{}}
@@ -301,6 +336,7 @@
 		}
 	}
 	sim.jobs[j.ID] = j
+	sim.hopeless[j.ID] = rapid.IntRange(0, 3).Draw(sim.t, "hopeless") == 3
 	rec, err := ledger.JobRecord(j)
 	if err != nil {
 		sim.violation("encode job record: %v", err)
--- a/internal/core/dispatch/protocol_worker_test.go
+++ b/internal/core/dispatch/protocol_worker_test.go
@@ -192,8 +192,11 @@
 	delete(w.runs, name)
 	w.highestEnded[name] = max(w.highestEnded[name], e.run)
 	w.lastEnd++
-	if end == job.EndDone {
-		w.sim.taskStates[name].done = true
+	switch state := w.sim.taskStates[name]; end {
+	case job.EndDone:
+		state.done = true
+	case job.EndFailed:
+		state.failedRuns = append(state.failedRuns, e.run)
 	}
 	w.ends = append(w.ends, endedExecution{EndedRun: dispatch.EndedRun{Number: w.lastEnd, Task: name, Run: e.run, End: end}, at: w.sim.now})
 	w.sim.tracef("%s ends %s run %d: %s", w.id, name, e.run, end)
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -177,11 +177,7 @@
 		r.worker.health.recordSuccess()
 		c.markDone(now, t)
 	case job.EndFailed:
-		t.failedOn = append(t.failedOn, r.worker.ID)
-		if r.worker.health.recordFailure(now.Mono, j.spec.ID) {
-			c.note(Note{Kind: "worker quarantined", Worker: r.worker.ID})
-		}
-		c.countFailure(s, t, r.number)
+		c.recordFailure(now, t, r.worker, r.number)
 	case job.EndLeaseExpired, job.EndGangTimeout:
 		t.notBefore = now.Mono + placementDelay
 	}
@@ -191,16 +187,33 @@
 		c.endFirstEnded(now, s)
 	}
 	c.record(t)
+	c.failIfExhausted(now, t)
 	if !j.cancelledOrEnded() {
-		if !s.spec.LongRunning && c.attemptsExhausted(s, t) {
-			c.stopJob(now, j, "job failed")
-			c.finishJob(now, j, job.Failed)
-		}
 		c.checkDone(now, j)
 	}
 	c.removeIfFinished(j)
 }
 
+// recordFailure counts the failure of a run of t on w, for the job and for the worker.
+func (c *Core) recordFailure(now Now, t *task, w *worker, number int) {
+	t.failedOn = append(t.failedOn, w.ID)
+	if w.health.recordFailure(now.Mono, t.step.job.spec.ID) {
+		c.note(Note{Kind: "worker quarantined", Worker: w.ID})
+	}
+	c.countFailure(t.step, t, number)
+}
+
+// failIfExhausted ends the job of t as failed if t, or its gang, has failed as often as the job
+// allows.
+func (c *Core) failIfExhausted(now Now, t *task) {
+	s, j := t.step, t.step.job
+	if j.cancelledOrEnded() || s.spec.LongRunning || !c.attemptsExhausted(s, t) {
+		return
+	}
+	c.stopJob(now, j, "job failed")
+	c.finishJob(now, j, job.Failed)
+}
+
 // markDone marks a task as done or, if it belongs to a gang, all tasks of the gang.
 func (c *Core) markDone(now Now, t *task) {
 	if t.done {
@@ -231,20 +244,22 @@
 func (c *Core) countFailure(s *step, t *task, number int) {
 	t.failures++
 	if s.spec.Gang && s.failedRun != number {
-		s.failedRun = number
+		s.failedRun = max(s.failedRun, number) // the end of an earlier run may be listed late
 		s.failures++
 	}
 }
 
 // attemptsExhausted reports whether t, or its gang, has failed as often as its job allows.
 func (c *Core) attemptsExhausted(s *step, t *task) bool {
-	limit := max(1, s.job.spec.Attempts)
 	if s.spec.Gang {
-		return s.failures >= limit
+		return s.failures >= s.job.attempts()
 	}
-	return t.failures >= limit
+	return t.failures >= s.job.attempts()
 }
 
+// attempts is how many runs of a task, or of a gang, may fail before the job does.
+func (j *trackedJob) attempts() int { return max(1, j.spec.Attempts) }
+
 // breakGang stops the remaining members of a gang's run.
 func (c *Core) breakGang(now Now, s *step, number int) {
 	for _, m := range s.tasks {
@@ -259,10 +274,13 @@
 // and upkeep waves.
 func (c *Core) Tick(now Now) {
 	for _, w := range c.sortedWorkers {
-		if len(w.runs) == 0 {
+		if len(w.runs) == 0 && len(w.presumed) == 0 {
 			continue
 		}
 		expired := (w.leaseUntilMs > 0 || w.inheritedUntil > 0) && now.Mono > w.leasesExpireAt()
+		if expired {
+			c.resolveAll(w) // ends that a worker lists after its lease has expired do not count
+		}
 		for _, r := range c.runsOf(w) {
 			switch {
 			case expired && r.phase != recording:
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -177,6 +177,9 @@
 	notBefore time.Duration
 	// failedOn lists the IDs of workers on which the task failed or stalled.
 	failedOn []string
+	// presumed are the runs that were presumed to have ended and whose worker may still list how they
+	// ended.
+	presumed []*presumedEnd
 }
 
 type step struct {
@@ -289,6 +292,9 @@
 	health      health
 	// lateStarts are unanswered starts that the worker may still execute.
 	lateStarts []lateStart
+	// presumed are the ends of runs on the current incarnation that were presumed and may still be
+	// listed.
+	presumed []*presumedEnd
 	// rackPosition is the position of the worker's rack in the fleet, from 0 to 1. Urgent work
 	// and work with checkpoints prefer low values; work that would lose everything when it is
 	// stopped prefers high ones.
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -184,6 +184,18 @@
 	Checkpoint string `cbor:"7,keyasint,omitempty"`
 	// Started is set if a run of the task is known to have started.
 	Started bool `cbor:"8,keyasint,omitempty"`
+	// Presumed lists the runs that were presumed to have ended and whose worker may still list how
+	// they ended.
+	Presumed []PresumedEnd `cbor:"9,keyasint,omitempty"`
+}
+
+// PresumedEnd is a run whose end was inferred and not listed by its worker.
+type PresumedEnd struct {
+	// Run is the number of the run.
+	Run int `cbor:"1,keyasint"`
+	// Worker and Incarnation identify the worker incarnation that may still list the end.
+	Worker      string `cbor:"2,keyasint"`
+	Incarnation int64  `cbor:"3,keyasint,omitempty"`
 }
 
 // State is the state of a job as callers see it.
