A failed task does not wait for a worker that long-running tasks hold

Cause: hasAlternative compared a task's needs with the whole capacity of other workers. A worker held by a long-running task counted as an alternative for good, and the task avoided the one that was free.

Evidence: tests of the core with nothing else on the fleet fail on the code before: "place_test.go:74: 0 != 1" for a long-running task, a task and a gang, ":89: 0 != 1" where the other worker is at the step's limit, and ":106: 0 != 1" for a wait without a bound.

Fix: only what long-running tasks leave counts as capacity that can become free, for tasks, gangs and waits for one rack. Long-running tasks, whose attempts are not limited, avoid a worker for the length of a first quarantine at most; other tasks keep waiting, so that a faulty worker does not use up their attempts.

--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -214,6 +214,9 @@
 	if r.task.step.job.spec.Priority == urgentPriority {
 		r.worker.urgent = r.worker.urgent.Plus(r.need)
 	}
+	if r.task.step.spec.LongRunning {
+		r.worker.longRunning = r.worker.longRunning.Plus(r.need)
+	}
 	r.task.step.job.activeRuns++
 	r.task.step.activeRuns++
 	c.countExposed(r.task.step, 1)
@@ -231,6 +234,9 @@
 	if r.task.step.job.spec.Priority == urgentPriority {
 		r.worker.urgent = r.worker.urgent.Minus(r.need)
 	}
+	if r.task.step.spec.LongRunning {
+		r.worker.longRunning = r.worker.longRunning.Minus(r.need)
+	}
 	r.task.step.job.activeRuns--
 	r.task.step.activeRuns--
 	c.countExposed(r.task.step, -1)
--- a/internal/core/dispatch/cycle.go
+++ b/internal/core/dispatch/cycle.go
@@ -48,7 +48,7 @@
 	// free is the number that fits now on all workers, and rackFree the largest number that
 	// fits now in one rack.
 	free, rackFree int
-	// rackCapacity is the number that would fit in the largest rack if it were empty.
+	// rackCapacity is the number that would fit in the best rack if it ran long-running tasks only.
 	rackCapacity int
 	// byRack is the number that fits now in each rack, by rackIndex.
 	byRack []int
@@ -94,7 +94,7 @@
 			free, capacity := 0, 0
 			for _, w := range rack {
 				free += timesFit(w.free(), key.need, key.maxPerWorker)
-				capacity += timesFit(w.Capacity, key.need, key.maxPerWorker)
+				capacity += timesFit(w.transientCapacity(), key.need, key.maxPerWorker)
 			}
 			sl.free += free
 			sl.rackFree = max(sl.rackFree, free)
--- a/internal/core/dispatch/gang.go
+++ b/internal/core/dispatch/gang.go
@@ -51,7 +51,8 @@
 }
 
 // findGangWorkers returns a worker for each task of s, or nil. It uses workers on which the
-// gang has failed only if the others, even when empty, could not hold the gang.
+// gang has failed only if the others could not hold the gang, even without the work that ends by
+// itself.
 func (c *Core) findGangWorkers(now Now, s *step) []*worker {
 	sl := c.slotsFor(now, s)
 	if sl.free < len(s.tasks) {
@@ -62,7 +63,7 @@
 	}
 	p := c.poolOf(now, s)
 	eligible := func(w *worker) bool { return c.mayPlaceOn(now, s, w) && !s.hasFailedOn(w) }
-	if s.failures > 0 && emptyCapacity(s, filter(p.usable, eligible)) < len(s.tasks) {
+	if s.failures > 0 && (!c.avoidsFailedWorkers(now, s, s.lastFailedAt()) || transientSlots(s, filter(p.usable, eligible)) < len(s.tasks)) {
 		eligible = func(w *worker) bool { return c.mayPlaceOn(now, s, w) }
 	}
 	return c.findGangAmong(now, s, sl, eligible)
@@ -79,6 +80,15 @@
 	return out
 }
 
+// lastFailedAt is when a task of s last failed.
+func (s *step) lastFailedAt() time.Duration {
+	at := time.Duration(0)
+	for _, t := range s.tasks {
+		at = max(at, t.failedAt)
+	}
+	return at
+}
+
 func (s *step) hasFailedOn(w *worker) bool {
 	return s.failures > 0 && slices.ContainsFunc(s.tasks, func(t *task) bool { return t.hasFailedOn(w) })
 }
@@ -93,7 +103,7 @@
 		if workers := assign(s, filter(rack, eligible)); workers != nil {
 			return workers
 		}
-		if emptyCapacity(s, rack) >= len(s.tasks) && c.waitsForRack(now, s) {
+		if transientSlots(s, rack) >= len(s.tasks) && c.waitsForRack(now, s) {
 			return nil
 		}
 	}
@@ -185,11 +195,11 @@
 	return out
 }
 
-// emptyCapacity returns how many tasks of s a group could hold if it were empty.
-func emptyCapacity(s *step, group []*worker) int {
+// transientSlots returns how many tasks of s a group could hold if it ran long-running tasks only.
+func transientSlots(s *step, group []*worker) int {
 	n := 0
 	for _, w := range group {
-		n += timesFit(w.Capacity, s.spec.Charge(), s.spec.MaxPerWorker)
+		n += timesFit(w.transientCapacity(), s.spec.Charge(), s.spec.MaxPerWorker)
 	}
 	return n
 }
--- a/internal/core/dispatch/health.go
+++ b/internal/core/dispatch/health.go
@@ -69,7 +69,7 @@
 				continue
 			}
 			c.note(Note{Kind: "stalled", Task: r.task.id.String(), Run: r.number, Worker: w.ID})
-			r.task.failedOn = append(r.task.failedOn, w.ID)
+			r.task.failedOn, r.task.failedAt = append(r.task.failedOn, w.ID), now.Mono
 			w.health.quarantine(now.Mono)
 			c.stop(now, r, "stalled")
 			if r.task.step.spec.Gang {
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -150,18 +150,39 @@
 	return best, atLimit
 }
 
-// hasAlternative reports whether there is a worker that is large enough for t and on which t
-// has not failed. If so, t avoids the workers on which it has failed: a worker that fails its
+// hasAlternative reports whether there is a worker on which t has not failed and that has, or will
+// have, capacity for it. If so, t avoids the workers on which it has failed: a worker that fails its
 // tasks immediately always has free capacity and would use up all attempts of a task.
 func (c *Core) hasAlternative(now Now, s *step, t *task) bool {
-	if len(t.failedOn) == 0 {
+	if len(t.failedOn) == 0 || !c.avoidsFailedWorkers(now, s, t.failedAt) {
 		return false
 	}
 	return slices.ContainsFunc(c.poolOf(now, s).usable, func(w *worker) bool {
-		return w.Capacity.Fits(s.spec.Charge()) && !t.hasFailedOn(w)
+		if t.hasFailedOn(w) || !w.transientCapacity().Fits(s.spec.Charge()) {
+			return false
+		}
+		return !s.spec.LongRunning || s.spec.MaxPerWorker == 0 || s.countOnWorker(w) < s.spec.MaxPerWorker
 	})
 }
 
+// maxAvoidance is how long a long-running task avoids the workers on which it failed while others
+// have no capacity. Other tasks have a limited number of attempts and wait until one has.
+const maxAvoidance = minQuarantine
+
+// avoidsFailedWorkers reports whether tasks of s that last failed at the given time still avoid the
+// workers on which they failed.
+func (c *Core) avoidsFailedWorkers(now Now, s *step, failedAt time.Duration) bool {
+	if !s.spec.LongRunning {
+		return true
+	}
+	until := failedAt + maxAvoidance
+	if now.Mono >= until {
+		return false
+	}
+	c.wakeAt(now, until)
+	return true
+}
+
 // mayPlaceOn reports whether tasks of s may use w: it is not on a rack that s leaves free for
 // urgent work and, unless the fleet is quiet, not reserved for a gang. Urgent work may use every
 // worker.
--- a/internal/core/dispatch/place_test.go
+++ b/internal/core/dispatch/place_test.go
@@ -44,3 +44,65 @@
 	assert.Equal(t, h.starts[0].Task.Index, 8)
 	assert.Equal(t, h.starts[0].Worker, failed.Worker)
 }
+
+// lastingJob returns a job whose tasks run until it is cancelled.
+func lastingJob(id string, count int, need job.Resources) *job.Job {
+	j := single(id, 1, count, need)
+	j.Steps[0].LongRunning = true
+	return j
+}
+
+// Guards against a task that failed once and is never started again, because the only other worker it may
+// use is held by a task that does not end.
+func TestFailedTaskReturnsToItsWorkerWhenTheOthersAreHeldForGood(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		job  *job.Job
+	}{
+		{"long-running task", lastingJob("j", 1, one)},
+		{"task", single("j", 1, 1, one)},
+		{"gang", gang("j", 1, 1, one)},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.core.SetWorkers(h.clock(), h.fleet(2, whole))
+			h.add(lastingJob("held", 1, whole))
+			h.accept()
+			h.add(tc.job)
+			failed := h.accept()[0]
+			h.endRun(failed, job.EndFailed)
+			assert.Equal(t, len(h.starts), 1)
+			assert.Equal(t, h.starts[0].Worker, failed.Worker)
+		})
+	}
+}
+
+// Guards against the same where the other workers already have as many tasks of the step as it allows.
+func TestFailedLongRunningTaskReturnsWhenItsStepIsAtItsLimitElsewhere(t *testing.T) {
+	h := newHarness(t)
+	h.core.SetWorkers(h.clock(), h.fleet(2, whole))
+	j := lastingJob("j", 2, one)
+	j.Steps[0].MaxPerWorker = 1
+	h.add(j)
+	failed := h.accept()[0]
+	h.endRun(failed, job.EndFailed)
+	assert.Equal(t, len(h.starts), 1)
+	assert.Equal(t, h.starts[0].Worker, failed.Worker)
+}
+
+// A long-running task has no limit of attempts: it does not wait for long until other work ends
+// elsewhere.
+func TestFailedLongRunningTaskAvoidsItsWorkerForABoundedTime(t *testing.T) {
+	h := newHarness(t)
+	h.core.SetWorkers(h.clock(), h.fleet(2, whole))
+	h.add(single("full", 1, 1, whole))
+	h.accept()
+	h.add(lastingJob("j", 1, one))
+	failed := h.accept()[0]
+	h.endRun(failed, job.EndFailed)
+	h.advanceAnsweringProbes(maxAvoidance - time.Second)
+	assert.Equal(t, len(h.starts), 0)
+	h.advanceAnsweringProbes(time.Second)
+	assert.Equal(t, len(h.starts), 1)
+	assert.Equal(t, h.starts[0].Worker, failed.Worker)
+}
--- a/internal/core/dispatch/reserve.go
+++ b/internal/core/dispatch/reserve.go
@@ -51,7 +51,7 @@
 	if s.spec.SameRack {
 		var racks [][]*worker
 		for _, g := range p.racks {
-			if emptyCapacity(s, g) >= len(s.tasks) {
+			if transientSlots(s, g) >= len(s.tasks) {
 				racks = append(racks, g)
 			}
 		}
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -196,7 +196,7 @@
 
 // recordFailure counts the failure of a run of t on w, for the job and for the worker.
 func (c *Core) recordFailure(now Now, t *task, w *worker, number int) {
-	t.failedOn = append(t.failedOn, w.ID)
+	t.failedOn, t.failedAt = append(t.failedOn, w.ID), now.Mono
 	if w.health.recordFailure(now.Mono, t.step.job.spec.ID) {
 		c.note(Note{Kind: "worker quarantined", Worker: w.ID})
 	}
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -175,8 +175,10 @@
 	current    *run
 	// notBefore is the earliest time of the next placement.
 	notBefore time.Duration
-	// failedOn lists the IDs of workers on which the task failed or stalled.
+	// failedOn lists the IDs of workers on which the task failed or stalled, and failedAt is when it
+	// last failed.
 	failedOn []string
+	failedAt time.Duration
 	// presumed are the runs that were presumed to have ended and whose worker may still list how they
 	// ended.
 	presumed []*presumedEnd
@@ -243,8 +245,9 @@
 	listed bool
 	labels map[string]bool
 	used   job.Resources
-	// urgent is the part of used that belongs to runs of urgent priority.
-	urgent job.Resources
+	// urgent is the part of used that belongs to runs of urgent priority, and longRunning that of
+	// long-running tasks, which do not end by themselves.
+	urgent, longRunning job.Resources
 	// reserved is the capacity held for preemption plans that wait for runs to stop.
 	reserved job.Resources
 	runs     map[*run]bool
@@ -312,6 +315,10 @@
 	return w.Capacity.Minus(w.used).Minus(w.reserved)
 }
 
+// transientCapacity returns the capacity of w that is not held by long-running tasks: the most that can
+// become free by itself.
+func (w *worker) transientCapacity() job.Resources { return w.Capacity.Minus(w.longRunning) }
+
 // usable reports whether w can be given new work in its current state.
 func (w *worker) usable(now time.Duration) bool {
 	return w.listed && !w.Draining && now >= w.pausedUntil && !w.unreachable() && !w.health.quarantined(now) && !w.hasAdopted()
