Nothing is reserved for a gang that long-running tasks keep from starting

Cause: the expected end of a run is extrapolated from its progress. A long-running task reports 100% once it is at work and counted as about to end, so that the gang reserved every worker for now, for ever.

Evidence: with the change in reserve.go alone taken back, the new test fails: "reserve_test.go:70: 0 != 15".

Fix: a long-running run has no expected end, and slots behind it are none.

--- a/internal/core/dispatch/reserve.go
+++ b/internal/core/dispatch/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -116,6 +117,9 @@
 	}
 	add(now.Mono)
 	for _, r := range w.byEnd() {
+		if r.expectedEnd() == never {
+			break
+		}
 		free = free.Plus(r.need)
 		add(max(now.Mono, r.expectedEnd()))
 	}
@@ -149,12 +153,19 @@
 	return free
 }
 
+// never is the expected end of a run that does not end by itself.
+const never = time.Duration(math.MaxInt64)
+
 // expectedEnd returns when a run is expected to end: extrapolated from its progress or, before it
-// reports any, by its step's estimate. A stopping run counts as having ended.
+// reports any, by its step's estimate. A stopping run counts as having ended, and a long-running one
+// never ends.
 func (r *run) expectedEnd() time.Duration {
 	if r.phase == stopping {
 		return r.placedAt
 	}
+	if r.task.step.spec.LongRunning {
+		return never
+	}
 	estimate := r.task.step.spec.Estimate
 	if r.percent > 0 && r.confirmed {
 		return r.confirmedAt + time.Duration(float64(r.percentAt-r.confirmedAt)*100/float64(r.percent))
--- a/internal/core/dispatch/reserve_test.go
+++ b/internal/core/dispatch/reserve_test.go
@@ -54,3 +54,18 @@
 	assert.Equal(t, len(h.stops), 1)
 	assert.Assert(t, h.core.Wake() > h.now)
 }
+
+// Guards against a gang that needs capacity held by long-running tasks: it can never start, and must not
+// keep the rest of the fleet from other work.
+func TestNothingIsReservedForAGangBehindLongRunningTasks(t *testing.T) {
+	h := newHarness(t)
+	h.core.SetWorkers(h.clock(), h.fleet(2, whole))
+	lasting := lastingJob("lasting", 1, one)
+	h.add(lasting)
+	held := h.accept()[0]
+	h.advance(time.Second)
+	h.answerProbe(held.Worker, h.allRunning(held.Worker, servingPercent))
+	h.add(gang("gang", 1, 2, whole))
+	h.add(single("other", 1, 15, one))
+	assert.Equal(t, len(h.starts), 15)
+}
