Slow tasks are not taken for stalled again and again

The job could never end.

Cause: progress is listed in whole percent, and a run without a new percent for 3.5 s was stalled, however long a percent takes. Every stall put the worker into quarantine.

Evidence: tests of the core fail on the code before: "health_test.go:47: assertion failed: 10 (task.latestRun int) != 1" after a minute at six seconds a percent, and ":58: 10 != 2" with an estimate that is far too low.

Fix: the limit is twice the time that a percent is expected to take, by the run's own progress or the estimate, and 3.5 s at least. It doubles with each stalled run of the task, since estimates can't be relied on. Only a task's first stall puts the worker into quarantine.

Not fixed: a worker in quarantine gets no work even if no other is left. A run that hangs before its first percent is found later if its estimate is long.

--- a/internal/core/dispatch/health.go
+++ b/internal/core/dispatch/health.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 const (
 	// quarantineFailures is how many failed runs, without a run that is done between them, put a
@@ -52,29 +55,72 @@
 	return true
 }
 
-// stallTimeout is the time without progress after which a run is stalled. Workers are probed
-// every two seconds, so it takes two probes without progress to find a run stalled.
-const stallTimeout = 3500 * time.Millisecond
+const (
+	// stallTimeout is the least time without progress after which a run is stalled. Workers are
+	// probed every two seconds, so it takes two probes without progress to find a run stalled.
+	stallTimeout = 3500 * time.Millisecond
+	// stalledPercents is how many times the expected time of a percent a run may take for one
+	// before it is stalled.
+	stalledPercents = 2
+	// maxStallBackoff bounds the exponent of the backoff of stall timeouts.
+	maxStallBackoff = 12
+)
+
+// timePerPercent returns how long r is expected to take for a percent of its work: as long as for those it
+// has reported or, before it has reported any, by the estimate for a spread gang or away from its data.
+func (r *run) timePerPercent(spreadFactor float64) time.Duration {
+	if n := r.percent - r.firstPercent; n > 0 {
+		return (r.percentAt - r.firstPercentAt) / time.Duration(n)
+	}
+	return time.Duration(float64(r.task.step.spec.Estimate)*max(1, spreadFactor)) / 100
+}
+
+// stallTimeout returns the time without progress after which r is stalled. It doubles with each run of
+// the task that was stopped as stalled, since estimates may be far too low: a slow task would otherwise
+// be stopped again and again.
+func (c *Core) stallTimeout(r *run) time.Duration {
+	timeout := max(stallTimeout, stalledPercents*r.timePerPercent(c.settings.SpreadFactor))
+	return timeout << min(r.task.stalls, maxStallBackoff)
+}
+
+// stalled reports whether r makes no progress though its worker answers.
+func (c *Core) stalled(r *run) bool {
+	if r.phase != running || r.task.step.spec.LongRunning || r.task.step.spec.BestEffort || r.percent >= 100 {
+		return false
+	}
+	// Without unanswered calls, nextProbeAt is normally when the last answer to a probe arrived.
+	return r.worker.nextProbeAt > max(r.percentAt, r.confirmedAt)+c.stallTimeout(r)
+}
 
-// stopStalledRuns stops runs that make no progress, so that their tasks move to other workers,
-// and quarantines their workers.
+// stopStalledRuns stops runs that make no progress, so that their tasks move to other workers. It
+// quarantines the workers of tasks that have not been stalled elsewhere before.
 func (c *Core) stopStalledRuns(now Now) {
 	for _, w := range c.sortedWorkers {
 		if w.unansweredCalls > 0 {
 			continue
 		}
 		for _, r := range c.runsOf(w) {
-			// Without unanswered calls, nextProbeAt is normally when the last answer to a probe arrived.
-			if r.phase != running || r.task.step.spec.LongRunning || r.task.step.spec.BestEffort || w.nextProbeAt <= r.percentAt+stallTimeout || r.percent >= 100 || r.confirmedAt+stallTimeout > w.nextProbeAt {
-				continue
-			}
-			c.note(Note{Kind: "stalled", Task: r.task.id.String(), Run: r.number, Worker: w.ID})
-			r.task.failedOn, r.task.failedAt = append(r.task.failedOn, w.ID), now.Mono
-			w.health.quarantine(now.Mono)
-			c.stop(now, r, "stalled")
-			if r.task.step.spec.Gang {
-				c.breakGang(now, r.task.step, r.number)
+			if c.stalled(r) {
+				c.stopStalled(now, r)
 			}
 		}
 	}
 }
+
+func (c *Core) stopStalled(now Now, r *run) {
+	t, w := r.task, r.worker
+	c.note(Note{Kind: "stalled", Task: t.id.String(), Run: r.number, Worker: w.ID, Why: fmt.Sprintf("no progress in %v", c.stallTimeout(r))})
+	t.failedOn, t.failedAt = append(t.failedOn, w.ID), now.Mono
+	if t.stalls == 0 {
+		w.health.quarantine(now.Mono)
+	}
+	c.stop(now, r, "stalled")
+	if !t.step.spec.Gang {
+		t.stalls++
+		return
+	}
+	for _, m := range t.step.tasks {
+		m.stalls++
+	}
+	c.breakGang(now, t.step, r.number)
+}
--- /dev/null
+++ b/internal/core/dispatch/health_test.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"agatewinch/internal/core/job"
+)
+
+// runSlowly answers the probes of all workers for the given time, as workers do whose tasks take
+// perPercent for each percent of their work, and ends stopped runs.
+func (h *harness) runSlowly(d, perPercent time.Duration) {
+	h.t.Helper()
+	for end := h.now + d; h.now < end; {
+		h.accept()
+		h.advance(time.Second)
+		for _, s := range h.stops {
+			if r := h.core.tasks[s.Task.String()].current; r != nil && r.number == s.Run {
+				h.core.endRun(h.clock(), r, job.EndStopped, "")
+			}
+		}
+		h.stops = nil
+		for _, p := range append([]Probe(nil), h.probes...) {
+			rep := WorkerReport{Incarnation: 1, ClockMs: h.now.Milliseconds() + 1, Running: []RunInProgress{}}
+			for _, r := range h.core.runsOf(h.core.workers[p.Worker]) {
+				if r.confirmed {
+					rep.Running = append(rep.Running, RunInProgress{Task: r.task.id.String(), Run: r.number, Percent: int((h.now - r.confirmedAt) / perPercent)})
+				}
+			}
+			h.answerProbe(p.Worker, rep)
+		}
+	}
+}
+
+// Guards against tasks that take minutes and are stopped as stalled within seconds, again and again,
+// with their workers in quarantine.
+func TestTaskThatTakesMinutesIsNotTakenForStalled(t *testing.T) {
+	h := newHarness(t)
+	h.core.SetWorkers(h.clock(), h.fleet(6, whole))
+	j := single("j", 1, 3, whole)
+	j.Steps[0].Estimate = 10 * time.Minute
+	h.add(j)
+	h.runSlowly(time.Minute, 6*time.Second)
+	for _, task := range h.core.jobs["j"].occurrences[0].steps[0].tasks {
+		assert.Equal(t, task.latestRun, 1)
+	}
+}
+
+// Guards against the same where the estimate is far too low.
+func TestSlowTaskWithALowEstimateIsStoppedOnceAtMost(t *testing.T) {
+	h := newHarness(t)
+	h.core.SetWorkers(h.clock(), h.fleet(6, whole))
+	h.add(single("j", 1, 3, whole))
+	h.runSlowly(time.Minute, 6*time.Second)
+	for _, task := range h.core.jobs["j"].occurrences[0].steps[0].tasks {
+		assert.Equal(t, task.latestRun, 2)
+	}
+	quarantined := 0
+	for _, w := range h.core.sortedWorkers {
+		if w.health.lastQuarantine > 0 {
+			quarantined++
+		}
+	}
+	assert.Equal(t, quarantined, 3, "a second stall speaks against the task, not against its worker")
+}
+
+// A run that resumes from a checkpoint reports the progress of former runs, which tells nothing about its
+// own speed.
+func TestStallTimeoutOfAResumedRunFollowsItsOwnProgress(t *testing.T) {
+	h := newHarness(t)
+	r := &run{task: &task{step: &step{spec: &job.Step{Estimate: time.Second}}}, percent: 42, firstPercent: 40, firstPercentAt: 10 * time.Second, percentAt: 30 * time.Second}
+	assert.Equal(t, h.core.stallTimeout(r), 20*time.Second)
+}
--- a/internal/core/dispatch/probe.go
+++ b/internal/core/dispatch/probe.go
@@ -109,6 +109,9 @@
 			continue
 		}
 		r := t.current
+		if !r.listed {
+			r.firstPercent, r.firstPercentAt = row.Percent, now.Mono
+		}
 		listed[r], r.listed = true, true
 		if row.Checkpoint != "" {
 			r.checkpoint = row.Checkpoint
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -145,6 +145,10 @@
 	pacing pacing
 	// percentAt is when percent last changed, or when the run was placed or confirmed.
 	percentAt time.Duration
+	// firstPercent is the first progress that the worker listed, at firstPercentAt. It is above zero
+	// if the run resumed from a checkpoint.
+	firstPercent   int
+	firstPercentAt time.Duration
 	// startPending is set while the start is in flight.
 	startPending bool
 	// confirmed is set once the worker has accepted the start or listed the run, at confirmedAt.
@@ -179,6 +183,8 @@
 	// last failed.
 	failedOn []string
 	failedAt time.Duration
+	// stalls counts the runs that were stopped as stalled.
+	stalls int
 	// presumed are the runs that were presumed to have ended and whose worker may still list how they
 	// ended.
 	presumed []*presumedEnd
