Renewals of earlier leaders are waited for after a lost answer or a short leader

A worker that only that leader reaches would have been considered free of its runs too early, and they would have run twice.

The same holds for a leader that gives the role up, or whose host restarts, within 5 s after a takeover: it has stopped, the one before it may not have.

Fix: records of the role say how long leaders before the holder may go on renewing leases; a claim allows for that. Renewals of the role count it down.

Evidence: with the recorded time ignored, as before, two of the new tests fail: "role_test.go:371: 0s != 5s" and ":384: 0s != 3s".

--- a/internal/entry/dispatchloop.go
+++ b/internal/entry/dispatchloop.go
@@ -51,6 +51,8 @@
 	// appendedAt is when the log last accepted a record of this leader, or when the leader
 	// started.
 	appendedAt time.Time
+	// formerRenewalTime is how long after startedAt former leaders may go on renewing leases.
+	formerRenewalTime time.Duration
 	// lossReason is the reason why the role was lost; empty while it is held.
 	lossReason string
 	sweptAt    time.Time
@@ -75,7 +77,7 @@
 func newLeader(h *Host, fence sharedlog.Fence, claimedAt, formerRenewalTime time.Duration) *leader {
 	now := time.Now()
 	return &leader{
-		host: h, epoch: fence.Epoch, permission: newPermission(h.sinceBoot, claimedAt), sequence: fence.Sequence, events: make(chan func(dispatch.Now), maxEvents), startedAt: now, appendedAt: now, sweptAt: now,
+		host: h, epoch: fence.Epoch, permission: newPermission(h.sinceBoot, claimedAt), sequence: fence.Sequence, events: make(chan func(dispatch.Now), maxEvents), startedAt: now, appendedAt: now, sweptAt: now, formerRenewalTime: formerRenewalTime,
 		core: dispatch.New(dispatch.Now{UnixMs: now.UnixMilli()}, dispatch.Settings{
 			LeaseTTL: min(workerLeaseTTL, h.settings.MaxLeaseTTL), MaxLeaseTTL: h.settings.MaxLeaseTTL, ProbeWait: probeWait,
 			FormerRenewalTime: formerRenewalTime, SpreadFactor: h.settings.SpreadFactor, MaxStopTime: h.settings.MaxStopTime, RestoreTime: h.settings.RestoreTime, HeartbeatInterval: h.settings.HeartbeatInterval, UpkeepTime: h.settings.UpkeepTime,
--- a/internal/entry/role.go
+++ b/internal/entry/role.go
@@ -159,11 +159,8 @@
 	if !r.shouldClaim() || !h.knowsJobsOfAllTasks(ctx) {
 		return sharedlog.Fence{}, false
 	}
-	r.formerRenewalTime = maxTimeWithoutLog
-	if former.Epoch == 0 || former.Released || former.Holder == h.settings.Host {
-		r.formerRenewalTime = 0
-	}
-	claim := ledger.Role{Epoch: former.Epoch + 1, Holder: h.settings.Host, Incarnation: h.incarnation}
+	r.formerRenewalTime = r.renewalTimeAfter(former)
+	claim := ledger.Role{Epoch: former.Epoch + 1, Holder: h.settings.Host, Incarnation: h.incarnation, FormerRenewalMs: r.formerRenewalTime.Milliseconds()}
 	rec, err := ledger.RoleRecord(claim)
 	if err != nil {
 		event.Error(h.logger, err, event.RoleSuperseded)
@@ -185,6 +182,17 @@
 	return sharedlog.Fence{}, false
 }
 
+// renewalTimeAfter returns how long other leaders may go on renewing leases after a claim that follows the
+// given record. A holder that has given up the role, or that was this host, renews none any more, but
+// leaders before it may: it may have held the role for a moment only, or, if the answer to its claim
+// was lost, not at all.
+func (r *role) renewalTimeAfter(former ledger.Role) time.Duration {
+	if former.Epoch != 0 && !former.Released && former.Holder != r.host.settings.Host {
+		return maxTimeWithoutLog
+	}
+	return min(max(0, time.Duration(former.FormerRenewalMs)*time.Millisecond), maxTimeWithoutLog)
+}
+
 // knowsJobsOfAllTasks reports whether this host knows the jobs of all recorded tasks, after
 // reading the job topics to their ends if needed. A leader that does not know them would
 // regard their resources as free, and start the tasks again once it reads the jobs.
--- a/internal/entry/role_test.go
+++ b/internal/entry/role_test.go
@@ -326,3 +326,75 @@
 	eventually(t, func() bool { return hosts[0].ledger.Role().Epoch == 2 || hosts[1].ledger.Role().Epoch == 2 })
 	assert.Assert(t, time.Since(began) < leaderTimeout, "the successor took over only after %v", time.Since(began))
 }
+
+// claimingHost returns a host that may claim the role after the given record of it.
+func claimingHost(t *testing.T, log sharedlog.Log, former ledger.Role) *Host {
+	t.Helper()
+	rec, err := ledger.RoleRecord(former)
+	assert.NilError(t, err)
+	_, err = log.Append(t.Context(), ledger.TopicState, []sharedlog.Record{rec}, sharedlog.AppendOptions{})
+	assert.NilError(t, err)
+	h := newHost(log, &workers{}, "host")
+	h.setCatalog((&catalog.Catalog{Version: 1}).Index(), h.sinceBoot())
+	for _, reader := range append(h.jobReaders, h.stateReader) {
+		assert.NilError(t, reader.loadNewest(t.Context()))
+		assert.NilError(t, reader.readOnce(t.Context(), 0))
+	}
+	h.role.seenRecords, h.role.noRecordSince = h.ledger.StateRecords(), time.Now().Add(-time.Minute)
+	return h
+}
+
+// lostAnswerLog loses the answer to the first append to the state topic, which takes effect.
+type lostAnswerLog struct {
+	sharedlog.Log
+	lost atomic.Bool
+}
+
+func (l *lostAnswerLog) Append(ctx context.Context, t sharedlog.Topic, records []sharedlog.Record, opt sharedlog.AppendOptions) (int64, error) {
+	at, err := l.Log.Append(ctx, t, records, opt)
+	if t == ledger.TopicState && opt.Fence != nil && !l.lost.Swap(true) {
+		return 0, sharedlog.ErrUnknown
+	}
+	return at, err
+}
+
+// Guards against a host that takes its own claim, whose answer was lost, for proof that the leader before
+// it has stopped: that leader may still renew leases on workers that the new one does not reach.
+func TestLostAnswerToAClaimDoesNotEndTheFormerLeadersRenewals(t *testing.T) {
+	log := &lostAnswerLog{Log: memlog.New()}
+	h := claimingHost(t, log, ledger.Role{Epoch: 1, Holder: "former"})
+	_, ok := h.role.claim(t.Context())
+	assert.Assert(t, !ok)
+	_, ok = h.role.claim(t.Context())
+	assert.Assert(t, ok)
+	assert.Equal(t, h.ledger.Role().Epoch, int64(3))
+	assert.Equal(t, h.role.formerRenewalTime, maxTimeWithoutLog)
+}
+
+// Guards against a leader that gives up the role, or restarts, within the renewal time of the leader before
+// it: the next one has to wait for what is left of it.
+func TestRenewalTimeOfEarlierLeadersOutlivesAShortLeader(t *testing.T) {
+	for _, former := range []ledger.Role{
+		{Epoch: 2, Holder: "short", Released: true, FormerRenewalMs: 3000},
+		{Epoch: 2, Holder: "host", Incarnation: 7, FormerRenewalMs: 3000},
+	} {
+		h := claimingHost(t, memlog.New(), former)
+		_, ok := h.role.claim(t.Context())
+		assert.Assert(t, ok)
+		assert.Equal(t, h.role.formerRenewalTime, 3*time.Second)
+	}
+}
+
+func TestRoleRecordsCountTheRenewalTimeOfFormerLeadersDown(t *testing.T) {
+	h := newHost(memlog.New(), &workers{}, "host")
+	l := newLeader(h, sharedlog.Fence{Epoch: 2}, h.sinceBoot(), maxTimeWithoutLog)
+	for _, elapsed := range []time.Duration{0, 2 * time.Second, time.Minute} {
+		l.startedAt = time.Now().Add(-elapsed)
+		rec, err := l.roleRecord(true)
+		assert.NilError(t, err)
+		view := ledger.New()
+		assert.NilError(t, view.Apply([]sharedlog.Record{rec}))
+		left := time.Duration(view.Role().FormerRenewalMs) * time.Millisecond
+		assert.Assert(t, left <= max(0, maxTimeWithoutLog-elapsed) && left > maxTimeWithoutLog-elapsed-3*time.Second, "%v after %v", left, elapsed)
+	}
+}
--- a/internal/entry/statelog.go
+++ b/internal/entry/statelog.go
@@ -38,7 +38,7 @@
 	}
 	l.expired = nil
 	if len(records) == 0 {
-		rec, err := ledger.RoleRecord(ledger.Role{Epoch: l.epoch, Holder: l.host.settings.Host, Incarnation: l.host.incarnation})
+		rec, err := l.roleRecord(false)
 		if err != nil {
 			l.lossReason = err.Error()
 			return
@@ -135,6 +135,14 @@
 	}
 }
 
+// roleRecord returns the record with which the leader renews the role or gives it up.
+func (l *leader) roleRecord(released bool) (sharedlog.Record, error) {
+	left := max(0, l.formerRenewalTime-time.Since(l.startedAt))
+	return ledger.RoleRecord(ledger.Role{
+		Epoch: l.epoch, Holder: l.host.settings.Host, Incarnation: l.host.incarnation, Released: released, FormerRenewalMs: left.Milliseconds(),
+	})
+}
+
 // release waits for the append in flight and then records that the role is free. It returns why,
 // with any failure added, or the reason for the loss of the role if it was lost while waiting.
 func (l *leader) release(ctx context.Context, why string) string {
@@ -150,7 +158,7 @@
 	if l.lossReason != "" {
 		return l.lossReason
 	}
-	rec, err := ledger.RoleRecord(ledger.Role{Epoch: l.epoch, Holder: l.host.settings.Host, Incarnation: l.host.incarnation, Released: true})
+	rec, err := l.roleRecord(true)
 	if err != nil {
 		return err.Error()
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -49,6 +49,9 @@
 	Incarnation int64  `cbor:"3,keyasint"`
 	// Released is set when the holder has given up the role.
 	Released bool `cbor:"4,keyasint,omitempty"`
+	// FormerRenewalMs is how long after this record, in milliseconds, leaders before the holder may
+	// go on renewing the leases of workers.
+	FormerRenewalMs int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // HostEntry is the record of a host, which the host writes when it starts.
