A job that was cancelled before it was known does not run

Cause: the cancellation of an unknown job was answered from what the log held then, though a submission may still be on its way to it.

Fix: it is recorded, with the organisation's hash in its key, before it is answered 410, and applies to a job with that ID of that organisation in whichever order the records are read. Records without a job are dropped after the retention of ended jobs.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -133,6 +133,9 @@
 // Cancel implements Service.
 func (h *Host) Cancel(ctx context.Context, q *catalog.Queue, org, id string) error {
 	state, err := h.State(ctx, q, org, id)
+	if errkind.Is(err, errkind.JobUnknown) {
+		return h.cancelUnknown(ctx, q, org, id, err)
+	}
 	if err != nil {
 		return err
 	}
@@ -147,6 +150,28 @@
 	return err
 }
 
+// cancelUnknown records the cancellation of a job that is not known, unless the ID is that of a job
+// which the caller may not see. The append of its submission may have been lost or may still take
+// effect; after this answer it must not run. It returns unknown once the cancellation is in the log.
+func (h *Host) cancelUnknown(ctx context.Context, q *catalog.Queue, org, id string, unknown error) error {
+	if _, _, known := h.lookUp(id); known {
+		return unknown
+	}
+	if h.logUnavailable() {
+		return retryableError(errkind.LogUnavailable, retryAfterSeconds, "the log does not answer this host")
+	}
+	rec, err := ledger.EarlyCancelRecord(id, org, time.Now().UnixMilli())
+	if err != nil {
+		return errkind.New(errkind.Internal, "cannot write the cancellation to the log: %v", err)
+	}
+	err = h.writer.write(ctx, rec)
+	h.logRequest("cancel unknown", id, q, err)
+	if err != nil {
+		return err
+	}
+	return unknown
+}
+
 // Waiting implements Service.
 func (h *Host) Waiting(_ context.Context, q *catalog.Queue) (int, error) {
 	if !h.caughtUp() {
--- a/internal/entry/sweep.go
+++ b/internal/entry/sweep.go
@@ -13,14 +13,15 @@
 const (
 	// sweepInterval is how often the leader looks for ended jobs whose retention has expired.
 	sweepInterval = 10 * time.Second
-	// maxSweepJobs bounds the jobs that are dropped in one sweep.
-	maxSweepJobs = 500
+	// maxSweepRecords bounds the records that are dropped from a topic in one sweep.
+	maxSweepRecords = 1000
 	// sweepMargin is added to the retention of ended jobs.
 	sweepMargin = 30 * time.Second
 )
 
 // sweep drops ended jobs whose retention has expired from the log: first the submissions, then
-// the ends, so that no submission is ever left without its end.
+// the ends, so that no submission is ever left without its end. It also drops the cancellations of jobs
+// that have not become known in the same time.
 func (l *leader) sweep(ctx context.Context) {
 	if time.Since(l.sweptAt) < sweepInterval {
 		return
@@ -30,12 +31,16 @@
 	var jobs []sharedlog.Record
 	cutoffMs := l.sweptAt.Add(-l.host.settings.EndedRetention - sweepMargin).UnixMilli()
 	l.host.ledger.Each(func(id string, e *ledger.Entry) {
-		if e.Ended != nil && e.Ended.AtMs < cutoffMs && len(ids) < maxSweepJobs {
+		if len(jobs) >= maxSweepRecords {
+			return
+		}
+		if e.Ended != nil && e.Ended.AtMs < cutoffMs {
 			ids = append(ids, id)
-			jobs = append(jobs, ledger.JobTombstones(id)...)
+			jobs = append(jobs, e.JobTombstones(id)...)
 		}
+		jobs = append(jobs, e.ExpiredCancels(id, cutoffMs)...)
 	})
-	if len(ids) == 0 {
+	if len(jobs) == 0 {
 		return
 	}
 	go func() {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -79,6 +79,9 @@
 	Tasks map[string]job.TaskRecord
 	// started is set once a task has started or is done; it outlives the task's record.
 	started bool
+	// earlyCancels holds the times of early cancellations, in Unix milliseconds, by the hash of the
+	// organisation.
+	earlyCancels map[uint64]int64
 }
 
 // Ledger is the state of all jobs, of the leader role and of the hosts. It is safe for
@@ -126,11 +129,6 @@
 	return sharedlog.Record{Key: keyTask + id.String()}
 }
 
-// JobTombstones returns the tombstones of a job's submission and cancellation.
-func JobTombstones(id string) []sharedlog.Record {
-	return []sharedlog.Record{{Key: keyJob + id}, {Key: keyCancel + id}}
-}
-
 // EndTombstone returns the tombstone of a job's end.
 func EndTombstone(id string) sharedlog.Record { return sharedlog.Record{Key: keyEnd + id} }
 
@@ -179,6 +177,8 @@
 			l.entry(id).Cancelled = true
 			l.recordUpdate(id)
 		}
+	case strings.HasPrefix(r.Key, keyEarlyCancel):
+		return l.applyEarlyCancel(r.Key[len(keyEarlyCancel):], r.Value, tombstone)
 	case strings.HasPrefix(r.Key, keyHost):
 		var e HostEntry
 		if tombstone {
@@ -237,7 +237,9 @@
 	if err := j.Validate(); err != nil {
 		return trace.Wrap(err)
 	}
-	l.entry(id).Job = &j
+	e := l.entry(id)
+	e.Job = &j
+	e.applyEarlyCancels()
 	l.recordUpdate(id)
 	return nil
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -121,3 +121,33 @@
 		}
 	})
 }
+
+// The submission and the cancellation are in different topics, so that either may be read first.
+func TestEarlyCancellationAppliesInEitherOrder(t *testing.T) {
+	job := func(org string) sharedlog.Record {
+		return record(t, func() (sharedlog.Record, error) {
+			return JobRecord(&job.Job{ID: "a", Org: org, Queue: "q", Steps: []job.Step{{Count: 1}}})
+		})
+	}
+	early := record(t, func() (sharedlog.Record, error) { return EarlyCancelRecord("a", "org", 1) })
+	for _, tc := range []struct {
+		records   []sharedlog.Record
+		cancelled bool
+	}{
+		{[]sharedlog.Record{early, job("org")}, true},
+		{[]sharedlog.Record{job("org"), early}, true},
+		{[]sharedlog.Record{early, job("other")}, false},
+		{[]sharedlog.Record{job("other"), early}, false},
+		{[]sharedlog.Record{early, {Key: early.Key}, job("org")}, false},
+	} {
+		l := New()
+		assert.NilError(t, l.Apply(tc.records))
+		e, ok := l.Find("a")
+		assert.Assert(t, ok)
+		assert.Equal(t, e.Cancelled, tc.cancelled)
+	}
+	l := New()
+	assert.NilError(t, l.Apply([]sharedlog.Record{early, {Key: early.Key}}))
+	_, known := l.Find("a")
+	assert.Assert(t, !known, "nothing is kept of a dropped cancellation")
+}
