A public queue gives no access to the jobs of other queues

Found by the review by reading: jobs could be read and cancelled under the prefix of another queue; on a public queue, which takes no key, also those of any organisation, by whoever knows the ID. On the same path, a submission with the ID of another organisation's job was answered 200 and dropped.

Fix: callers have access to the jobs of their organisation and, by a public queue, to those submitted to it. An ID in use elsewhere is refused as request_mismatch, which says that the request was not run.

Not changed: an organisation sees its own jobs under any of its queues, since routes may be replaced while jobs run.

Evidence: the new tests fail without the change ("entry_test.go:327: internal != job_unknown": the state was shown; ":349: internal != request_mismatch").

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -312,3 +312,40 @@
 	assert.Assert(t, a.asked.Load() > 0)
 	assert.Equal(t, len(w.starts), 2)
 }
+
+// Guards against callers who read or cancel the jobs of an organisation by way of a public queue, which
+// takes no key.
+func TestPublicQueueGivesNoAccessToJobsOfOtherQueues(t *testing.T) {
+	hosts, _ := run(t, memlog.New(), 1)
+	ctx := context.Background()
+	public := queue
+	public.Name, public.Prefix, public.Public = "open", "/open/", true
+	held := submission("0000000000000001")
+	held.Steps[0].Need.Accelerators = 9 // more than the worker has: the job never starts
+	assert.NilError(t, hosts[0].Submit(ctx, &queue, "org", held))
+	_, err := hosts[0].State(ctx, &public, "", held.ID)
+	assert.Equal(t, errkind.Of(err).Kind, errkind.JobUnknown)
+	err = hosts[0].Cancel(ctx, &public, "", held.ID)
+	assert.Equal(t, errkind.Of(err).Kind, errkind.JobUnknown)
+	state, err := hosts[0].State(ctx, &queue, "org", held.ID)
+	assert.NilError(t, err)
+	assert.Equal(t, state, job.Pending)
+
+	open := submission("0000000000000002")
+	open.Steps[0].Need.Accelerators = 9
+	assert.NilError(t, hosts[0].Submit(ctx, &public, "org", open))
+	_, err = hosts[0].State(ctx, &public, "", open.ID)
+	assert.NilError(t, err, "jobs of a public queue are public")
+	assert.NilError(t, hosts[0].Submit(ctx, &public, "", open), "a repeated submission needs no key either")
+}
+
+// Guards against a caller who is told that its job was accepted, while the ID is that of another
+// organisation's job.
+func TestIDOfAnotherOrganisationsJobIsRefused(t *testing.T) {
+	hosts, _ := run(t, memlog.New(), 1)
+	ctx := context.Background()
+	assert.NilError(t, hosts[0].Submit(ctx, &queue, "org", submission("0000000000000001")))
+	err := hosts[0].Submit(ctx, &queue, "other", submission("0000000000000001"))
+	assert.Equal(t, errkind.Of(err).Kind, errkind.RequestMismatch)
+	assert.NilError(t, hosts[0].Submit(ctx, &queue, "org", submission("0000000000000001")))
+}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -45,6 +45,9 @@
 // Submit implements Service.
 func (h *Host) Submit(ctx context.Context, q *catalog.Queue, org string, j *job.Job) error {
 	if known, ok := h.ledger.Find(j.ID); ok && known.Job != nil {
+		if !mayAccess(q, org, known.Job) {
+			return errkind.New(errkind.RequestMismatch, "the job ID is in use")
+		}
 		return nil // an ID identifies one job, whichever host received it first
 	}
 	if !h.caughtUp() {
@@ -70,18 +73,18 @@
 
 // State implements Service.
 func (h *Host) State(ctx context.Context, q *catalog.Queue, org, id string) (job.State, error) {
-	state, owner, ok := h.lookUp(id)
+	state, e, ok := h.lookUp(id)
 	if !ok {
 		// This host's state may be stale: only a read to the end of the log proves that a job is
 		// unknown.
 		if err := h.readToEnd(ctx); err != nil {
 			return "", retryableError(errkind.LogUnavailable, retryAfterSeconds, "the log cannot be read")
 		}
-		if state, owner, ok = h.lookUp(id); !ok {
+		if state, e, ok = h.lookUp(id); !ok {
 			return "", errkind.New(errkind.JobUnknown, "no job with this ID is known")
 		}
 	}
-	if owner != org && !q.Public {
+	if !mayAccess(q, org, e.Job) {
 		return "", errkind.New(errkind.JobUnknown, "no job with this ID is known")
 	}
 	if state == job.Pending || state == job.Running {
@@ -103,17 +106,20 @@
 	}
 }
 
-// lookUp returns the state of a job and the organisation that submitted it.
-func (h *Host) lookUp(id string) (job.State, string, bool) {
+// mayAccess reports whether a caller of an organisation may see and cancel j by a request to q. Callers
+// without a key have access to the jobs of a public queue only, not to others by way of it.
+func mayAccess(q *catalog.Queue, org string, j *job.Job) bool {
+	return j.Org == org || q.Public && j.Queue == q.Name
+}
+
+// lookUp returns the state and the entry of a job whose submission is known.
+func (h *Host) lookUp(id string) (job.State, ledger.Entry, bool) {
 	state, _, ok := h.ledger.StateOf(id)
 	if !ok {
-		return "", "", false
+		return "", ledger.Entry{}, false
 	}
 	e, ok := h.ledger.Find(id)
-	if !ok || e.Job == nil {
-		return "", "", false
-	}
-	return state, e.Job.Org, true
+	return state, e, ok && e.Job != nil
 }
 
 // readToEnd reads the job topics to their ends. It fails if this host has not read all topics to
