Jobs do not wait for racks that they cannot use

Cause: avoidsUrgentRacks considered the slack and recent urgent jobs, not whether the step could run elsewhere.

Fix: a step leaves urgent racks free only if the others have capacity that it could use, apart from what long-running tasks hold, and is not long-running.

Evidence: the tests fail on the code before ("place_test.go:133: 0 != 2", ":144: 0 != 1").

--- a/internal/core/dispatch/cycle.go
+++ b/internal/core/dispatch/cycle.go
@@ -50,6 +50,9 @@
 	free, rackFree int
 	// rackCapacity is the number that would fit in the best rack if it ran long-running tasks only.
 	rackCapacity int
+	// ordinaryCapacity is the number that would fit on the racks that are not kept free for urgent
+	// work if they ran long-running tasks only.
+	ordinaryCapacity int
 	// byRack is the number that fits now in each rack, by rackIndex.
 	byRack []int
 }
@@ -100,6 +103,9 @@
 			sl.rackFree = max(sl.rackFree, free)
 			sl.rackCapacity = max(sl.rackCapacity, capacity)
 			sl.byRack[rack[0].rackIndex] = free
+			if rack[0].rackPosition >= urgentRackShare {
+				sl.ordinaryCapacity += capacity
+			}
 		}
 		c.cycle.slots[key] = sl
 	}
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -241,8 +241,12 @@
 
 // avoidsUrgentRacks reports whether s stays off the racks that are kept free for urgent work:
 // urgent jobs have arrived recently, and s can wait and still meet its objective. Without urgent
-// work there is no reason to keep racks free.
+// work there is no reason to keep racks free. A long-running step has no slack, and one that
+// can use no other rack would wait in vain.
 func (c *Core) avoidsUrgentRacks(now Now, s *step) bool {
+	if s.spec.LongRunning || c.slotsFor(now, s).ordinaryCapacity == 0 {
+		return false
+	}
 	spare := c.slack(now, s) - time.Duration(slackMargin*float64(s.spec.Estimate))
 	until := now.Mono + spare
 	if !c.urgentArrived {
--- a/internal/core/dispatch/place_test.go
+++ b/internal/core/dispatch/place_test.go
@@ -106,3 +106,43 @@
 	assert.Equal(t, len(h.starts), 1)
 	assert.Equal(t, h.starts[0].Worker, failed.Worker)
 }
+
+// urgentRackHarness returns a harness with four racks, of which only the first has workers with the label
+// "b", shortly after an urgent job has arrived.
+func urgentRackHarness(t *testing.T) *harness {
+	t.Helper()
+	h := newHarness(t)
+	list := h.fleet(24, whole)
+	for i := range 6 {
+		list[i].Labels = []string{"b"}
+	}
+	h.core.SetWorkers(h.clock(), list)
+	h.add(single("urgent", urgentPriority, 1, one))
+	h.accept()
+	return h
+}
+
+// Guards against a job that waits on an idle fleet for as long as its slack lasts, because all workers with the
+// label that it requires are on racks that are kept free for urgent work.
+func TestJobMayUseUrgentRacksIfNoOthersHaveItsLabel(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		h := urgentRackHarness(t)
+		j := single("j", 2, 2, whole)
+		j.Steps[0].Label, j.Steps[0].Gang = "b", gang
+		h.add(j)
+		assert.Equal(t, len(h.starts), 2)
+	}
+}
+
+// A long-running task has no slack to use up: it serves from its start on.
+func TestLongRunningTaskDoesNotWaitForOtherRacks(t *testing.T) {
+	h := urgentRackHarness(t)
+	h.add(single("full", 2, 18, whole))
+	h.accept()
+	lasting := lastingJob("lasting", 1, whole)
+	h.add(lasting)
+	assert.Equal(t, len(h.starts), 1)
+	h.accept()
+	h.add(single("other", 2, 1, whole))
+	assert.Equal(t, len(h.starts), 0, "other work with slack still leaves these racks free")
+}
