Jobs that always fail do not keep workers in quarantine

Cause: after a first quarantine, each failure renewed it, also that of a job that had failed there or on other workers before. Such failures speak against the job.

Fix: a worker is charged only with the first place where a task or gang fails, and after a quarantine only with jobs that have not failed on it before.

--- a/internal/core/dispatch/health.go
+++ b/internal/core/dispatch/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -16,7 +17,8 @@
 )
 
 // health tracks the runs of a worker that have failed since one was last done, to distinguish a
-// faulty worker from a job that fails on every worker.
+// faulty worker from a job that fails on every worker. Only the first worker on which a task or a gang
+// fails is charged with its failures: further ones speak against the job.
 type health struct {
 	failures         int
 	jobs             map[string]bool
@@ -25,13 +27,27 @@
 	lastQuarantine time.Duration
 }
 
+// failedElsewhere reports whether t or, in a gang, any member has failed or stalled on another worker
+// than w.
+func (s *step) failedElsewhere(t *task, w *worker) bool {
+	other := func(id string) bool { return id != w.ID }
+	if !s.spec.Gang {
+		return slices.ContainsFunc(t.failedOn, other)
+	}
+	return slices.ContainsFunc(s.tasks, func(m *task) bool { return slices.ContainsFunc(m.failedOn, other) })
+}
+
 func (h *health) quarantined(now time.Duration) bool { return now < h.quarantinedUntil }
 
 // recordSuccess resets the count of failures and ends a quarantine.
 func (h *health) recordSuccess() { *h = health{} }
 
-// recordFailure counts a failed run and reports whether it put the worker into quarantine.
+// recordFailure counts a failed run and reports whether it put the worker into quarantine. After a
+// quarantine only jobs count that have not failed on the worker before.
 func (h *health) recordFailure(now time.Duration, jobID string) (quarantined bool) {
+	if h.lastQuarantine > 0 && h.jobs[jobID] {
+		return false
+	}
 	if h.jobs == nil {
 		h.jobs = map[string]bool{}
 	}
--- a/internal/core/dispatch/health_test.go
+++ b/internal/core/dispatch/health_test.go
@@ -73,3 +73,63 @@
 	r := &run{task: &task{step: &step{spec: &job.Step{Estimate: time.Second}}}, percent: 42, firstPercent: 40, firstPercentAt: 10 * time.Second, percentAt: 30 * time.Second}
 	assert.Equal(t, h.core.stallTimeout(r), 20*time.Second)
 }
+
+// Guards against a fleet without usable workers: jobs that fail wherever they run put every worker into
+// quarantine, one after the other, and nothing else could start.
+func TestJobsThatFailEverywhereDoNotQuarantineTheFleet(t *testing.T) {
+	h := newHarness(t)
+	h.core.SetWorkers(h.clock(), h.fleet(4, whole))
+	ids := []string{"a", "b", "c"}
+	for _, id := range ids {
+		j := single(id, 1, 1, one)
+		j.Attempts = 4
+		h.add(j)
+	}
+	for range 4 * len(ids) {
+		if len(h.starts) == 0 {
+			break
+		}
+		s := h.starts[0]
+		h.starts = h.starts[1:]
+		h.core.StartAnswered(h.clock(), s, Accepted)
+		h.flush()
+		h.endRun(s, job.EndFailed)
+	}
+	for _, id := range ids {
+		assert.Assert(t, h.core.jobs[id] == nil, "job %s has not used its attempts up", id)
+	}
+	quarantined := 0
+	for _, w := range h.core.sortedWorkers {
+		if w.health.quarantined(h.now) {
+			quarantined++
+		}
+	}
+	assert.Assert(t, quarantined <= 1, "%d workers are in quarantine", quarantined)
+}
+
+// Guards against a job that waits for its workers' quarantine before each of its attempts: it has failed there
+// before, so that its failures tell nothing new about them.
+func TestRepeatedFailureOfAJobDoesNotRenewAQuarantine(t *testing.T) {
+	h := newHarness(t)
+	h.core.SetWorkers(h.clock(), h.fleet(1, whole))
+	for _, id := range []string{"a", "b", "c"} {
+		h.add(single(id, 1, 1, one))
+	}
+	for _, s := range h.accept() {
+		h.endRun(s, job.EndFailed)
+	}
+	w := h.core.workers["w0"]
+	assert.Assert(t, w.health.quarantined(h.now))
+	h.advance(minQuarantine + time.Second)
+	for _, s := range h.accept() {
+		h.endRun(s, job.EndFailed)
+	}
+	assert.Assert(t, !w.health.quarantined(h.now))
+	h.add(single("d", 1, 1, one))
+	for _, s := range h.accept() {
+		if s.Task.Job == "d" {
+			h.endRun(s, job.EndFailed)
+		}
+	}
+	assert.Assert(t, w.health.quarantined(h.now), "another job fails as well")
+}
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -194,10 +194,12 @@
 	c.removeIfFinished(j)
 }
 
-// recordFailure counts the failure of a run of t on w, for the job and for the worker.
+// recordFailure counts the failure of a run of t on w, for the job and, unless the work has failed on
+// another worker before, for w.
 func (c *Core) recordFailure(now Now, t *task, w *worker, number int) {
+	elsewhere := t.step.failedElsewhere(t, w)
 	t.failedOn, t.failedAt = append(t.failedOn, w.ID), now.Mono
-	if w.health.recordFailure(now.Mono, t.step.job.spec.ID) {
+	if !elsewhere && w.health.recordFailure(now.Mono, t.step.job.spec.ID) {
 		c.note(Note{Kind: "worker quarantined", Worker: w.ID})
 	}
 	c.countFailure(t.step, t, number)
