--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -239,21 +239,25 @@
 	return wait
 }
 
-// avoidsUrgentRacks reports whether s stays off the racks that are kept free for urgent work:
-// urgent jobs have arrived recently, and s can wait and still meet its objective. Without urgent
-// work there is no reason to keep racks free. A long-running step has no slack, and one that
-// can use no other rack would wait in vain.
+// avoidsUrgentRacks reports whether s stays off the racks that are kept free for urgent work, computed
+// once in a cycle.
 func (c *Core) avoidsUrgentRacks(now Now, s *step) bool {
-	if s.spec.LongRunning || c.slotsFor(now, s).ordinaryCapacity == 0 {
-		return false
+	if s.avoidsIn != c.cycle {
+		s.avoidsUrgentRacks, s.avoidsIn = c.leavesUrgentRacks(now, s), c.cycle
 	}
-	spare := c.slack(now, s) - time.Duration(slackMargin*float64(s.spec.Estimate))
-	until := now.Mono + spare
-	if !c.urgentArrived {
+	return s.avoidsUrgentRacks
+}
+
+// leavesUrgentRacks reports whether s leaves racks free for urgent work: urgent jobs have arrived
+// recently, and s can wait and still meet its objective. Without urgent work there is no reason to keep
+// racks free. A long-running step has no slack, and one that can use no other rack would wait in vain.
+func (c *Core) leavesUrgentRacks(now Now, s *step) bool {
+	if !c.urgentArrived || s.spec.LongRunning {
 		return false
 	}
-	until = min(until, c.lastUrgentArrival+urgentRecent)
-	if until <= now.Mono {
+	spare := c.slack(now, s) - time.Duration(slackMargin*float64(s.spec.Estimate))
+	until := min(now.Mono+spare, c.lastUrgentArrival+urgentRecent)
+	if until <= now.Mono || c.slotsFor(now, s).ordinaryCapacity == 0 {
 		return false
 	}
 	c.wakeAt(now, until)
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -215,6 +215,9 @@
 	readySince time.Duration
 	ready      bool
 	advice     advice
+	// avoidsUrgentRacks caches the result of the method of core for avoidsIn, a scheduling cycle.
+	avoidsUrgentRacks bool
+	avoidsIn          *cycle
 }
 
 func (s *step) name() string { return job.StepName(s.job.spec.ID, s.occurrence.index, s.index) }
