A job that ran is not reported as never_runnable

The kind says that the job was not run, and gates then try other zones: a job that is not idempotent could run twice.

Fix: an outcome whose kind says "not run" becomes outcome_unknown for a job that has run or may have. This covers the two kinds that were treated so before, and all others.

Evidence: the new test fails before: "answer_test.go:73: never_runnable != outcome_unknown".

--- a/internal/core/answer_test.go
+++ b/internal/core/answer_test.go
@@ -51,3 +51,26 @@
 	assert.Equal(t, ended.Outcome.Ran, errkind.RanYes)
 	assert.Equal(t, string(ended.Outcome.Outputs[0].Output), "done")
 }
+
+// Guards against a job that ran and is reported as never_runnable, which says that it was not run: a gate would
+// run it again in another zone.
+func TestJobThatRanIsNotReportedAsNeverRunnable(t *testing.T) {
+	for _, started := range []startStatus{startNo, startUnknown, startYes} {
+		c := oneWorkerCore()
+		c.Step(1, JobSubmitted{Job: Job{ID: "j", Shape: Shape{Cells: 1, CellSize: 8, CPU: 9}}})
+		c.Step(1, JobSubmitted{Job: Job{ID: "k", Shape: Shape{Cells: 1, CellSize: 8, CPU: 1}}})
+		j := c.jobs["k"]
+		assert.Assert(t, j != nil && c.jobs["j"] == nil, "j can never run")
+		j.earlierStart = started
+		j.Shape.CPU, j.checkedGeneration = 9, 0 // as if a new configuration had smaller workers
+		assert.Assert(t, c.failIfNeverFits(2, j))
+		out := c.actions
+		ended := out[len(out)-1].(JobEnded)
+		if started == startNo {
+			assert.Equal(t, ended.Outcome.Kind, errkind.NeverRunnable)
+			continue
+		}
+		assert.Equal(t, ended.Outcome.Kind, errkind.OutcomeUnknown)
+		assert.Assert(t, ended.Outcome.Ran != errkind.RanNo)
+	}
+}
--- a/internal/core/jobend.go
+++ b/internal/core/jobend.go
@@ -128,11 +128,8 @@
 		return
 	}
 	out.Ran = c.ran(j, out)
-	if out.Kind == errkind.DeadlineExceeded && out.Ran != errkind.RanNo {
-		out.Kind = errkind.OutcomeUnknown
-	}
-	if out.Kind == errkind.LogUnavailable && out.Ran != errkind.RanNo {
-		out.Kind = errkind.OutcomeUnknown
+	if out.Ran != errkind.RanNo && errkind.PropertiesOf(out.Kind).Ran == errkind.RanNo {
+		out.Kind = errkind.OutcomeUnknown // the kind would say that the job was not run
 	}
 	j.state = out.State
 	j.ended = true
