A host that is stopped during its claim gives the role up before it ends

The process then ended, the claim took effect, and the role belonged to a host that was gone: nothing was started until another host took over after the leader timeout.

Fix: a planned stop waits for a claim in flight as it does for the role. If the claim succeeds, the host gives the role up at once, without a scheduling cycle.

--- a/internal/entry/role.go
+++ b/internal/entry/role.go
@@ -57,8 +57,10 @@
 	seenRecords   uint64
 	noRecordSince time.Time
 	leading       bool
-	// released is closed when this host has given up the role after stop was closed.
-	released chan struct{}
+	// claiming is set while a claim is in flight.
+	claiming bool
+	// ended is closed when run has returned: this host neither claims nor holds the role any more.
+	ended chan struct{}
 	// stop is closed to end this host's claims permanently.
 	stop     chan struct{}
 	stopOnce sync.Once
@@ -70,7 +72,7 @@
 }
 
 func newRole(h *Host) *role {
-	return &role{host: h, noRecordSince: time.Now(), stop: make(chan struct{}), released: make(chan struct{})}
+	return &role{host: h, noRecordSince: time.Now(), stop: make(chan struct{}), ended: make(chan struct{})}
 }
 
 // claimDelay returns how long this host delays its claim so that other hosts can claim the role
@@ -93,24 +95,51 @@
 // run claims the role whenever this host should and leads while it holds it, until ctx ends or
 // release is called.
 func (r *role) run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		sleep(ctx, claimCheckInterval)
-		select {
-		case <-r.stop:
-			return nil
-		default:
-		}
-		if !r.shouldClaim() {
-			continue
-		}
-		claimedAt := r.host.sinceBoot()
-		if fence, ok := r.claim(ctx); ok {
-			r.lead(ctx, fence, claimedAt)
+	defer close(r.ended)
+	for ctx.Err() == nil && !r.stopped() {
+		if r.beginClaim() {
+			claimedAt := r.host.sinceBoot()
+			if fence, ok := r.claim(ctx); ok {
+				r.lead(ctx, fence, claimedAt)
+			}
+			r.endClaim()
+			if r.stopped() {
+				return nil
+			}
 		}
+		sleep(ctx, claimCheckInterval)
 	}
 	return nil
 }
 
+// stopped reports whether this host has ended its claims.
+func (r *role) stopped() bool {
+	select {
+	case <-r.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+// beginClaim reports whether this host should claim the role now, and marks the claim as being in
+// flight.
+func (r *role) beginClaim() bool {
+	if !r.shouldClaim() {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.claiming = !r.stopped()
+	return r.claiming
+}
+
+func (r *role) endClaim() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.claiming = false
+}
+
 // shouldClaim reports whether this host should claim the role now.
 func (r *role) shouldClaim() bool {
 	age, caughtUp := r.host.stateReader.contactAge()
@@ -218,7 +247,12 @@
 		reader.readNow()
 	}
 	l := newLeader(r.host, fence, claimedAt, r.formerRenewalTime)
-	reason := l.runGuarded(ctx, r.stop)
+	var reason string
+	if r.stopped() { // the host was stopped while its claim was in flight
+		reason = l.release(ctx, "planned stop")
+	} else {
+		reason = l.runGuarded(ctx, r.stop)
+	}
 	r.setLeading(false)
 	r.host.ledger.TrackUpdates(false)
 	r.host.stateReader.resume()
@@ -226,11 +260,6 @@
 	r.mu.Lock()
 	r.noRecordSince = time.Now()
 	r.mu.Unlock()
-	select {
-	case <-r.stop:
-		close(r.released)
-	default:
-	}
 }
 
 // claimSoon makes this host claim the role at its next check, unless the leader appends a
@@ -271,16 +300,18 @@
 	return r.leading
 }
 
-// release ends this host's claims permanently. If this host holds the role, release waits until
-// the role is given up or ctx ends.
+// release ends this host's claims permanently. If this host holds the role, or a claim of it is in flight,
+// release waits until the role is given up or ctx ends.
 func (r *role) release(ctx context.Context) {
-	leading := r.isLeading()
+	r.mu.Lock()
 	r.stopOnce.Do(func() { close(r.stop) })
-	if !leading {
+	wait := r.leading || r.claiming
+	r.mu.Unlock()
+	if !wait {
 		return
 	}
 	select {
-	case <-r.released:
+	case <-r.ended:
 	case <-ctx.Done():
 	}
 }
--- a/internal/entry/role_test.go
+++ b/internal/entry/role_test.go
@@ -398,3 +398,34 @@
 		assert.Assert(t, left <= max(0, maxTimeWithoutLog-elapsed) && left > maxTimeWithoutLog-elapsed-3*time.Second, "%v after %v", left, elapsed)
 	}
 }
+
+// Guards against a process that ends while its claim of the role is in flight, and so leaves the role to a host that
+// is gone.
+func TestHostStoppedDuringItsClaimReleasesTheRole(t *testing.T) {
+	log := memlog.New()
+	claimSent, proceed := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	log.SetFault(func(call string, topic sharedlog.Topic) error {
+		if call == "append" && topic == ledger.TopicState {
+			once.Do(func() { close(claimSent); <-proceed })
+		}
+		return nil
+	})
+	hosts, _ := run(t, log, 1)
+	<-claimSent
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		hosts[0].Drain(context.Background())
+	}()
+	select {
+	case <-drained:
+		t.Error("the host was drained while its claim was in flight")
+	case <-time.After(2 * claimCheckInterval):
+	}
+	close(proceed)
+	<-drained
+	role := hosts[0].ledger.Role()
+	assert.Equal(t, role.Epoch, int64(1))
+	assert.Assert(t, role.Released)
+}
