--- a/review/lab/audit.go
+++ b/review/lab/audit.go
@@ -18,6 +18,7 @@
 	Requirements string `json:"requirements,omitempty"`
 	LongRunning  bool   `json:"long_running,omitempty"`
 	AntiAffinity int    `json:"anti_affinity,omitempty"`
+	MayMiss      int    `json:"may_miss,omitempty"`
 
 	duration time.Duration
 }
@@ -37,6 +38,10 @@
 	running int
 	// idleSince is when the last run ended or, before the first one, when the job was acknowledged.
 	idleSince time.Time
+	// startedAt is when the last run began; byOrder is set if it was ended by an order of the system, and not by the
+	// job's cancelling.
+	startedAt time.Time
+	byOrder   bool
 	done      bool
 }
 
@@ -132,6 +137,7 @@
 		a.breaks("TWICE", "%s run %d starts on worker %s while another run goes on", o.Task, o.Run, w.id)
 	}
 	t.running++
+	t.startedAt, t.byOrder = time.Now(), false
 	if n := w.countStep(o.Task); step.AntiAffinity > 0 && n >= step.AntiAffinity {
 		a.breaks("ROUTE", "%s is started on worker %s beside %d tasks of its step", o.Task, w.id, n)
 	}
@@ -175,3 +181,35 @@
 	}
 	return n
 }
+
+// atWork reports whether a task that lasts has finished its startup.
+func (t *taskState) atWork() bool { return t.running > 0 && time.Since(t.startedAt) >= startupTime }
+
+// away reports whether a task counts as away for AVAIL.
+func (t *taskState) away() bool {
+	if t.atWork() {
+		return false
+	}
+	return t.byOrder || t.running == 0 && time.Since(t.idleSince) >= notice
+}
+
+// endsByOrder checks an order that ends a run on w, a sound worker: a stop or an upkeep.
+func (a *Audit) endsByOrder(w *Worker, r *runningTask) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t := a.tasks[r.task]
+	a.lab.record("%s run %d on %s is ended by an order", r.task, r.run, w.id)
+	if r.step.MayMiss > 0 && t.atWork() {
+		step := r.task[:strings.LastIndex(r.task, ".")+1]
+		away := []string{}
+		for name, o := range a.tasks {
+			if o != t && strings.HasPrefix(name, step) && o.away() {
+				away = append(away, name)
+			}
+		}
+		if len(away) >= r.step.MayMiss {
+			a.breaks("AVAIL", "%s is at work on worker %s and is ended while %v are away, with may_miss %d", r.task, w.id, away, r.step.MayMiss)
+		}
+	}
+	t.byOrder = true
+}
--- a/review/lab/cases.go
+++ b/review/lab/cases.go
@@ -14,6 +14,7 @@
 	"kind": playKind,
 	"lost": playLost,
 	"grey": playGrey,
+	"miss": playMiss,
 	"held": playHeld,
 }
 
@@ -236,3 +237,41 @@
 	}
 	return nil
 }
+
+// playMiss: a worker crashes for good; 4 s later a wave asks for the upkeep of machines on which tasks of the same step
+// are at work.
+func playMiss(l *Lab, trouble bool) error {
+	if err := l.setUp(3, l.fleet(sameKind)); err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Second)
+	const tasks = 6
+	if _, ok := l.Submit(Step{Count: tasks, CPU: 4000, MemMB: 8000, GPU: 1, EstimatedMs: 5000, AntiAffinity: 1, MayMiss: 1, LongRunning: true}); !ok {
+		return errors.New("the job was not accepted")
+	}
+	if !l.wait(10*time.Second, func() bool { return l.audit.runningTasks() == tasks }) {
+		return errors.New("the tasks do not run")
+	}
+	time.Sleep(8 * time.Second)
+	var names []string
+	crashed := false
+	for i, w := range l.workers {
+		switch {
+		case !w.busy():
+		case !crashed:
+			crashed = true
+			if trouble {
+				w.Crash()
+			}
+		case len(names) < 3:
+			names = append(names, fmt.Sprintf("m-%d", i))
+		}
+	}
+	time.Sleep(4 * time.Second)
+	l.cloud.Wave(1, names, 60*time.Second, 1)
+	if !l.wait(60*time.Second, func() bool { return l.cloud.Done(1) == len(names) }) {
+		return errors.New("the wave is not complete after 60 s")
+	}
+	time.Sleep(2 * time.Second)
+	return nil
+}
--- a/review/lab/cloud.go
+++ b/review/lab/cloud.go
@@ -156,6 +156,11 @@
 	m.done[wave], m.state = true, "upkeep"
 	m.lives++
 	id := fmt.Sprintf("%s-%d", m.worker.id, m.lives)
+	m.worker.mu.Lock()
+	for _, r := range m.worker.running {
+		c.lab.audit.endsByOrder(m.worker, r)
+	}
+	m.worker.mu.Unlock()
 	m.worker.Crash()
 	m.worker.lab.store.Put("keyed.servers", m.worker.id, nil)
 	time.AfterFunc(maintenance, func() {
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -38,6 +38,7 @@
 	stopTime    = 100 * time.Millisecond // at most stop_ms, 400 ms
 	startupTime = 300 * time.Millisecond
 	failTime    = 50 * time.Millisecond
+	notice      = 4500 * time.Millisecond // notice_ms
 )
 
 var zones = []string{"vatuwaqa", "nabua", "lami", "nasinu"}
--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -315,6 +315,7 @@
 	w.closedRun[o.Task] = max(w.closedRun[o.Task], o.Run)
 	if r := w.running[o.Task]; r != nil && r.run <= o.Run && !r.stopping {
 		r.stopping = true
+		w.lab.audit.endsByOrder(w, r)
 		w.closeLater(r, stopTime, "stopped")
 	}
 }
