--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")" || exit 2
 lab=../../target/review-lab
 [ -x "$lab" ] || { echo "run review/build-2.sh first" >&2; exit 2; }
-exec "$lab" -case wave -root ../.. -record record.txt
+exec "$lab" -case miss -root ../.. -record record.txt
--- a/review/lab/cases.go
+++ b/review/lab/cases.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -15,6 +16,7 @@
 	"lost": playLost,
 	"grey": playGrey,
 	"miss": playMiss,
+	"idle": playIdle,
 	"held": playHeld,
 }
 
@@ -275,3 +277,41 @@
 	time.Sleep(2 * time.Second)
 	return nil
 }
+
+// playIdle: the leader is killed while a wave over all machines has its last upkeeps under way. A job comes after the
+// wave.
+func playIdle(l *Lab, trouble bool) error {
+	if err := l.setUp(3, l.fleet(sameKind)); err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Second)
+	var names []string
+	for i := range workers {
+		names = append(names, fmt.Sprintf("m-%d", i))
+	}
+	l.cloud.Wave(1, names, 60*time.Second, 4)
+	if !l.wait(40*time.Second, func() bool { return l.cloud.Begun(1) == len(names) }) {
+		return errors.New("the upkeeps have not begun after 40 s")
+	}
+	if trouble {
+		if err := l.killLeader(time.Second); err != nil {
+			return err
+		}
+	}
+	succeeded := func() bool { return strings.Contains(string(l.store.Get("keyed.status", "wave/1")), "succeeded") }
+	if !l.wait(40*time.Second, succeeded) {
+		return errors.New("the wave is not shown as succeeded after 40 s")
+	}
+	l.record("wave 1 is shown as succeeded")
+	time.Sleep(5 * time.Second)
+	if _, ok := l.Submit(Step{Count: workers, CPU: 4000, MemMB: 8000, GPU: 1, EstimatedMs: 60000, duration: time.Minute}); !ok {
+		return errors.New("the job was not accepted")
+	}
+	l.record("end of the traffic")
+	time.Sleep(finish + hungry)
+	l.record("the jobs are looked at: %d tasks run", l.audit.runningTasks())
+	if idle := l.audit.idleFor(hungry); len(idle) > 0 {
+		l.audit.Breaks("LOST", "%s and %d more have had nothing running for %v, %v after the end of the traffic; %d of %d accelerators are in use", idle[0], len(idle)-1, hungry, finish, l.audit.runningTasks(), 8*workers)
+	}
+	return nil
+}
--- a/review/lab/cloud.go
+++ b/review/lab/cloud.go
@@ -69,6 +69,19 @@
 	return n
 }
 
+// Begun returns how many machines of a wave have begun their upkeep.
+func (c *Cloud) Begun(number int64) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, m := range c.machines {
+		if m.done[number] {
+			n++
+		}
+	}
+	return n
+}
+
 // ServeHTTP lists the machines and takes orders.
 func (c *Cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.Method + " " + r.URL.Path {
