The end of each upkeep is logged

The log showed when a worker is drained for an upkeep and when the upkeep is ordered, but not when it counts as over, nor which worker is on the machine then. So it could not tell why the workers of a finished wave got no work: whether they were still taken for the workers that the upkeep had ended, or something else kept them out.

A line "upkeep over" names the worker that is on the machine and the one that was drained.

--- a/internal/core/dispatch/upkeep.go
+++ b/internal/core/dispatch/upkeep.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 )
@@ -133,6 +134,7 @@
 			back := u.phase == upkeepStarted && askedAt > u.startedAt && (m.Up || !listed)
 			if removed || back {
 				u.phase = upkeepDone
+				c.note(Note{Kind: "upkeep over", Worker: m.Worker, Why: fmt.Sprintf("%s, drained worker %q", u.machine, u.worker)})
 				c.inputsChanged = true
 			}
 		}
