Workers get work again if their upkeep was done before

Cause: a worker drained for an upkeep is excluded from placement until it is replaced. A new leader orders all upkeeps of the wave once more; an order that is already carried out is accepted without effect, so the worker is drained and never replaced.

Health, labels and reachability were ruled out: no line "worker quarantined" or "worker unreachable" after the wave, and the worker entries are the ones that took work before.

Change: if the machine's worker is still the drained one when the machine is back, it gets work again. Related path: a machine that is missing from a list before its upkeep is ordered needs none, and its drained worker stayed excluded as well.

This works because an upkeep ends the worker: if the same worker is still there, it has not been ended, and nothing is about to end it.

--- a/internal/core/dispatch/upkeep.go
+++ b/internal/core/dispatch/upkeep.go
@@ -135,6 +135,9 @@
 			if removed || back {
 				u.phase = upkeepDone
 				c.note(Note{Kind: "upkeep over", Worker: m.Worker, Why: fmt.Sprintf("%s, drained worker %q", u.machine, u.worker)})
+				if removed || m.Worker == u.worker {
+					u.worker = "" // no order has ended it: the upkeep was done before, or needs not be done
+				}
 				c.inputsChanged = true
 			}
 		}
--- a/internal/core/dispatch/upkeep_test.go
+++ b/internal/core/dispatch/upkeep_test.go
@@ -15,9 +15,11 @@
 type upkeepHarness struct {
 	*harness
 	upkeepTime time.Duration
-	// upkeepCounts counts the upkeeps of each machine, and downUntil is when the latest one ends.
+	// upkeepCounts counts the upkeeps of each machine, and downUntil is when the latest one ends. had
+	// holds the machines that have begun the upkeep of a wave.
 	upkeepCounts map[string]int64
 	downUntil    map[string]time.Duration
+	had          map[Upkeep]bool
 	started      []string
 	reports      []WaveReport
 	mostDown     int
@@ -28,7 +30,7 @@
 }
 
 func newUpkeepHarness(t *testing.T, workers int) *upkeepHarness {
-	h := &upkeepHarness{harness: newHarness(t), upkeepTime: 2 * time.Second, upkeepCounts: map[string]int64{}, downUntil: map[string]time.Duration{}, workers: workers}
+	h := &upkeepHarness{harness: newHarness(t), upkeepTime: 2 * time.Second, upkeepCounts: map[string]int64{}, downUntil: map[string]time.Duration{}, had: map[Upkeep]bool{}, workers: workers}
 	h.core.settings.UpkeepTime = h.upkeepTime
 	h.refreshLists()
 	return h
@@ -113,8 +115,9 @@
 			h.refuseOrders--
 			h.core.UpkeepAnswered(h.clock(), u, RefusedUnhealthy)
 			continue
-		case h.now < h.downUntil[u.Machine]:
+		case h.had[u]: // the order has no effect
 		default:
+			h.had[u] = true
 			h.upkeepCounts[u.Machine]++
 			h.downUntil[u.Machine] = h.now + h.upkeepTime
 			h.started = append(h.started, u.Machine)
@@ -209,6 +212,46 @@
 	assert.Assert(t, h.reports[len(h.reports)-1].Done)
 }
 
+// takeOver replaces the core with that of a new leader, which knows the same workers and machines.
+func (h *upkeepHarness) takeOver() {
+	settings := h.core.settings
+	h.harness.upkeeps, h.harness.reports, h.probes = nil, nil, nil
+	h.core = New(h.clock(), settings)
+	h.refreshLists()
+}
+
+// Guards against workers that get no work for good after a new leader has repeated the upkeeps of the
+// former one, which have no effect.
+func TestWorkersTakeWorkAfterANewLeaderHasRepeatedTheirUpkeeps(t *testing.T) {
+	h := newUpkeepHarness(t, 4)
+	machines := []string{"m0", "m1", "m2", "m3"}
+	h.addWave(2, time.Minute, machines...)
+	for len(h.started) < len(machines) {
+		h.run(100 * time.Millisecond)
+	}
+	h.takeOver()
+	h.addWave(2, time.Minute, machines...)
+	h.run(20 * time.Second)
+	assert.Equal(t, len(h.started), len(machines))
+	assert.DeepEqual(t, h.reports[len(h.reports)-1], WaveReport{1, true})
+	h.add(single("j", 1, 4, wholeWorkerNeed))
+	assert.Equal(t, len(h.starts), 4)
+}
+
+// Guards against a worker that gets no work for good after its machine was missing from a list before its
+// upkeep was ordered.
+func TestWorkerOfAMachineThatNeedsNoUpkeepTakesWork(t *testing.T) {
+	h := newUpkeepHarness(t, 1)
+	h.add(single("j", 1, 1, one))
+	h.accept()
+	h.addWave(1, time.Minute, "m0")
+	h.core.Tick(h.clock())
+	h.core.SetMachines(h.clock(), h.now, []Machine{})
+	h.flush()
+	h.add(single("k", 1, 1, one))
+	assert.Equal(t, len(h.starts), 1)
+}
+
 func TestALostWaveReportIsRepeated(t *testing.T) {
 	h := newUpkeepHarness(t, 1)
 	h.addWave(1, time.Minute, "m0")
