A task on a worker that does not answer is not available

Cause: mayBeUnavailable counted a task as available while its run was confirmed and had last reported 100 percent. A run on a crashed worker keeps that state until the worker's lease has expired, 8.5 s after the crash.

Evidence: the leader's log has "worker unreachable" 4 ms after the crash, "worker unlisted" after 3.5 s, the stop for the upkeep after 6 s and "run ended ... lost" after 8.5 s. Ruled out: that the leader did not know of the crash, and that the upkeep's order rather than a stop ended the task (the stop precedes the order by 0.24 s).

Change: a task counts as available only if its worker is reachable and has answered within maxAnswerAge (3 s; workers with runs answer a probe every 2 s). The age covers silence while a probe is open, and probes that are held back. Reclaims use the same check and are mended with it. An entry that has expired is not used: a worker that answers is at work.

This works because what the check relies on is now confirmed by an answer that is younger than the time after which an absent task counts as unavailable for any cause (4.5 s and 5.5 s at the known sites).

Tests: each failed before. Without the age, the case of a silent worker fails alone.

--- a/internal/core/dispatch/harness_test.go
+++ b/internal/core/dispatch/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -126,6 +127,13 @@
 	h.t.Fatalf("worker %s has no open probe", id)
 }
 
+// failProbe reports an open probe as not accepted.
+func (h *harness) failProbe(p Probe, o Outcome) {
+	h.probes = slices.DeleteFunc(h.probes, func(q Probe) bool { return q.Worker == p.Worker })
+	h.core.ProbeFailed(h.clock(), p, o)
+	h.flush()
+}
+
 // listedAsEnded reports whether r is among the ended runs.
 func listedAsEnded(ended []EndedRun, r *run) bool {
 	for _, e := range ended {
--- a/internal/core/dispatch/incarnation.go
+++ b/internal/core/dispatch/incarnation.go
@@ -24,8 +24,8 @@
 }
 
 const (
-	// maxAnswerAge is the maximum age of a worker's last answer for the estimate of its clock to
-	// be used. A worker with runs answers a probe every two seconds.
+	// maxAnswerAge is the maximum age of a worker's last answer for the estimate of its clock, and the
+	// state of its runs, to be used. A worker with runs answers a probe every two seconds.
 	maxAnswerAge = 3 * time.Second
 	// departedHeartbeats is the age, in heartbeat intervals, below which a removed entry shows
 	// that its worker has shut down: missing heartbeats remove an entry after three.
--- a/internal/core/dispatch/preempt.go
+++ b/internal/core/dispatch/preempt.go
@@ -212,6 +212,7 @@
 // evictionSearch is the state of one search: the candidates in the order of their group, their
 // positions, and the runs chosen so far.
 type evictionSearch struct {
+	now        Now
 	candidates []candidate
 	index      map[*worker]int
 	chosen     map[*run]bool
@@ -221,7 +222,7 @@
 // preempt would not free enough.
 func (c *Core) newEvictionSearch(now Now, s *step, n int, group []*worker) *evictionSearch {
 	need := s.spec.Charge()
-	search := &evictionSearch{candidates: make([]candidate, len(group))}
+	search := &evictionSearch{now: now, candidates: make([]candidate, len(group))}
 	room := 0
 	for i, w := range group {
 		all := w.freeAfterStops()
@@ -283,7 +284,7 @@
 	if s.spec.Gang {
 		return len(s.tasks) <= s.spec.MaxUnavailable // the whole gang stops
 	}
-	return mayBeUnavailable(r, func(o *run) bool { return search.chosen[o] || slices.Contains(picked, o) })
+	return mayBeUnavailable(search.now, r, func(o *run) bool { return search.chosen[o] || slices.Contains(picked, o) })
 }
 
 // findEviction selects workers in a group for n tasks of s, and the runs to stop on them. It
--- a/internal/core/dispatch/preempt_test.go
+++ b/internal/core/dispatch/preempt_test.go
@@ -147,3 +147,13 @@
 	allowed.add(gang("urgent", urgentPriority, 2, whole))
 	assert.Equal(t, allowed.stoppedTasks(), 2)
 }
+
+// Guards against a reclaim that stops a task while another of its step is lost with a crashed worker, whose
+// lease has not expired.
+func TestReclaimKeepsTheLimitBesideATaskOnACrashedWorker(t *testing.T) {
+	h := lastingTasks(t, 3, 1)
+	h.failProbe(h.probes[0], NoConnection)
+	h.add(single("urgent", urgentPriority, 1, whole))
+	h.advance(time.Second)
+	assert.Equal(t, h.stoppedTasks(), 0)
+}
--- a/internal/core/dispatch/reachability.go
+++ b/internal/core/dispatch/reachability.go
@@ -20,6 +20,13 @@
 // worker answers the probe that follows within milliseconds.
 func (w *worker) unreachable() bool { return w.unansweredCalls > 0 }
 
+// answers reports whether w is reachable and its last answer is recent. An answer becomes old before a
+// call is known to be unanswered while a probe waits for a run to end, or while probes are held back
+// until ends are recorded.
+func (w *worker) answers(now Now) bool {
+	return !w.unreachable() && now.Mono <= w.lastAnswerAt+maxAnswerAge
+}
+
 // recordUnanswered counts a call that w did not answer. The first one in a row makes w unreachable
 // and schedules a probe immediately.
 func (c *Core) recordUnanswered(now Now, w *worker, o Outcome) {
--- a/internal/core/dispatch/upkeep.go
+++ b/internal/core/dispatch/upkeep.go
@@ -223,7 +223,7 @@
 // stopAll is set, as far as the steps' limits of unavailable tasks allow.
 func (c *Core) drainWorker(now Now, w *worker, stopAll bool) {
 	for _, r := range c.runsOf(w) {
-		if r.phase == stopping || !stopAll && !r.task.step.spec.LongRunning || !mayBeUnavailable(r, nil) {
+		if r.phase == stopping || !stopAll && !r.task.step.spec.LongRunning || !mayBeUnavailable(now, r, nil) {
 			continue
 		}
 		c.stop(now, r, "upkeep")
@@ -235,7 +235,7 @@
 
 // mayBeUnavailable reports whether r may be stopped without exceeding its step's limit of
 // unavailable tasks. Runs for which stops, if not nil, returns true count as unavailable.
-func mayBeUnavailable(r *run, stops func(*run) bool) bool {
+func mayBeUnavailable(now Now, r *run, stops func(*run) bool) bool {
 	s := r.task.step
 	if s.spec.MaxUnavailable == 0 {
 		return true
@@ -245,13 +245,20 @@
 		if t == r.task {
 			continue
 		}
-		if o := t.current; o == nil || o.phase != running || o.percent < servingPercent || stops != nil && stops(o) {
+		if o := t.current; o == nil || !o.available(now) || stops != nil && stops(o) {
 			unavailable++
 		}
 	}
 	return unavailable < s.spec.MaxUnavailable
 }
 
+// available reports whether r is known to be at work. The last progress of a run on a worker that does
+// not answer says nothing: the worker may have crashed, and the run stays in its phase until the
+// worker's lease has expired.
+func (r *run) available(now Now) bool {
+	return r.phase == running && r.percent >= servingPercent && r.worker.answers(now)
+}
+
 // servingPercent is the progress in percent that a long-running task reports once it has
 // finished starting.
 const servingPercent = 100
--- a/internal/core/dispatch/upkeep_test.go
+++ b/internal/core/dispatch/upkeep_test.go
@@ -27,6 +27,9 @@
 	// loseAnswers is how many further orders are executed but not answered, and refuseOrders
 	// how many are refused as unhealthy.
 	loseAnswers, refuseOrders int
+	// crashed is the worker that answers no probe, and failsAfter how long until a probe of it fails.
+	crashed    string
+	failsAfter time.Duration
 }
 
 func newUpkeepHarness(t *testing.T, workers int) *upkeepHarness {
@@ -88,6 +91,12 @@
 func (h *upkeepHarness) answerProbes() {
 	for _, p := range append([]Probe(nil), h.probes...) {
 		w := h.core.workers[p.Worker]
+		if p.Worker == h.crashed {
+			if h.now >= p.sentAt+h.failsAfter {
+				h.failProbe(p, Unanswered)
+			}
+			continue
+		}
 		if h.now < p.sentAt+500*time.Millisecond {
 			continue
 		}
@@ -203,6 +212,33 @@
 	assert.Equal(t, len(h.started), 4)
 }
 
+// Guards against an upkeep that stops a task while another of its step is lost with a crashed worker, whose
+// lease has not expired.
+func TestUpkeepKeepsTheLimitBesideATaskOnACrashedWorker(t *testing.T) {
+	for name, failsAfter := range map[string]time.Duration{"refuses connections": 0, "is silent": 5 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			h := newUpkeepHarness(t, 5)
+			longRunning := single("s", 1, 3, wholeWorkerNeed)
+			longRunning.Steps[0].LongRunning, longRunning.Steps[0].MaxUnavailable = true, 1
+			h.add(longRunning)
+			h.run(5 * time.Second)
+			tasks := h.core.jobs["s"].occurrences[0].steps[0].tasks
+			lost := tasks[0].current
+			h.crashed, h.failsAfter = lost.worker.ID, failsAfter
+			h.run(maxAnswerAge + 500*time.Millisecond)
+			h.addWave(1, time.Minute, "m"+tasks[1].current.worker.ID[1:], "m"+tasks[2].current.worker.ID[1:])
+			for tasks[0].current == lost {
+				h.run(100 * time.Millisecond)
+				for _, o := range tasks[1:] {
+					assert.Assert(t, o.current != nil && o.current.phase == running, "task %s was stopped", o.id)
+				}
+			}
+			h.run(20 * time.Second)
+			assert.Equal(t, len(h.started), 2)
+		})
+	}
+}
+
 func TestLostOrRefusedOrdersAreRepeatedWithinTheUnavailabilityLimit(t *testing.T) {
 	h := newUpkeepHarness(t, 4)
 	h.loseAnswers, h.refuseOrders = 2, 2
