A restarted worker gets no work while its upkeep is ordered

The drained worker gets no work, but was identified by its incarnation. If it restarted by itself in the meantime, tasks were placed on the new incarnation, and the repeated order ended them, beyond their step's limit of unavailable tasks (AVAIL).

Change: while the order may still be executed, the worker on the machine gets no work.

Test: TestNothingIsPlacedOnARestartedWorkerWhileItsUpkeepIsOrdered failed before (1 run placed).

--- a/internal/core/dispatch/upkeep.go
+++ b/internal/core/dispatch/upkeep.go
@@ -270,13 +270,20 @@
 		return false
 	}
 	for _, v := range c.waves {
-		if slices.ContainsFunc(v.upkeeps, func(u *upkeep) bool { return u.worker == w.ID && u.incarnation == w.Incarnation }) {
+		if slices.ContainsFunc(v.upkeeps, func(u *upkeep) bool { return c.endsWith(w, u) }) {
 			return false
 		}
 	}
 	return true
 }
 
+// endsWith reports whether w ends, or has ended, with the upkeep u. An order that may still be executed
+// ends the worker that is on the machine by then, even if that is not the one that was drained.
+func (c *Core) endsWith(w *worker, u *upkeep) bool {
+	drained := u.worker == w.ID && u.incarnation == w.Incarnation
+	return drained || u.phase == upkeepOrdered && c.machines[u.machine].Worker == w.ID
+}
+
 // UpkeepAnswered handles the outcome of an upkeep order. Orders are idempotent, so an order that
 // may or may not have been executed is repeated.
 func (c *Core) UpkeepAnswered(now Now, o Upkeep, outcome Outcome) {
--- a/internal/core/dispatch/upkeep_test.go
+++ b/internal/core/dispatch/upkeep_test.go
@@ -288,6 +288,23 @@
 	assert.Equal(t, len(h.starts), 1)
 }
 
+// Guards against an upkeep that ends tasks at work: its order is repeated until it is known to have been
+// executed, and the worker has restarted in the meantime.
+func TestNothingIsPlacedOnARestartedWorkerWhileItsUpkeepIsOrdered(t *testing.T) {
+	h := newUpkeepHarness(t, 1)
+	h.refuseOrders = 20
+	h.addWave(1, time.Minute, "m0")
+	h.run(time.Second)
+	h.upkeepCounts["m0"]++ // the worker restarts by itself
+	h.refreshLists()
+	h.add(single("j", 1, 1, one))
+	h.run(2 * time.Second)
+	assert.Equal(t, len(h.core.runsOf(h.core.workers["w0"])), 0)
+	h.run(20 * time.Second)
+	assert.Equal(t, len(h.started), 1)
+	assert.Equal(t, len(h.core.runsOf(h.core.workers["w0"])), 1)
+}
+
 func TestALostWaveReportIsRepeated(t *testing.T) {
 	h := newUpkeepHarness(t, 1)
 	h.addWave(1, time.Minute, "m0")
