Failed tasks avoid their worker for a bounded time

Cause: a task avoids the workers on which it failed while others are large enough. For tasks that do not run until cancelled this had no end, in the belief that the work elsewhere ends soon.

Change: the avoidance ends 4 s after the last failure, doubling with each one up to 16 s for tasks and gangs with limited attempts. These are the times of a worker's quarantine, which has the same purpose.

Ruled out: no avoidance at all while others are full. A worker that fails everything would use up all attempts within a second.

Test: TestFailedTaskAvoidsItsWorkerForABoundedTime failed before. The constant of the test beside it was renamed, its value is the same.

--- a/internal/core/dispatch/gang.go
+++ b/internal/core/dispatch/gang.go
@@ -63,7 +63,7 @@
 	}
 	p := c.poolOf(now, s)
 	eligible := func(w *worker) bool { return c.mayPlaceOn(now, s, w) && !s.hasFailedOn(w) }
-	if s.failures > 0 && (!c.avoidsFailedWorkers(now, s, s.lastFailedAt()) || transientSlots(s, filter(p.usable, eligible)) < len(s.tasks)) {
+	if s.failures > 0 && (!c.avoidsFailedWorkers(now, s, s.failures, s.lastFailedAt()) || transientSlots(s, filter(p.usable, eligible)) < len(s.tasks)) {
 		eligible = func(w *worker) bool { return c.mayPlaceOn(now, s, w) }
 	}
 	return c.findGangAmong(now, s, sl, eligible)
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -154,7 +154,7 @@
 // have, capacity for it. If so, t avoids the workers on which it has failed: a worker that fails its
 // tasks immediately always has free capacity and would use up all attempts of a task.
 func (c *Core) hasAlternative(now Now, s *step, t *task) bool {
-	if len(t.failedOn) == 0 || !c.avoidsFailedWorkers(now, s, t.failedAt) {
+	if len(t.failedOn) == 0 || !c.avoidsFailedWorkers(now, s, len(t.failedOn), t.failedAt) {
 		return false
 	}
 	return slices.ContainsFunc(c.poolOf(now, s).usable, func(w *worker) bool {
@@ -165,17 +165,32 @@
 	})
 }
 
-// maxAvoidance is how long a long-running task avoids the workers on which it failed while others
-// have no capacity. Other tasks have a limited number of attempts and wait until one has.
-const maxAvoidance = minQuarantine
+const (
+	// minAvoidance is how long a task that has failed once avoids the worker on which it failed while
+	// others have no capacity. It doubles with each further failure, up to maxAvoidance: a faulty worker
+	// that has capacity must not use up the attempts of the task.
+	minAvoidance = minQuarantine
+	maxAvoidance = maxQuarantine
+)
 
-// avoidsFailedWorkers reports whether tasks of s that last failed at the given time still avoid the
-// workers on which they failed.
-func (c *Core) avoidsFailedWorkers(now Now, s *step, failedAt time.Duration) bool {
-	if !s.spec.LongRunning {
-		return true
+// avoidanceTime returns how long after its last failure a task of s, which has failed the given number
+// of times, avoids the workers on which it failed.
+func (s *step) avoidanceTime(failures int) time.Duration {
+	if s.spec.LongRunning {
+		return minAvoidance // its attempts are not limited
 	}
-	until := failedAt + maxAvoidance
+	d := minAvoidance
+	for i := 1; i < failures && d < maxAvoidance; i++ {
+		d *= 2
+	}
+	return d
+}
+
+// avoidsFailedWorkers reports whether tasks of s that have failed the given number of times, last at
+// failedAt, still avoid the workers on which they failed. The work that holds the other workers may
+// take hours.
+func (c *Core) avoidsFailedWorkers(now Now, s *step, failures int, failedAt time.Duration) bool {
+	until := failedAt + s.avoidanceTime(failures)
 	if now.Mono >= until {
 		return false
 	}
--- a/internal/core/dispatch/place_test.go
+++ b/internal/core/dispatch/place_test.go
@@ -100,13 +100,36 @@
 	h.add(lastingJob("j", 1, one))
 	failed := h.accept()[0]
 	h.endRun(failed, job.EndFailed)
-	h.advanceAnsweringProbes(maxAvoidance - time.Second)
+	h.advanceAnsweringProbes(minAvoidance - time.Second)
 	assert.Equal(t, len(h.starts), 0)
 	h.advanceAnsweringProbes(time.Second)
 	assert.Equal(t, len(h.starts), 1)
 	assert.Equal(t, h.starts[0].Worker, failed.Worker)
 }
 
+// Guards against a job that has nothing running for as long as work of other jobs takes, because its only task
+// failed once on a worker that is sound again and has capacity.
+func TestFailedTaskAvoidsItsWorkerForABoundedTime(t *testing.T) {
+	for _, j := range []*job.Job{single("j", 1, 1, one), gang("j", 1, 1, one)} {
+		h := newHarness(t)
+		h.core.SetWorkers(h.clock(), h.fleet(2, whole))
+		full := single("full", 1, 1, whole)
+		full.Steps[0].Estimate = time.Hour
+		h.add(full)
+		h.accept()
+		h.add(j)
+		for _, wait := range []time.Duration{minAvoidance, 2 * minAvoidance} {
+			failed := h.accept()[0]
+			h.endRun(failed, job.EndFailed)
+			h.advanceAnsweringProbes(wait - time.Second)
+			assert.Equal(t, len(h.starts), 0)
+			h.advanceAnsweringProbes(time.Second)
+			assert.Equal(t, len(h.starts), 1)
+			assert.Equal(t, h.starts[0].Worker, failed.Worker)
+		}
+	}
+}
+
 // urgentRackHarness returns a harness with four racks, of which only the first has workers with the label
 // "b", shortly after an urgent job has arrived.
 func urgentRackHarness(t *testing.T) *harness {
