A restarted worker gets no work before its entry is read

Cause: an answer to a probe, or a record of a former leader, shows a new incarnation before the list does. The worker was usable at once, with the labels, capacity and state of the previous one's entry.

Change: a worker is usable only once an entry of its current incarnation has been read. Ruled out: asking for the list at once, which would cost a call for each restart and leave the same window while the list cannot be read.

Test: TestARestartedWorkerGetsNoWorkBeforeItsEntryIsRead failed before.

--- a/internal/core/dispatch/incarnation.go
+++ b/internal/core/dispatch/incarnation.go
@@ -32,13 +32,14 @@
 	departedHeartbeats = 2
 )
 
-// beginIncarnation replaces a worker's incarnation and ends the runs of the previous one. Orders
+// beginIncarnation replaces a worker's incarnation and ends the runs of the previous one. The worker gets
+// no work until the new incarnation's entry has been read, since it may be of another kind. Orders
 // address the worker by its ID, which the new incarnation may share. A start that the previous
 // incarnation is not known to have executed may therefore run, now or later, in the new one, and
 // is stopped there.
 func (c *Core) beginIncarnation(now Now, w *worker, incarnation int64) {
 	c.note(Note{Kind: "worker restarted", Worker: w.ID})
-	w.Incarnation = incarnation
+	w.Incarnation, w.entryRead = incarnation, false
 	w.ClockMs, w.clockAt, w.leaseUntilMs = 0, now.Mono, 0
 	// Orders to the previous incarnation may have granted leases to this one, and a previous
 	// leader may still be active.
--- a/internal/core/dispatch/incarnation_test.go
+++ b/internal/core/dispatch/incarnation_test.go
@@ -28,6 +28,28 @@
 	assert.Equal(t, len(h.starts), 1)
 }
 
+// Guards against a task that starts on a worker by the labels that it had before it restarted: its answer
+// to a probe shows the new incarnation earlier than the list does.
+func TestARestartedWorkerGetsNoWorkBeforeItsEntryIsRead(t *testing.T) {
+	h := newHarness(t)
+	list := h.fleet(2, whole)
+	h.core.SetWorkers(h.clock(), list)
+	h.add(lastingJob("busy", 2, whole))
+	h.accept()
+	waiting := single("j", 1, 1, one)
+	waiting.Steps[0].Label = "a"
+	h.add(waiting)
+	h.answerProbe("w0", WorkerReport{Incarnation: 1, ClockMs: 10})
+	h.answerProbe("w0", WorkerReport{Incarnation: 2, ClockMs: 10, Running: []RunInProgress{}})
+	h.advance(time.Second)
+	assert.Equal(t, len(h.starts), 0)
+	list[0].Incarnation, list[0].Labels = 2, []string{"b"}
+	h.core.SetWorkers(h.clock(), list)
+	h.flush()
+	assert.Equal(t, len(h.starts), 1)
+	assert.Equal(t, h.starts[0].Task.Job, "busy")
+}
+
 // Covers a worker that restarts just before a takeover: the former leader learned of the
 // restart from the worker itself, while the list still shows the previous incarnation.
 func TestAPlacementOnAnUnlistedIncarnationIsAdopted(t *testing.T) {
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -51,7 +51,7 @@
 	if info.Incarnation > w.Incarnation && w.Incarnation != 0 {
 		c.beginIncarnation(now, w, info.Incarnation)
 	}
-	if !w.listed || w.Draining != info.Draining || w.Capacity != info.Capacity {
+	if !w.listed || !w.entryRead || w.Draining != info.Draining || w.Capacity != info.Capacity {
 		c.inputsChanged = true
 	}
 	if w.listed && !w.Draining && info.Draining {
@@ -64,7 +64,7 @@
 	w.WorkerInfo = info
 	w.entryClockMs = info.ClockMs
 	w.ClockMs, w.clockAt = clockMs, clockAt
-	w.listed = true
+	w.listed, w.entryRead = true, true
 	w.setLeaveTime(now)
 	clear(w.labels)
 	for _, l := range info.Labels {
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -272,6 +272,9 @@
 	runsByEnd []*run
 	// leavesAt is the earliest time at which a draining worker leaves; zero if that is not known.
 	leavesAt time.Duration
+	// entryRead is set once an entry of the current incarnation has been read. Before that the labels,
+	// the capacity and the state are those of the previous one.
+	entryRead bool
 	// entryClockMs is the worker's clock when it wrote its newest entry.
 	entryClockMs int64
 	// clockAt is the local time at which the worker's clock was at least ClockMs. Both are taken
@@ -330,7 +333,7 @@
 
 // usable reports whether w can be given new work in its current state.
 func (w *worker) usable(now time.Duration) bool {
-	return w.listed && !w.Draining && now >= w.pausedUntil && !w.unreachable() && !w.health.quarantined(now) && !w.hasAdopted()
+	return w.listed && w.entryRead && !w.Draining && now >= w.pausedUntil && !w.unreachable() && !w.health.quarantined(now) && !w.hasAdopted()
 }
 
 // hasAdopted reports whether w has adopted runs and has not answered a probe of this leader yet.
