A restarted worker is not taken for one that has left

Change: a new incarnation starts as not draining, until its own entry says otherwise.

Test: TestRunsOnARestartedWorkerOutliveTheEntryOfItsPreviousIncarnation failed before (0 of 1 runs left).

--- a/internal/core/dispatch/incarnation.go
+++ b/internal/core/dispatch/incarnation.go
@@ -40,6 +40,7 @@
 func (c *Core) beginIncarnation(now Now, w *worker, incarnation int64) {
 	c.note(Note{Kind: "worker restarted", Worker: w.ID})
 	w.Incarnation, w.entryRead = incarnation, false
+	w.Draining, w.leavesAt = false, 0
 	w.ClockMs, w.clockAt, w.leaseUntilMs = 0, now.Mono, 0
 	// Orders to the previous incarnation may have granted leases to this one, and a previous
 	// leader may still be active.
--- a/internal/core/dispatch/incarnation_test.go
+++ b/internal/core/dispatch/incarnation_test.go
@@ -50,6 +50,22 @@
 	assert.Equal(t, h.starts[0].Task.Job, "busy")
 }
 
+// Guards against a run that is taken for ended while it runs on: the previous incarnation of its worker was
+// draining, and its entry is removed.
+func TestRunsOnARestartedWorkerOutliveTheEntryOfItsPreviousIncarnation(t *testing.T) {
+	h := newHarness(t)
+	list := h.fleet(1, whole)
+	list[0].Draining = true
+	h.now += time.Second
+	h.core.SetWorkers(h.clock(), list)
+	h.core.AddJob(h.clock(), single("j", 1, 1, one), map[string]job.TaskRecord{"j.0.0.0": {Run: 1, Worker: "w0", Incarnation: 2, Active: true}})
+	h.flush()
+	h.answerProbe("w0", WorkerReport{Incarnation: 2, ClockMs: 10, Running: []RunInProgress{{Task: "j.0.0.0", Run: 1}}})
+	h.core.SetWorkers(h.clock(), nil)
+	h.flush()
+	assert.Equal(t, len(h.core.runsOf(h.core.workers["w0"])), 1)
+}
+
 // Covers a worker that restarts just before a takeover: the former leader learned of the
 // restart from the worker itself, while the list still shows the previous incarnation.
 func TestAPlacementOnAnUnlistedIncarnationIsAdopted(t *testing.T) {
