A former leader's renewals are bounded by its last record

Cause: a successor allowed for renewals of leases until 5 s after its own claim. But a leader renews them for 5 s after the last record that the log accepted from it, and its successor claims only when it has seen none for 1.9 s.

Change: the successor counts the 5 s from when it saw the last record. To make that a bound, a leader counts them from when it first sent the last accepted record, by the clock that includes suspensions, and reads the time of a lease before it checks the limit: a pause between the two would have lengthened a lease beyond it.

Ruled out: assuming that leases last no longer than was requested (8 s): a call meant for a worker's previous incarnation may grant the full 10 s. Shorter leases or a shorter time without the log: both together cover outages of the log of up to 13 s.

--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -11,17 +11,19 @@
 
 // dispatchActions logs the core's notes, sends its calls and starts the next append to the log.
 // Each outgoing call runs in a goroutine of its own, which posts the result to the core. While the
-// leader's permission has run out, it makes no decisions and sends no orders.
+// leader's permission to send orders has run out, it makes no decisions and only renews leases.
 func (l *leader) dispatchActions(ctx context.Context) {
 	var actions dispatch.Actions
-	if l.permission.valid() {
+	now := l.now() // before the checks: a pause after them must not lengthen a lease
+	switch {
+	case l.permission.valid():
 		began := time.Now()
-		actions = l.core.TakeActions(l.now())
+		actions = l.core.TakeActions(now)
 		if actions.Scheduled {
 			l.core.CycleTook(time.Since(began))
 		}
-	} else {
-		actions = l.core.TakeProbes(l.now())
+	case l.permission.mayRenewLeases():
+		actions = l.core.TakeProbes(now)
 	}
 	for _, n := range actions.Notes {
 		event.Info(l.host.logger, event.Decision, "what", n.Kind, "job", n.Job, "task", n.Task, "run", n.Run, "worker", n.Worker, "why", n.Why, "epoch", l.epoch)
--- a/internal/entry/dispatchloop.go
+++ b/internal/entry/dispatchloop.go
@@ -129,7 +129,7 @@
 		if l.lossReason != "" {
 			return l.lossReason
 		}
-		if time.Since(l.appendedAt) > maxTimeWithoutLog {
+		if !l.permission.mayRenewLeases() {
 			return "the log accepts no appends"
 		}
 	}
--- a/internal/entry/permission.go
+++ b/internal/entry/permission.go
@@ -5,16 +5,18 @@
 	"time"
 )
 
-// permission is the leader's permission to send orders. Each record that the log accepts from the
-// leader renews it until leaderTimeout after the record was first sent, because another host claims
-// the role no sooner. It is measured by a clock that also counts the time for which the process was
-// paused or its machine suspended. A leader without it only extends leases, which its successor
-// allows for. It is safe for concurrent use.
+// permission is the leader's permission to send orders and to renew the leases of workers. Each record
+// that the log accepts from the leader renews it, counted from when the record was first sent: orders may
+// be sent for leaderTimeout, because another host claims the role no sooner, and leases renewed for
+// maxTimeWithoutLog, which a successor allows for. It is measured by a clock that also counts the time
+// for which the process was paused or its machine suspended. It is safe for concurrent use.
 type permission struct {
 	// sinceBoot is the clock.
 	sinceBoot func() time.Duration
-	// until is the end of the permission in nanoseconds, by sinceBoot.
-	until atomic.Int64
+	// sentAt is when the last accepted record was first sent, in nanoseconds by sinceBoot.
+	sentAt atomic.Int64
+	// withdrawn is set if no orders may be sent until the log accepts another record.
+	withdrawn atomic.Bool
 }
 
 func newPermission(sinceBoot func() time.Duration, sentAt time.Duration) *permission {
@@ -24,10 +26,20 @@
 }
 
 // renew extends the permission after the log has accepted a record that was sent at sentAt.
-func (p *permission) renew(sentAt time.Duration) { p.until.Store(int64(sentAt + leaderTimeout)) }
+func (p *permission) renew(sentAt time.Duration) {
+	p.sentAt.Store(int64(sentAt))
+	p.withdrawn.Store(false)
+}
+
+// withdraw ends the permission to send orders until the log accepts another record.
+func (p *permission) withdraw() { p.withdrawn.Store(true) }
 
-// withdraw ends the permission until the log accepts another record.
-func (p *permission) withdraw() { p.until.Store(0) }
+func (p *permission) age() time.Duration {
+	return p.sinceBoot() - time.Duration(p.sentAt.Load())
+}
 
 // valid reports whether orders may be sent now.
-func (p *permission) valid() bool { return int64(p.sinceBoot()) < p.until.Load() }
+func (p *permission) valid() bool { return !p.withdrawn.Load() && p.age() < leaderTimeout }
+
+// mayRenewLeases reports whether the leases of workers may be renewed now.
+func (p *permission) mayRenewLeases() bool { return p.age() < maxTimeWithoutLog }
--- a/internal/entry/role.go
+++ b/internal/entry/role.go
@@ -32,8 +32,8 @@
 	lowCPUDelay = 2 * (claimSpread + claimCheckInterval)
 	// claimCheckInterval is how often a standby checks whether it should claim the role.
 	claimCheckInterval = 100 * time.Millisecond
-	// maxTimeWithoutLog is how long a leader keeps renewing worker leases while the log does not
-	// accept its records. Together with the worker lease it covers the log's usual outages; a
+	// maxTimeWithoutLog is how long after the last record that the log has accepted a leader keeps
+	// renewing worker leases. Together with the worker lease it covers the log's usual outages; a
 	// successor has to wait for both before it treats the runs on unreachable workers as ended.
 	maxTimeWithoutLog = 5 * time.Second
 	// claimSuspension is how long a host whose workers do not answer leaves the role to other hosts;
@@ -56,7 +56,9 @@
 	// it last changed, or an adjusted time from which leaderTimeout is measured.
 	seenRecords   uint64
 	noRecordSince time.Time
-	leading       bool
+	// recordSeenAt is when seenRecords last changed, by sinceBoot: after the log has accepted the record.
+	recordSeenAt time.Duration
+	leading      bool
 	// claiming is set while a claim is in flight.
 	claiming bool
 	// ended is closed when run has returned: this host neither claims nor holds the role any more.
@@ -72,7 +74,7 @@
 }
 
 func newRole(h *Host) *role {
-	return &role{host: h, noRecordSince: time.Now(), stop: make(chan struct{}), ended: make(chan struct{})}
+	return &role{host: h, noRecordSince: time.Now(), recordSeenAt: h.sinceBoot(), stop: make(chan struct{}), ended: make(chan struct{})}
 }
 
 // claimDelay returns how long this host delays its claim so that other hosts can claim the role
@@ -146,7 +148,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if n := r.host.ledger.StateRecords(); n != r.seenRecords {
-		r.seenRecords, r.noRecordSince = n, time.Now()
+		r.seenRecords, r.noRecordSince, r.recordSeenAt = n, time.Now(), r.host.sinceBoot()
 	}
 	if time.Now().Before(r.claimsSuspendedUntil) {
 		return false
@@ -212,14 +214,18 @@
 }
 
 // renewalTimeAfter returns how long other leaders may go on renewing leases after a claim that follows the
-// given record. A holder that has given up the role, or that was this host, renews none any more, but
+// given record, which was the newest at the last check: none does for longer than maxTimeWithoutLog after
+// the newest record. A holder that has given up the role, or that was this host, renews none any more, but
 // leaders before it may: it may have held the role for a moment only, or, if the answer to its claim
 // was lost, not at all.
 func (r *role) renewalTimeAfter(former ledger.Role) time.Duration {
+	r.mu.Lock()
+	left := max(0, maxTimeWithoutLog-(r.host.sinceBoot()-r.recordSeenAt))
+	r.mu.Unlock()
 	if former.Epoch != 0 && !former.Released && former.Holder != r.host.settings.Host {
-		return maxTimeWithoutLog
+		return left
 	}
-	return min(max(0, time.Duration(former.FormerRenewalMs)*time.Millisecond), maxTimeWithoutLog)
+	return min(max(0, time.Duration(former.FormerRenewalMs)*time.Millisecond), left)
 }
 
 // knowsJobsOfAllTasks reports whether this host knows the jobs of all recorded tasks, after
