The progress of upkeep waves is recorded in the log

Held against the rule: LIMIT, "an upkeep begins while `cap` machines of its wave are down for theirs", without a bound in time and for all machines.

Cause: a wave's progress was in the leader's memory only.

Change: an upkeep is ordered once the log says so, and its end is recorded. A new leader counts the machines that may have been ordered, orders these again first (which fences the former order) and leaves those that are over alone. Before an order is repeated its machine is drained again, since the new leader learns of the wave up to a second after it has begun to place work.

Ruled out: counting the machines that are listed as being in their upkeep, since a late order may begin one after the list was read; waiting 13 s after each takeover until no late order is left, which would make waves late.

Tests: UpkeepThatTheFormerLeaderOrdered... and UpkeepsThatAreOver... fail if the new leader gets no progress (2 machines down; m0 ordered again). Tests that expected an order in the same step as the drain now let the record be written first; what they assert is unchanged.

--- a/internal/core/dispatch/actions.go
+++ b/internal/core/dispatch/actions.go
@@ -96,16 +96,20 @@
 	Ends  []JobEnd
 	// Dropped lists tasks of ended jobs whose records are no longer needed.
 	Dropped []job.TaskID
+	// Waves holds the progress of upkeep waves that has changed.
+	Waves []WaveProgress
 
 	// starts holds the runs whose start is sent once the batch is recorded.
 	starts []*run
+	// upkeeps holds the upkeeps that are ordered once the batch is recorded.
+	upkeeps []waveUpkeep
 	// acks holds, for each worker incarnation, the number of the last end that the batch
 	// records.
 	acks map[workerIncarnation]int64
 }
 
 func (b *Batch) empty() bool {
-	return len(b.Tasks) == 0 && len(b.Ends) == 0 && len(b.Dropped) == 0 && len(b.acks) == 0
+	return len(b.Tasks) == 0 && len(b.Ends) == 0 && len(b.Dropped) == 0 && len(b.Waves) == 0 && len(b.acks) == 0
 }
 
 // WorkerReport is a worker's answer to a probe.
--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -393,8 +393,8 @@
 	return b
 }
 
-// Recorded handles the confirmation that a batch is in the log: the starts and
-// acknowledgements that depend on it may now be sent.
+// Recorded handles the confirmation that a batch is in the log: the starts, acknowledgements and
+// upkeep orders that depend on it may now be sent.
 func (c *Core) Recorded(now Now, b *Batch) {
 	for key, n := range b.acks {
 		if key.worker.Incarnation == key.incarnation {
@@ -404,6 +404,11 @@
 	for _, r := range b.starts {
 		c.sendStart(now, r)
 	}
+	for _, o := range b.upkeeps {
+		if o.upkeep.phase == upkeepRecording {
+			c.orderUpkeep(o.wave, o.upkeep)
+		}
+	}
 }
 
 // sendStart sends a start, unless the conditions of its placement no longer hold: the run is
--- a/internal/core/dispatch/harness_test.go
+++ b/internal/core/dispatch/harness_test.go
@@ -24,12 +24,14 @@
 	upkeeps []Upkeep
 	reports []WaveReport
 	notes   []Note
+	// waves is the recorded progress of the waves.
+	waves map[int64]WaveProgress
 	// endCounts holds the number of ended runs of each worker.
 	endCounts map[string]int64
 }
 
 func newHarness(t *testing.T) *harness {
-	h := &harness{t: t, endCounts: map[string]int64{}}
+	h := &harness{t: t, endCounts: map[string]int64{}, waves: map[int64]WaveProgress{}}
 	h.core = New(h.clock(), Settings{LeaseTTL: 8 * time.Second, MaxLeaseTTL: 10 * time.Second, ProbeWait: 2 * time.Second, FormerRenewalTime: 5 * time.Second, SpreadFactor: 3, MaxStopTime: 200 * time.Millisecond, HeartbeatInterval: 1500 * time.Millisecond})
 	return h
 }
@@ -64,6 +66,9 @@
 		if batch == nil {
 			return
 		}
+		for _, p := range batch.Waves {
+			h.waves[p.Wave] = p
+		}
 		h.core.Recorded(h.clock(), batch)
 	}
 }
--- a/internal/core/dispatch/upkeep.go
+++ b/internal/core/dispatch/upkeep.go
@@ -37,6 +37,15 @@
 	Done bool
 }
 
+// WaveProgress is what the log holds of a wave in progress. A new leader goes on from it.
+type WaveProgress struct {
+	Wave int64
+	// Ordered are the machines whose upkeep may have been ordered, and Done those whose upkeep is over.
+	Ordered, Done []string
+	// Dropped is set once the end of the wave has been reported: its record is no longer needed.
+	Dropped bool
+}
+
 const (
 	// upkeepOrderRetry is the delay before an upkeep order that was not executed is repeated.
 	upkeepOrderRetry = 500 * time.Millisecond
@@ -54,6 +63,8 @@
 	upkeepWaiting upkeepPhase = iota
 	// upkeepDraining machines receive no new tasks.
 	upkeepDraining
+	// upkeepRecording machines wait until their order is in the log.
+	upkeepRecording
 	// upkeepOrdered machines may have started their upkeep.
 	upkeepOrdered
 	// upkeepStarted machines count as unavailable until they are listed as up again.
@@ -73,7 +84,14 @@
 	startedAt     time.Duration
 }
 
-func (u *upkeep) down() bool { return u.phase == upkeepOrdered || u.phase == upkeepStarted }
+// down reports whether the machine counts as unavailable because of its upkeep.
+func (u *upkeep) down() bool { return u.phase >= upkeepRecording && u.phase < upkeepDone }
+
+// waveUpkeep is an upkeep of a wave.
+type waveUpkeep struct {
+	wave   *wave
+	upkeep *upkeep
+}
 
 type wave struct {
 	Wave
@@ -98,20 +116,43 @@
 	return v.count(func(u *upkeep) bool { return u.phase != upkeepDone }) == 0
 }
 
-// AddWave adds a wave whose completion has not been reported. A wave that is already known is
+// AddWave adds a wave whose completion has not been reported, with the progress that former leaders have
+// recorded. An upkeep that may have been ordered is ordered again. A wave that is already known is
 // ignored.
-func (c *Core) AddWave(w Wave) {
+func (c *Core) AddWave(w Wave, progress WaveProgress) {
 	if slices.ContainsFunc(c.waves, func(v *wave) bool { return v.Number == w.Number }) {
 		return
 	}
 	v := &wave{Wave: w}
 	for _, m := range w.Machines {
-		v.upkeeps = append(v.upkeeps, &upkeep{machine: m})
+		u := &upkeep{machine: m}
+		switch {
+		case slices.Contains(progress.Done, m):
+			u.phase = upkeepDone
+		case slices.Contains(progress.Ordered, m):
+			u.phase = upkeepOrdered
+		}
+		v.upkeeps = append(v.upkeeps, u)
 	}
 	c.waves = append(c.waves, v)
 	slices.SortFunc(c.waves, func(a, b *wave) int { return cmp.Compare(a.Number, b.Number) })
 }
 
+// recordWave adds the progress of v to the open batch.
+func (c *Core) recordWave(v *wave) {
+	p := WaveProgress{Wave: v.Number, Dropped: v.reported != nil && v.reported.Done}
+	for _, u := range v.upkeeps {
+		switch {
+		case u.phase == upkeepDone:
+			p.Done = append(p.Done, u.machine)
+		case u.down():
+			p.Ordered = append(p.Ordered, u.machine)
+		}
+	}
+	c.batch.Waves = slices.DeleteFunc(c.batch.Waves, func(o WaveProgress) bool { return o.Wave == v.Number })
+	c.batch.Waves = append(c.batch.Waves, p)
+}
+
 // HasOpenWaves reports whether any wave still has machines to process or its final report to
 // deliver.
 func (c *Core) HasOpenWaves() bool {
@@ -138,6 +179,7 @@
 				if removed || m.Worker == u.worker {
 					u.worker = "" // no order has ended it: the upkeep was done before, or needs not be done
 				}
+				c.recordWave(v)
 				c.inputsChanged = true
 			}
 		}
@@ -196,24 +238,33 @@
 
 func (c *Core) upkeepWorker(u *upkeep) *worker { return c.workers[c.machines[u.machine].Worker] }
 
-// advanceUpkeep drains a machine and sends its upkeep order as soon as nothing runs on it and
-// the wave's limit of unavailable machines allows it. It also repeats orders that may not have
-// been executed. stopAll is set if the wave would otherwise miss its deadline.
+// advanceUpkeep drains a machine and orders its upkeep as soon as nothing runs on it and the wave's
+// limit of unavailable machines allows it. It also repeats orders that may not have been executed.
+// stopAll is set if the wave would otherwise miss its deadline.
 func (c *Core) advanceUpkeep(now Now, v *wave, u *upkeep, stopAll bool) {
 	if u.phase != upkeepDraining && u.phase != upkeepOrdered || u.orderInFlight || now.Mono < u.retryAt {
 		return
 	}
-	w := c.upkeepWorker(u)
-	if w != nil && u.phase == upkeepDraining {
+	if w := c.upkeepWorker(u); w != nil {
 		u.worker, u.incarnation = w.ID, w.Incarnation
 		c.drainWorker(now, w, stopAll)
 		if len(w.runs) > 0 {
 			return
 		}
 	}
-	if u.phase == upkeepDraining && v.count((*upkeep).down) >= v.MaxUnavailable {
+	if u.phase == upkeepOrdered {
+		c.orderUpkeep(v, u)
 		return
 	}
+	if v.count((*upkeep).down) < v.MaxUnavailable {
+		u.phase = upkeepRecording
+		c.recordWave(v)
+		c.batch.upkeeps = append(c.batch.upkeeps, waveUpkeep{v, u})
+	}
+}
+
+// orderUpkeep sends the order of an upkeep that is recorded.
+func (c *Core) orderUpkeep(v *wave, u *upkeep) {
 	u.phase, u.orderInFlight = upkeepOrdered, true
 	c.note(Note{Kind: "upkeep", Worker: c.machines[u.machine].Worker, Why: u.machine})
 	c.pendingActions.Upkeeps = append(c.pendingActions.Upkeeps, Upkeep{Wave: v.Number, Machine: u.machine})
@@ -281,7 +332,7 @@
 // ends the worker that is on the machine by then, even if that is not the one that was drained.
 func (c *Core) endsWith(w *worker, u *upkeep) bool {
 	drained := u.worker == w.ID && u.incarnation == w.Incarnation
-	return drained || u.phase == upkeepOrdered && c.machines[u.machine].Worker == w.ID
+	return drained || (u.phase == upkeepRecording || u.phase == upkeepOrdered) && c.machines[u.machine].Worker == w.ID
 }
 
 // UpkeepAnswered handles the outcome of an upkeep order. Orders are idempotent, so an order that
@@ -298,6 +349,7 @@
 				u.phase, u.startedAt = upkeepStarted, now.Mono
 			case Refused:
 				u.phase, u.worker = upkeepDone, "" // the machine is not part of this wave, or no longer exists
+				c.recordWave(v)
 			default:
 				u.retryAt = now.Mono + upkeepOrderRetry
 			}
@@ -328,5 +380,8 @@
 			continue
 		}
 		v.reported = &r
+		if r.Done {
+			c.recordWave(v)
+		}
 	}
 }
--- a/internal/core/dispatch/upkeep_test.go
+++ b/internal/core/dispatch/upkeep_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -110,6 +111,14 @@
 	}
 }
 
+// begin begins the upkeep of a machine.
+func (h *upkeepHarness) begin(u Upkeep) {
+	h.had[u] = true
+	h.upkeepCounts[u.Machine]++
+	h.downUntil[u.Machine] = h.now + h.upkeepTime
+	h.started = append(h.started, u.Machine)
+}
+
 func (h *upkeepHarness) execute() {
 	a := h.core.TakeActions(h.clock())
 	h.starts, h.stops, h.probes = append(h.starts, a.Starts...), append(h.stops, a.Stops...), append(h.probes, a.Probes...)
@@ -126,10 +135,7 @@
 			continue
 		case h.had[u]: // the order has no effect
 		default:
-			h.had[u] = true
-			h.upkeepCounts[u.Machine]++
-			h.downUntil[u.Machine] = h.now + h.upkeepTime
-			h.started = append(h.started, u.Machine)
+			h.begin(u)
 		}
 		if h.loseAnswers > 0 {
 			h.loseAnswers--
@@ -142,7 +148,7 @@
 }
 
 func (h *upkeepHarness) addWave(maxUnavailable int, within time.Duration, machines ...string) {
-	h.core.AddWave(Wave{Number: 1, Machines: machines, MaxUnavailable: maxUnavailable, DueMs: (h.now + within).Milliseconds()})
+	h.core.AddWave(Wave{Number: 1, Machines: machines, MaxUnavailable: maxUnavailable, DueMs: (h.now + within).Milliseconds()}, WaveProgress{})
 }
 
 func TestAWaveIsCarriedOutAFewMachinesAtATime(t *testing.T) {
@@ -274,6 +280,60 @@
 	assert.Equal(t, len(h.starts), 4)
 }
 
+// resumeWave adds wave 1 to the core of a new leader, with the recorded progress.
+func (h *upkeepHarness) resumeWave(maxUnavailable int, machines ...string) {
+	h.core.AddWave(Wave{Number: 1, Machines: machines, MaxUnavailable: maxUnavailable, DueMs: (h.now + time.Minute).Milliseconds()}, h.waves[1])
+}
+
+// Guards against more machines being down at a time than a wave allows: an order of the former leader was
+// not answered and is executed late.
+func TestUpkeepThatTheFormerLeaderOrderedCountsAgainstTheLimit(t *testing.T) {
+	h := newUpkeepHarness(t, 3)
+	machines := []string{"m0", "m1", "m2"}
+	h.addWave(1, time.Minute, machines...)
+	h.core.Tick(h.clock())
+	h.flush()
+	assert.Equal(t, len(h.harness.upkeeps), 1)
+	h.begin(h.harness.upkeeps[0]) // late, and without an answer
+	h.takeOver()
+	h.resumeWave(1, machines...)
+	h.run(20 * time.Second)
+	assert.Equal(t, len(h.started), len(machines))
+	assert.Assert(t, h.mostDown <= 1, "%d machines down at once", h.mostDown)
+}
+
+// Guards against workers that a new leader drains for upkeeps that are over.
+func TestUpkeepsThatAreOverAreNotRepeatedByANewLeader(t *testing.T) {
+	h := newUpkeepHarness(t, 4)
+	machines := []string{"m0", "m1", "m2", "m3"}
+	h.addWave(2, time.Minute, machines...)
+	for len(h.waves[1].Done) < 2 {
+		h.run(100 * time.Millisecond)
+	}
+	over := h.waves[1].Done
+	h.takeOver()
+	h.resumeWave(2, machines...)
+	h.notes = nil
+	h.run(20 * time.Second)
+	for _, n := range h.notes {
+		assert.Assert(t, n.Kind != "upkeep" || !slices.Contains(over, n.Why), "the upkeep of %s was ordered again", n.Why)
+	}
+	assert.Equal(t, len(h.started), len(machines))
+	assert.Assert(t, h.waves[1].Dropped)
+}
+
+// An order whose record is not in the log could not be known to a new leader.
+func TestUpkeepIsOrderedOnlyOnceItIsRecorded(t *testing.T) {
+	h := newUpkeepHarness(t, 1)
+	h.addWave(1, time.Minute, "m0")
+	h.core.Tick(h.clock())
+	assert.Equal(t, len(h.core.TakeActions(h.clock()).Upkeeps), 0)
+	batch := h.core.TakeBatch()
+	assert.DeepEqual(t, batch.Waves, []WaveProgress{{Wave: 1, Ordered: []string{"m0"}}})
+	h.core.Recorded(h.clock(), batch)
+	assert.Equal(t, len(h.core.TakeActions(h.clock()).Upkeeps), 1)
+}
+
 // Guards against a worker that gets no work for good after its machine was missing from a list before its
 // upkeep was ordered.
 func TestWorkerOfAMachineThatNeedsNoUpkeepTakesWork(t *testing.T) {
@@ -321,7 +381,8 @@
 	h := newUpkeepHarness(t, 2)
 	h.addWave(1, time.Minute, "m0", "m1")
 	h.core.Tick(h.clock())
-	first := h.core.TakeActions(h.clock()).Upkeeps
+	h.flush()
+	first := h.harness.upkeeps
 	assert.Equal(t, len(first), 1)
 	h.core.UpkeepAnswered(h.clock(), first[0], Accepted)
 	h.now += time.Second
@@ -330,7 +391,9 @@
 		other = Machine{ID: "m1", Worker: "w1", Up: true}
 	}
 	h.core.SetMachines(h.clock(), h.now, []Machine{other})
-	second := h.core.TakeActions(h.clock()).Upkeeps
+	h.harness.upkeeps = nil
+	h.flush()
+	second := h.harness.upkeeps
 	assert.Equal(t, len(second), 1)
 	assert.Equal(t, second[0].Machine, other.ID)
 }
--- a/internal/entry/statelog.go
+++ b/internal/entry/statelog.go
@@ -80,6 +80,13 @@
 	for _, id := range b.Dropped {
 		records = append(records, ledger.TaskTombstone(id))
 	}
+	for _, w := range b.Waves {
+		if w.Dropped {
+			records = append(records, ledger.WaveTombstone(w.Wave))
+			continue
+		}
+		add(ledger.WaveRecord(w.Wave, ledger.Wave{Ordered: w.Ordered, Done: w.Done}))
+	}
 	return records
 }
 
--- a/internal/entry/waves.go
+++ b/internal/entry/waves.go
@@ -70,7 +70,8 @@
 	l.post(func(dispatch.Now) {
 		for _, w := range newWaves {
 			if !done[w.Number] {
-				l.core.AddWave(w)
+				recorded := l.host.ledger.Wave(w.Number)
+				l.core.AddWave(w, dispatch.WaveProgress{Wave: w.Number, Ordered: recorded.Ordered, Done: recorded.Done})
 			}
 		}
 	})
--- a/internal/entry/waves_test.go
+++ b/internal/entry/waves_test.go
@@ -10,6 +10,8 @@
 	"gotest.tools/v3/assert"
 
 	"agatewinch/internal/core/dispatch"
+	"agatewinch/internal/ledger"
+	"agatewinch/internal/sharedlog"
 	"agatewinch/internal/sharedlog/memlog"
 )
 
@@ -70,7 +72,11 @@
 
 func runWithFleet(t *testing.T, f *fleet) *Host {
 	t.Helper()
-	log := memlog.New()
+	return runOnLogWithFleet(t, memlog.New(), f)
+}
+
+func runOnLogWithFleet(t *testing.T, log sharedlog.Log, f *fleet) *Host {
+	t.Helper()
 	hosts, _ := runWith(t, 1, func(w *workers, name string) *Host {
 		h := newHost(log, w, name)
 		h.fleet = f
@@ -89,6 +95,21 @@
 	assert.DeepEqual(t, f.reports, []dispatch.WaveReport{{Wave: 1}, {Wave: 1, Done: true}})
 }
 
+// Guards against upkeeps that a new leader orders as if the wave had just begun.
+func TestWaveGoesOnFromItsRecordedProgress(t *testing.T) {
+	f := &fleet{}
+	rec, err := ledger.WaveRecord(1, ledger.Wave{Done: []string{"m0"}})
+	assert.NilError(t, err)
+	log := memlog.New()
+	_, err = log.Append(t.Context(), ledger.TopicState, []sharedlog.Record{rec}, sharedlog.AppendOptions{})
+	assert.NilError(t, err)
+	h := runOnLogWithFleet(t, log, f)
+	h.AddWave(1, []string{"m0"}, 10*time.Second, 1)
+	eventually(t, f.done)
+	assert.Equal(t, f.upkeeps, 0)
+	eventually(t, func() bool { return len(h.ledger.Wave(1).Done) == 0 }) // the record of a finished wave is dropped
+}
+
 func TestWaveThatAFormerLeaderFinishedIsNotRepeated(t *testing.T) {
 	f := &fleet{finished: map[int64]bool{1: true}}
 	h := runWithFleet(t, f)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -9,6 +9,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -38,6 +39,7 @@
 	keyEnd    = "e/"
 	keyRole   = "role"
 	keyHost   = "h/"
+	keyWave   = "w/"
 )
 
 // Role is the record of the leader role.
@@ -63,6 +65,13 @@
 	Cores float64 `cbor:"3,keyasint,omitempty"`
 }
 
+// Wave is the record of an upkeep wave in progress: the names of the machines whose upkeep may have been
+// ordered, and of those whose upkeep is over.
+type Wave struct {
+	Ordered []string `cbor:"1,keyasint,omitempty"`
+	Done    []string `cbor:"2,keyasint,omitempty"`
+}
+
 // Ended is the record of a job's end.
 type Ended struct {
 	State job.State `cbor:"1,keyasint"`
@@ -90,7 +99,9 @@
 	mu      sync.RWMutex
 	entries map[string]*Entry
 	hosts   map[string]HostEntry
-	role    Role
+	// waves holds the records of the waves in progress, by their numbers in decimal.
+	waves map[string]Wave
+	role  Role
 	// stateRecords counts the records of the leader that were applied.
 	stateRecords uint64
 	// updated holds the IDs of jobs submitted or cancelled since the last TakeUpdated, while
@@ -100,7 +111,9 @@
 }
 
 // New returns an empty ledger.
-func New() *Ledger { return &Ledger{entries: map[string]*Entry{}, hosts: map[string]HostEntry{}} }
+func New() *Ledger {
+	return &Ledger{entries: map[string]*Entry{}, hosts: map[string]HostEntry{}, waves: map[string]Wave{}}
+}
 
 // JobRecord returns the record of a submission.
 func JobRecord(j *job.Job) (sharedlog.Record, error) { return encode(keyJob+j.ID, j) }
@@ -132,6 +145,14 @@
 // EndTombstone returns the tombstone of a job's end.
 func EndTombstone(id string) sharedlog.Record { return sharedlog.Record{Key: keyEnd + id} }
 
+// WaveRecord returns the record of a wave in progress.
+func WaveRecord(number int64, w Wave) (sharedlog.Record, error) { return encode(waveKey(number), w) }
+
+// WaveTombstone returns the tombstone of a wave's record.
+func WaveTombstone(number int64) sharedlog.Record { return sharedlog.Record{Key: waveKey(number)} }
+
+func waveKey(number int64) string { return keyWave + strconv.FormatInt(number, 10) }
+
 func encode(key string, v any) (sharedlog.Record, error) {
 	b, err := cbor.Marshal(v)
 	if err != nil {
@@ -189,6 +210,18 @@
 			return err
 		}
 		l.hosts[r.Key[len(keyHost):]] = e
+	case strings.HasPrefix(r.Key, keyWave):
+		l.stateRecords++
+		number := r.Key[len(keyWave):]
+		if tombstone {
+			delete(l.waves, number)
+			return nil
+		}
+		var w Wave
+		if err := cbor.Unmarshal(r.Value, &w); err != nil {
+			return err
+		}
+		l.waves[number] = w
 	case strings.HasPrefix(r.Key, keyTask):
 		l.stateRecords++
 		return l.applyTask(r.Key[len(keyTask):], r.Value, tombstone)
@@ -272,6 +305,13 @@
 	return l.role
 }
 
+// Wave returns the record of a wave in progress; it is empty if there is none.
+func (l *Ledger) Wave(number int64) Wave {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.waves[strconv.FormatInt(number, 10)]
+}
+
 // Hosts returns the entries of all hosts, by the hosts' names.
 func (l *Ledger) Hosts() map[string]HostEntry {
 	l.mu.RLock()
