A failed run of a gang counts once across takeovers

Cause: to count a run once however many members fail in it, the leader kept the number of the last counted run, in memory. After a takeover between the ends of two members the second counted again; and a late end of an earlier run replaced nothing, so that two of them counted twice.

Change: the numbers of all counted runs are kept and are part of the tasks' records. Records written before have none; for them nothing changes.

Tests: both failed before ("the job failed after one of two attempts"; 3 failures instead of 2). Not shown with real processes: it needs two failures in one run and a takeover between two answers that are milliseconds apart.

--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -140,6 +140,11 @@
 	if t.step.spec.Gang {
 		t.step.latestRun = max(t.step.latestRun, r.Run)
 		t.step.failures = max(t.step.failures, r.Failures)
+		for _, number := range r.FailedRuns {
+			if !slices.Contains(t.step.failedRuns, number) {
+				t.step.failedRuns = append(t.step.failedRuns, number)
+			}
+		}
 	}
 	if r.Done {
 		t.done = true
@@ -375,7 +380,7 @@
 func (t *task) record() job.TaskRecord {
 	r := job.TaskRecord{Run: t.latestRun, Done: t.done, Failures: t.failures, Checkpoint: t.checkpoint, Started: t.started, Presumed: t.presumedRecords()}
 	if t.step.spec.Gang {
-		r.Failures = t.step.failures
+		r.Failures, r.FailedRuns = t.step.failures, slices.Clone(t.step.failedRuns)
 	}
 	if t.current != nil {
 		r.Active, r.Worker, r.Incarnation = true, t.current.worker.ID, t.current.worker.Incarnation
--- a/internal/core/dispatch/gangend_test.go
+++ b/internal/core/dispatch/gangend_test.go
@@ -242,3 +242,34 @@
 	list(1)
 	list(1)
 }
+
+// Guards against a gang whose job fails too early: two of its members failed in the same run, and the leader
+// changed between their ends.
+func TestRunOfAGangThatFailsAcrossATakeoverCountsOnce(t *testing.T) {
+	h := newHarness(t)
+	h.core.SetWorkers(h.clock(), h.fleet(3, whole))
+	j := gang("g", 1, 2, whole)
+	j.Attempts = 2
+	h.core.AddJob(h.clock(), j, map[string]job.TaskRecord{
+		"g.0.0.0": {Run: 1, Failures: 1, FailedRuns: []int{1}},
+		"g.0.0.1": {Run: 1, Worker: "w1", Incarnation: 1, Active: true},
+	})
+	h.flush()
+	h.answerProbe("w1", WorkerReport{Incarnation: 1, ClockMs: 10, Running: []RunInProgress{}, Ended: []EndedRun{{Number: 1, Task: "g.0.0.1", Run: 1, End: job.EndFailed}}})
+	assert.Assert(t, h.core.jobs["g"] != nil, "the job failed after one of two attempts")
+	assert.Equal(t, len(h.starts), 2)
+}
+
+// Guards against the same where the ends of an earlier run are listed after a later one has failed.
+func TestEarlierRunOfAGangThatFailsLateCountsOnce(t *testing.T) {
+	h := newHarness(t)
+	j := gang("g", 1, 2, whole)
+	j.Attempts = 5
+	h.add(j)
+	s := h.core.jobs["g"].occurrences[0].steps[0]
+	for _, number := range []int{2, 1, 1} {
+		h.core.countFailure(s, s.tasks[0], number)
+	}
+	assert.Equal(t, s.failures, 2)
+	assert.DeepEqual(t, s.tasks[1].record().FailedRuns, []int{2, 1})
+}
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -245,8 +245,8 @@
 // members fail.
 func (c *Core) countFailure(s *step, t *task, number int) {
 	t.failures++
-	if s.spec.Gang && s.failedRun != number {
-		s.failedRun = max(s.failedRun, number) // the end of an earlier run may be listed late
+	if s.spec.Gang && !slices.Contains(s.failedRuns, number) { // the end of an earlier run may be listed late
+		s.failedRuns = append(s.failedRuns, number)
 		s.failures++
 	}
 }
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -203,9 +203,9 @@
 	latestRun int
 	failures  int
 	gangEnds  gangEnds
-	// failedRun is the number of the gang's run whose failure was counted last, so that
-	// further failed members of it do not count.
-	failedRun int
+	// failedRuns are the numbers of the gang's runs whose failure has been counted, so that further
+	// failed members of them do not count.
+	failedRuns []int
 	// plan is the preemption that frees resources for the step, or nil.
 	plan *plan
 	// nextPreemptAt is when the step may next try to preempt.
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -187,6 +187,9 @@
 	// Presumed lists the runs that were presumed to have ended and whose worker may still list how
 	// they ended.
 	Presumed []PresumedEnd `cbor:"9,keyasint,omitempty"`
+	// FailedRuns are the numbers of the failed runs of a task's gang, which count once however many of
+	// its tasks fail in them.
+	FailedRuns []int `cbor:"10,keyasint,omitempty"`
 }
 
 // PresumedEnd is a run whose end was inferred and not listed by its worker.
