Quarantines last 8 s at most

Cause: quarantines double up to 16 s, and only a run that ends as done resets them, which long-running tasks never do.

Change: 8 s at most, below the 9 s that the rule allows. Ruled out: using workers in quarantine as soon as no other is left: attempts of other tasks would be used up within a second.

Test: TestOnlyWorkerOfALongRunningTaskIsBackInTime failed before ("nothing runs 9s after the failure").

--- a/internal/core/dispatch/health.go
+++ b/internal/core/dispatch/health.go
@@ -11,9 +11,10 @@
 	// worker into quarantine. They have to belong to at least two jobs.
 	quarantineFailures = 3
 	// minQuarantine is the length of the first quarantine; each further one is twice as long,
-	// up to maxQuarantine. A run that is done resets the length.
+	// up to maxQuarantine. A run that is done resets the length. A worker may be the only one that
+	// can run some long-running tasks, and the operators allow these 9 s without a run.
 	minQuarantine = 4 * time.Second
-	maxQuarantine = 16 * time.Second
+	maxQuarantine = 8 * time.Second
 )
 
 // health tracks the runs of a worker that have failed since one was last done, to distinguish a
--- a/internal/core/dispatch/health_test.go
+++ b/internal/core/dispatch/health_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -141,3 +142,26 @@
 	}
 	assert.Assert(t, w.health.quarantined(h.now), "another job fails as well")
 }
+
+// Guards against long-running tasks that wait for the quarantine of the only worker that may run them, when it has
+// long been sound: the operators allow 6 s after the last run and 3 s more.
+func TestOnlyWorkerOfALongRunningTaskIsBackInTime(t *testing.T) {
+	const maxIdle = 9 * time.Second
+	h := newHarness(t)
+	h.core.SetWorkers(h.clock(), h.fleet(1, whole))
+	for i := range 8 {
+		h.add(lastingJob(fmt.Sprintf("job%d", i), 1, one))
+		if len(h.starts) == 0 {
+			continue // in quarantine
+		}
+		for _, s := range h.accept() {
+			h.endRun(s, job.EndFailed)
+		}
+		failedAt := h.now
+		for len(h.starts) == 0 {
+			h.advance(250 * time.Millisecond)
+			assert.Assert(t, h.now-failedAt < maxIdle, "nothing runs %v after the failure", h.now-failedAt)
+		}
+	}
+	assert.Equal(t, h.core.workers["w0"].health.lastQuarantine, maxQuarantine)
+}
