A takeover on request counts the leader's newest record

The successor could then have ended runs whose lease the former leader still renewed. The time is now noted wherever records are counted.

Also: a wave's remaining rounds count the upkeeps that are ordered but not known to have begun, which a new leader may have to drain again.

Test: TestTakeoverOnRequestCountsTheLeadersNewestRecord failed before (0 s instead of 5 s).

--- a/internal/core/dispatch/upkeep.go
+++ b/internal/core/dispatch/upkeep.go
@@ -230,7 +230,7 @@
 // mustStopRuns reports whether the runs on draining machines have to be stopped for the
 // remaining rounds of the wave to meet its deadline.
 func (c *Core) mustStopRuns(now Now, v *wave) bool {
-	left := v.count(func(u *upkeep) bool { return u.phase < upkeepOrdered })
+	left := v.count(func(u *upkeep) bool { return u.phase < upkeepStarted })
 	rounds := (left + v.MaxUnavailable - 1) / max(1, v.MaxUnavailable)
 	need := time.Duration(rounds)*(c.settings.UpkeepTime+upkeepOverhead) + c.settings.MaxStopTime
 	return now.UnixMs+need.Milliseconds() >= v.DueMs
--- a/internal/entry/role.go
+++ b/internal/entry/role.go
@@ -147,9 +147,7 @@
 	age, caughtUp := r.host.stateReader.contactAge()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if n := r.host.ledger.StateRecords(); n != r.seenRecords {
-		r.seenRecords, r.noRecordSince, r.recordSeenAt = n, time.Now(), r.host.sinceBoot()
-	}
+	r.checkRecords()
 	if time.Now().Before(r.claimsSuspendedUntil) {
 		return false
 	}
@@ -169,6 +167,13 @@
 	return elapsed >= leaderTimeout+r.claimDelay() && age < readWait+claimCheckInterval
 }
 
+// checkRecords notes whether the leader has written records since the last check. The caller holds r.mu.
+func (r *role) checkRecords() {
+	if n := r.host.ledger.StateRecords(); n != r.seenRecords {
+		r.seenRecords, r.noRecordSince, r.recordSeenAt = n, time.Now(), r.host.sinceBoot()
+	}
+}
+
 // firstSequence returns a sequence number that differs from claim to claim. The log answers a
 // repeated epoch and sequence number as it did the first time, so if two hosts claimed an epoch
 // with the same sequence number, both claims would appear to succeed.
@@ -273,7 +278,8 @@
 func (r *role) claimSoon() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.seenRecords, r.noRecordSince = r.host.ledger.StateRecords(), time.Now().Add(-leaderTimeout-lowCPUDelay-claimSpread)
+	r.checkRecords()
+	r.noRecordSince = time.Now().Add(-leaderTimeout - lowCPUDelay - claimSpread)
 }
 
 // suspendClaims keeps this host from claiming the role for claimSuspension.
--- a/internal/entry/role_test.go
+++ b/internal/entry/role_test.go
@@ -405,6 +405,21 @@
 	}
 }
 
+// Guards against renewals that are not waited for: the leader wrote a record just before it asked this host to take
+// over.
+func TestTakeoverOnRequestCountsTheLeadersNewestRecord(t *testing.T) {
+	clock, former := &pausableClock{}, ledger.Role{Epoch: 1, Holder: "former"}
+	h := claimingHost(t, memlog.New(), former)
+	h.sinceBoot = clock.now
+	clock.skip(maxTimeWithoutLog)
+	rec, err := ledger.RoleRecord(former)
+	assert.NilError(t, err)
+	assert.NilError(t, h.ledger.Apply([]sharedlog.Record{rec}))
+	h.role.claimSoon()
+	assert.Assert(t, h.role.shouldClaim())
+	assert.Assert(t, h.role.renewalTimeAfter(former) > maxTimeWithoutLog-time.Second, "%v", h.role.renewalTimeAfter(former))
+}
+
 func TestRoleRecordsCountTheRenewalTimeOfFormerLeadersDown(t *testing.T) {
 	h := newHost(memlog.New(), &workers{}, "host")
 	l := newLeader(h, sharedlog.Fence{Epoch: 2}, h.sinceBoot(), maxTimeWithoutLog)
