An upkeep keeps the limit of unavailable tasks for gangs

What stays: a wave waits for such a gang and may be late, which is priced, not forbidden.

Test: TestUpkeepStopsAGangOnlyIfAllItsTasksMayBeUnavailable failed before (3 upkeeps with a limit of 1, where the gang holds two of three machines). Not shown with real processes.

--- a/internal/core/dispatch/preempt.go
+++ b/internal/core/dispatch/preempt.go
@@ -277,13 +277,6 @@
 // mayStop reports whether the limit of unavailable tasks of r's step allows it to be stopped besides
 // the victims chosen so far and those picked on its worker.
 func (search *evictionSearch) mayStop(r *run, picked []*run) bool {
-	s := r.task.step
-	if s.spec.MaxUnavailable == 0 {
-		return true
-	}
-	if s.spec.Gang {
-		return len(s.tasks) <= s.spec.MaxUnavailable // the whole gang stops
-	}
 	return mayBeUnavailable(search.now, r, func(o *run) bool { return search.chosen[o] || slices.Contains(picked, o) })
 }
 
--- a/internal/core/dispatch/upkeep.go
+++ b/internal/core/dispatch/upkeep.go
@@ -288,8 +288,11 @@
 // unavailable tasks. Runs for which stops, if not nil, returns true count as unavailable.
 func mayBeUnavailable(now Now, r *run, stops func(*run) bool) bool {
 	s := r.task.step
-	if s.spec.MaxUnavailable == 0 {
+	switch {
+	case s.spec.MaxUnavailable == 0:
 		return true
+	case s.spec.Gang:
+		return len(s.tasks) <= s.spec.MaxUnavailable // the whole gang stops
 	}
 	unavailable := 0
 	for _, t := range s.tasks {
--- a/internal/core/dispatch/upkeep_test.go
+++ b/internal/core/dispatch/upkeep_test.go
@@ -245,6 +245,20 @@
 	}
 }
 
+// Guards against an upkeep that stops a gang, and with it more tasks at once than its step allows.
+func TestUpkeepStopsAGangOnlyIfAllItsTasksMayBeUnavailable(t *testing.T) {
+	for maxUnavailable, started := range map[int]int{1: 1, 2: 3} {
+		h := newUpkeepHarness(t, 3)
+		lasting := gang("g", 1, 2, wholeWorkerNeed)
+		lasting.Steps[0].LongRunning, lasting.Steps[0].MaxUnavailable = true, maxUnavailable
+		h.add(lasting)
+		h.run(2 * time.Second)
+		h.addWave(1, 10*time.Second, "m0", "m1", "m2")
+		h.run(20 * time.Second)
+		assert.Equal(t, len(h.started), started, "with a limit of %d", maxUnavailable)
+	}
+}
+
 func TestLostOrRefusedOrdersAreRepeatedWithinTheUnavailabilityLimit(t *testing.T) {
 	h := newUpkeepHarness(t, 4)
 	h.loseAnswers, h.refuseOrders = 2, 2
