A pace order that is executed late is replaced

Its callers would wait for a job that never ends.

Change: once the unanswered order can no longer be executed, the pace is ordered again. Ruled out: repeating it while the task uses no processor time, which would be sent for good to tasks that wait for something else, and would not see a pace that is only too low.

--- a/internal/core/dispatch/sharing.go
+++ b/internal/core/dispatch/sharing.go
@@ -54,6 +54,9 @@
 	// orderInFlight is true while an order has been sent and not answered.
 	orderInFlight bool
 	setAt         time.Duration
+	// lateUntil is when the last unanswered order can no longer be executed; zero if there is none. The
+	// pace is then ordered once more, because that order may have replaced it.
+	lateUntil time.Duration
 }
 
 // serves reports whether the step's tasks are serving tasks: they answer requests and have a
@@ -101,7 +104,8 @@
 		}
 		// A run that still uses CPU after it was paused is sent the order again.
 		notPaused := r.pacing.percent == 0 && r.load > 0 && now.Mono >= r.pacing.setAt+paceSettleTime
-		if want != r.pacing.percent || want == 0 && notPaused {
+		replaced := r.pacing.lateUntil > 0 && now.Mono >= r.pacing.lateUntil
+		if want != r.pacing.percent || want == 0 && notPaused || replaced {
 			c.orderPace(now, r, want, tail)
 		}
 	}
@@ -152,10 +156,17 @@
 	if !r.worker.runs[r] || r.worker.Incarnation != p.Incarnation {
 		return
 	}
-	r.pacing = pacing{percent: p.Percent, setAt: now.Mono}
+	lateUntil := r.pacing.lateUntil
+	if now.Mono >= lateUntil {
+		lateUntil = 0
+	}
+	r.pacing = pacing{percent: p.Percent, setAt: now.Mono, lateUntil: lateUntil}
 	if o != Accepted {
 		r.pacing.percent = unknownPace // the answer to the next probe causes another order
 	}
+	if o == Unanswered {
+		r.pacing.lateUntil = now.Mono + maxOrderDelay
+	}
 }
 
 // colocationScore returns the part of w's score for a task of s that depends on the tasks with
--- a/internal/core/dispatch/sharing_test.go
+++ b/internal/core/dispatch/sharing_test.go
@@ -192,6 +192,25 @@
 	assert.Equal(t, f.timeOverTarget["s.0.0.0"], time.Duration(0))
 }
 
+// Guards against a best-effort task that stays paused for good: an order that was not answered is executed after
+// later ones.
+func TestAPaceOrderThatIsExecutedLateIsReplaced(t *testing.T) {
+	f := newSharedFleet(t, 1)
+	f.add(serving("s", 1))
+	f.add(bestEffort("f", 1))
+	f.obeyPace = false
+	f.run(time.Second)
+	f.obeyPace = true
+	f.core.CancelJob(f.clock(), "s")
+	f.flush()
+	f.core.endRun(f.clock(), f.core.jobs["s"].occurrences[0].steps[0].tasks[0].current, job.EndStopped, "")
+	f.run(2 * time.Second)
+	assert.Equal(t, f.paces["f.0.0.0"], fullPace)
+	f.paces["f.0.0.0"] = 0
+	f.run(maxOrderDelay)
+	assert.Equal(t, f.paces["f.0.0.0"], fullPace)
+}
+
 func TestAPausedTaskIsNotTakenAsStalled(t *testing.T) {
 	f := newSharedFleet(t, 1)
 	f.latencyPerTask = 5000
