Peers count as consulted only once their answers are recorded

What callers would see: a gate or scheduler that has just started answers by a configuration that is out of date, although it has heard of a newer one.

Cause: sendHeartbeat marked the contact as completed in one critical section and recorded the peer's heartbeat, with its generation, in the next. Another answer handled in between found all contacts completed.

Change: the contact is marked as completed after the heartbeat is recorded.

--- a/internal/membership/contact.go
+++ b/internal/membership/contact.go
@@ -183,7 +183,6 @@
 	self := m.self()
 	m.mu.Lock()
 	c.inFlight = false
-	c.completedAt = now
 	if err == nil {
 		c.failures = 0
 		c.lastUseful = now
@@ -201,9 +200,19 @@
 		m.recordHeartbeat(reply, now, true)
 		m.queueConfigFetch(reply)
 	}
+	m.markCompleted(c, now)
 	m.notifyConsulted()
 }
 
+// markCompleted records that a heartbeat to c was answered or has failed. It follows recordHeartbeat: a
+// contact that counts as consulted before the generation of its peer is known would hide a newer
+// configuration.
+func (m *Membership) markCompleted(c *contact, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c.completedAt = now
+}
+
 // hears reports whether the process at addr was heard within the timeout for it.
 func (m *Membership) hears(addr string) bool {
 	self := m.self()
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -42,9 +43,14 @@
 	record []byte
 	// consulted is the generation in force when PeersConsulted was called.
 	consulted core.Generation
+	// maxDelay bounds the random delay of each heartbeat call.
+	maxDelay time.Duration
 }
 
 func (n *node) heartbeat() wire.Heartbeat {
+	if n.maxDelay > 0 {
+		time.Sleep(rand.N(n.maxDelay))
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.self
@@ -342,7 +348,22 @@
 }
 
 func TestPeersCountAsConsultedOnceTheHighestGenerationIsInForce(t *testing.T) {
+	consultPeers(t, 0)
+}
+
+// Guards against peers that count as consulted while the generation of one that has answered is not known yet.
+func TestAnsweringPeersCountAsConsultedOnlyWithTheirGeneration(t *testing.T) {
+	for range 10 {
+		consultPeers(t, 5*time.Millisecond)
+	}
+}
+
+// consultPeers runs a node with one silent peer and three of different generations, and checks which generation
+// is in force when its peers count as consulted. Steps of the node are delayed by up to maxDelay.
+func consultPeers(t *testing.T, maxDelay time.Duration) {
+	t.Helper()
 	a := listen(t, "a", wire.RoleScheduler, "a")
+	a.maxDelay = maxDelay
 	silent := listen(t, "s", wire.RoleScheduler, "a")
 	silent.stop()
 	addrs := []string{silent.addr}
