--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -76,7 +76,7 @@
 	UnknownClass:     {http.StatusUnprocessableEntity, false, RanNo, "The class is not in the configuration in force."},
 	LimitExceeded:    {http.StatusUnprocessableEntity, false, RanNo, "The request exceeds a limit of its class or organisation; the message names the limit."},
 	RateLimited:      {http.StatusTooManyRequests, true, RanNo, "The organisation exceeds its limit of requests a second; Retry-After says when to retry."},
-	Overloaded:       {http.StatusServiceUnavailable, true, RanNo, "This host is at its limit of open requests, or of requests that wait for the log; Retry-After says when to retry."},
+	Overloaded:       {http.StatusServiceUnavailable, true, RanNo, "This host is at its limit of open requests, of bytes that it holds for them, or of requests that wait for the log, or the body arrived too slowly; Retry-After says when to retry."},
 	NoConfiguration:  {http.StatusServiceUnavailable, true, RanNo, "No configuration is in force on this host yet."},
 	Unauthenticated:  {http.StatusUnauthorized, false, RanNo, "The API key is missing or wrong."},
 	Forbidden:        {http.StatusForbidden, false, RanNo, "The API key does not allow this action."},
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -16,4 +16,5 @@
 	WorkerAnswerUnreadable = Event{7107, "worker answer unreadable", "A worker's list of runs cannot be decoded; the call counts as unanswered."}
 	WaveRead               = Event{7108, "wave read", "The operators requested upkeep of machines; the leader drains them, a few at a time."}
 	DecisionFailed         = Event{7109, "decision failed", "An unexpected error ended this host's time as the leader; it goes on serving callers, and another host claims the role. The error and the place are shown."}
+	ClientsLimited         = Event{7110, "clients limited", "Clients that hold requests or connections open have reached a limit of this host; the counts say how many of them were refused or replaced since the last such line, by reason. OPERATIONS.md explains the reasons."}
 )
