Peers' messages count towards a budget

Cause: an unfinished message of up to 4 MB stays in memory for as long as its connection is open, on up to 512 connections.

Change: a server with a budget counts each message and its copies while it is read and handled. A message has 5 s from its first byte to its last. Servers without a budget are unchanged.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 
+	"agatewinch/internal/intake"
 	"agatewinch/internal/wire"
 )
 
@@ -155,6 +156,40 @@
 // read returns the next message. After an error the caller must close the link.
 func (l *link) read() (wire.Envelope, error) {
 	_, data, err := l.ws.Read(context.Background())
+	return l.decode(data, err)
+}
+
+// readWithin returns the next message, and its part of the budget, which the caller must release. After
+// an error the caller must close the link.
+func (l *link) readWithin(budget *intake.Budget) (wire.Envelope, *intake.Hold, error) {
+	if budget == nil {
+		env, err := l.read()
+		return env, nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	_, reader, err := l.ws.Reader(ctx) // waits for the first byte of a message
+	if err != nil {
+		env, err := l.decode(nil, err)
+		return env, nil, err
+	}
+	timeout := time.AfterFunc(messageTimeout, cancel)
+	defer timeout.Stop()
+	hold := budget.Open(cancel)
+	data, err := intake.ReadAll(ctx, reader, hold, wire.MaxMessageBytes)
+	if err == nil {
+		hold.Finish()
+		err = hold.Grow(ctx, messageCopies*int64(len(data)))
+	}
+	env, err := l.decode(data, err)
+	if err != nil {
+		hold.Release()
+	}
+	return env, hold, err
+}
+
+// decode decodes a message, unless it could not be read.
+func (l *link) decode(data []byte, err error) (wire.Envelope, error) {
 	if err != nil {
 		l.drained.Store(websocket.CloseStatus(err) == websocket.StatusGoingAway)
 		return wire.Envelope{}, trace.Wrap(err)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -33,6 +33,12 @@
 	maxControlPerConn = 16
 	// maxLinks bounds a server's connections; each peer needs one.
 	maxLinks = 512
+	// messageTimeout limits the time from the first byte of a message to its last, on a server with a
+	// budget.
+	messageTimeout = 5 * time.Second
+	// messageCopies is how many copies of a message are in memory while it is handled, beyond the
+	// message itself: its body, and what that holds.
+	messageCopies = 2
 	// outboxSize bounds the messages queued for writing on one connection.
 	outboxSize = 256
 	// busyRetryAfterSeconds is the retry delay sent to a peer that has reached the limit
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 
 	"agatewinch/internal/errkind"
+	"agatewinch/internal/intake"
 	"agatewinch/internal/wire"
 )
 
@@ -21,11 +22,19 @@
 
 // Serve returns an HTTP handler that accepts peers' connections and answers their requests
 // with h.
-func Serve(h Handler) http.Handler { return NewServer(h) }
+func Serve(h Handler, opts ...ServerOption) http.Handler { return NewServer(h, opts...) }
+
+// ServerOption configures a Server.
+type ServerOption func(*Server)
+
+// WithBudget makes a Server account for the messages that it reads and handles in a budget. A message
+// that does not fit, or does not arrive in time, ends its connection.
+func WithBudget(b *intake.Budget) ServerOption { return func(s *Server) { s.budget = b } }
 
 // Server accepts peers' connections and answers their requests.
 type Server struct {
 	handler Handler
+	budget  *intake.Budget
 
 	mu       sync.Mutex
 	links    map[*serverLink]bool
@@ -45,8 +54,12 @@
 }
 
 // NewServer returns a server that answers requests with h.
-func NewServer(h Handler) *Server {
-	return &Server{handler: h, links: map[*serverLink]bool{}}
+func NewServer(h Handler, opts ...ServerOption) *Server {
+	s := &Server{handler: h, links: map[*serverLink]bool{}}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
 }
 
 // ServeHTTP accepts one connection and serves it until it is closed.
@@ -98,20 +111,23 @@
 	goroutines.Go(l.writeLoop)
 	goroutines.Go(func() { l.keepAlive(serverPingAfter) })
 	for {
-		env, err := l.read()
+		env, hold, err := l.readWithin(s.budget)
 		if err != nil {
 			return
 		}
 		if env.Reply {
+			hold.Release()
 			continue
 		}
 		slots, admitErr := s.admit(l, env)
 		if admitErr != nil {
+			hold.Release()
 			l.reply(ctx, env, nil, admitErr)
 			continue
 		}
 		l.activeRequests.Add(1)
 		goroutines.Go(func() {
+			defer hold.Release()
 			defer s.requestDone(env.Kind)
 			defer l.activeRequests.Add(-1)
 			defer func() { <-slots }()
