Hosts bound what they hold for callers, peers and workers' answers

Cause: the relay read each body whole, up to 1 MB, before route, key and limit were looked at, without a bound on the sum, the time or the connections; the decoder copied it, and made 147 MB of 87,001 empty steps.

Change: route, key, job ID and announced length are checked before the body is read. The body is read within the budget and decoded without a copy; steps are counted before they are decoded, and the decoded job and a relayed message count as well. All four listeners bound their connections and headers (32 kB). Workers' answers have a budget too. The settings section intake changes the limits; docs/design/callers-limits.md explains them.

Ruled out: streaming into the decoder (a peer may need the body), a limit for each address (callers come through a load balancer), a budget for the store's answers (12 connections to a service of the platform; open).

--- a/cmd/agatewinch-host/main.go
+++ b/cmd/agatewinch-host/main.go
@@ -22,6 +22,7 @@
 
 	"agatewinch/internal/entry"
 	"agatewinch/internal/event"
+	"agatewinch/internal/intake"
 	"agatewinch/internal/peer"
 	"agatewinch/internal/relay"
 	"agatewinch/platform"
@@ -32,6 +33,12 @@
 	headerTimeout = 3 * time.Second
 	// idleTimeout limits how long a connection without requests is kept open.
 	idleTimeout = 75 * time.Second
+	// maxHeaderBytes limits the headers of a request: the largest that the operators' configuration
+	// allows, with some margin.
+	maxHeaderBytes = 32 << 10
+	// probeConnections bounds the connections of the load balancer's checks, and of those who read
+	// metrics.
+	probeConnections = 64
 	// balancerDetectionTime is how long the load balancer takes to detect that a host is not
 	// ready: two readiness checks one second apart, and some time for their responses.
 	balancerDetectionTime = 2500 * time.Millisecond
@@ -79,43 +86,46 @@
 	workerReader.OnDecodeError = func(err error) { event.Error(logger, err, event.WorkerEntryUnreadable) }
 	workerClient := platform.NewWorkerClient()
 	workerClient.OnDecodeError = func(err error) { event.Error(logger, err, event.WorkerAnswerUnreadable) }
+	workerClient.Answers = intake.NewBudget("answers", boot.Intake.AnswerBytes, nil)
 	catalogReader := platform.NewCatalogReader(store)
 	catalogReader.OnDecodeError = func(err error) { event.Error(logger, err, event.RecordUnreadable) }
 	host := entry.New(boot.Settings, entry.Dependencies{
 		Log: store, Catalog: catalogReader, Fleet: platform.NewFleet(boot.Fleet, boot.Settings.Host, store), WorkerList: workerReader, Workers: workerClient, Advisor: platform.NewAdvisor(boot.Advisor), Logger: logger,
 	})
 	catalogReader.OnWave = func(w platform.Wave) { host.AddWave(w.Number, w.Machines, w.TimeLimit, w.MaxUnavailable) }
-	return trace.Wrap(serve(boot.Settings, host, logger))
+	return trace.Wrap(serve(boot, host, logger))
 }
 
 // serve runs the host and its listeners until a signal requests a graceful shutdown.
-func serve(settings entry.Settings, host *entry.Host, logger logr.Logger) error {
+func serve(boot platform.Bootstrap, host *entry.Host, logger logr.Logger) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	settings, reporter := boot.Settings, intake.NewReporter(logger)
+	held := intake.NewBudget("callers", boot.Intake.Bytes, reporter.Note)
 	callerHandler := platform.NewCallerHandler(host)
-	requestRelay := relay.New(host, callerHandler, logger)
+	requestRelay := relay.New(host, callerHandler, &intake.Reader{Budget: held, Idle: boot.BodyIdle, Total: boot.BodyTime}, logger)
 	defer requestRelay.Close()
 	host.SetSuccessors(requestRelay)
-	front := &http.Server{Handler: requestRelay, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	ready := &http.Server{Handler: platform.NewReadiness(host.Ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	servers := map[*http.Server]string{front: settings.Listen, ready: settings.ReadyListen}
+	front := newServer(settings.Listen, requestRelay, intake.NewConnections(boot.Intake.Connections, held, reporter.Note))
+	servers := []*server{front, newServer(settings.ReadyListen, platform.NewReadiness(host.Ready), intake.NewConnections(probeConnections, held, reporter.Note))}
 	if settings.FirstPort > 0 {
 		host.Metrics().Publish(metricsName)
-		servers[&http.Server{Handler: expvar.Handler(), ReadHeaderTimeout: headerTimeout}] = net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort))
+		servers = append(servers, newServer(net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)), expvar.Handler(), intake.NewConnections(probeConnections, held, reporter.Note)))
 	}
 	if settings.PeerListen != "" {
+		peerHeld := intake.NewBudget("peers", boot.Intake.PeerBytes, reporter.Note)
 		peers := http.NewServeMux()
-		peers.Handle(peer.Path, peer.Serve(relay.Serve(host, callerHandler)))
-		servers[&http.Server{Handler: peers, ReadHeaderTimeout: headerTimeout}] = settings.PeerListen
+		peers.Handle(peer.Path, peer.Serve(relay.Serve(host, callerHandler), peer.WithBudget(peerHeld)))
+		servers = append(servers, newServer(settings.PeerListen, peers, intake.NewConnections(boot.Intake.PeerConnections, peerHeld, reporter.Note)))
 	}
 	g, ctx := errgroup.WithContext(ctx)
-	for server, address := range servers {
-		l, err := net.Listen("tcp", address)
+	for _, s := range servers {
+		l, err := net.Listen("tcp", s.address)
 		if err != nil {
 			return trace.Wrap(err)
 		}
 		g.Go(func() error {
-			if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.Serve(s.connections.Listener(l)); !errors.Is(err, http.ErrServerClosed) {
 				return trace.Wrap(err)
 			}
 			return nil
@@ -132,6 +142,19 @@
 	return g.Wait()
 }
 
+// server is an HTTP server with its address and the bound of its connections.
+type server struct {
+	*http.Server
+	address     string
+	connections *intake.Connections
+}
+
+func newServer(address string, h http.Handler, connections *intake.Connections) *server {
+	s := &server{&http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}, address, connections}
+	connections.Attach(s.Server)
+	return s
+}
+
 // waitForStop returns when ctx ends or a signal requests a stop. SIGHUP signals that the settings
 // file changed: the file is read and the result logged, but nothing is applied, because settings
 // take effect only when the process starts.
@@ -158,7 +181,7 @@
 
 // stopGracefully drains the host, which makes it not ready and releases its leader role, waits
 // until the load balancer has detected that, lets open requests finish and closes the listeners.
-func stopGracefully(settings entry.Settings, host *entry.Host, front *http.Server, servers map[*http.Server]string, logger logr.Logger) {
+func stopGracefully(settings entry.Settings, host *entry.Host, front *server, servers []*server, logger logr.Logger) {
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), settings.ShutdownGrace-stopMargin)
 	defer cancel()
@@ -167,8 +190,8 @@
 	if err := front.Shutdown(ctx); err != nil {
 		event.Error(logger, err, event.ProcessStopped, "what", "open requests were cut off")
 	}
-	for server := range servers {
-		if err := server.Close(); err != nil {
+	for _, s := range servers {
+		if err := s.Close(); err != nil {
 			event.Error(logger, err, event.ProcessStopped)
 		}
 	}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"agatewinch/internal/errkind"
+	"agatewinch/internal/intake"
 	"agatewinch/internal/peer"
 	"agatewinch/internal/wire"
 )
@@ -124,7 +125,7 @@
 		if host.Version() < req.MinVersion {
 			return &Answer{Status: http.StatusServiceUnavailable, Header: http.Header{HeaderKind: {string(errkind.NoConfiguration)}}}, nil
 		}
-		r, err := http.NewRequestWithContext(ctx, req.Method, "http://"+req.Host+req.Path, bytes.NewReader(req.Body))
+		r, err := http.NewRequestWithContext(ctx, req.Method, "http://"+req.Host+req.Path, intake.NewBody(req.Body))
 		if err != nil {
 			return nil, errkind.New(errkind.InvalidRequest, "malformed request: the relayed method, host or path is invalid")
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,11 +5,9 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"expvar"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -18,6 +16,7 @@
 
 	"agatewinch/internal/errkind"
 	"agatewinch/internal/event"
+	"agatewinch/internal/intake"
 	"agatewinch/internal/peer"
 	"agatewinch/internal/wire"
 )
@@ -31,9 +30,11 @@
 	// avoidTime is how long a peer is not called after it did not answer or could not serve the
 	// request either.
 	avoidTime = time.Second
-	// maxBody bounds the body of a request that is relayed, in bytes; a request with a larger
-	// body is answered by this host only.
+	// maxBody bounds the body of a request in bytes, unless the handler implements Checker.
 	maxBody = 1 << 20
+	// messageCopies is how many copies of its body are in memory while a request is relayed: the
+	// message, its envelope and the buffer in which that grows.
+	messageCopies = 3
 )
 
 // counters counts the calls that relay a request to a peer, by outcome.
@@ -57,12 +58,24 @@
 	RequireVersion(version int64)
 }
 
+// Checker is implemented by a handler of callers' requests that can refuse some of them before their
+// bodies are read.
+type Checker interface {
+	// Check returns the largest size in bytes that the request's body may have. It fails if the
+	// request is refused whatever its body is, and no peer may have a better answer.
+	Check(r *http.Request) (maxBody int64, err error)
+	// Refuse answers a request with an error.
+	Refuse(w http.ResponseWriter, r *http.Request, err error)
+}
+
 // Relay is an http.Handler in front of the handler of callers' requests. If that handler's
 // answer shows that another host may have a better one, the relay asks peers.
 type Relay struct {
 	host    Host
 	handler http.Handler
-	logger  logr.Logger
+	// bodies reads the bodies of requests; each is kept until its request has been answered.
+	bodies *intake.Reader
+	logger logr.Logger
 
 	mu      sync.Mutex
 	clients map[string]*peer.Client
@@ -70,9 +83,10 @@
 	avoidUntil map[string]time.Time
 }
 
-// New returns a relay in front of a handler.
-func New(host Host, handler http.Handler, logger logr.Logger) *Relay {
-	return &Relay{host: host, handler: handler, logger: logger, clients: map[string]*peer.Client{}, avoidUntil: map[string]time.Time{}}
+// New returns a relay in front of a handler. The handler receives the bodies of requests as
+// *intake.Body.
+func New(host Host, handler http.Handler, bodies *intake.Reader, logger logr.Logger) *Relay {
+	return &Relay{host: host, handler: handler, bodies: bodies, logger: logger, clients: map[string]*peer.Client{}, avoidUntil: map[string]time.Time{}}
 }
 
 // Close closes the connections to peers.
@@ -86,16 +100,13 @@
 
 // ServeHTTP implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	body, err := io.ReadAll(io.LimitReader(req.Body, maxBody+1))
-	rest := req.Body
-	req.Body = struct {
-		io.Reader
-		io.Closer
-	}{io.MultiReader(bytes.NewReader(body), rest), rest}
-	if err != nil || len(body) > maxBody {
-		r.handler.ServeHTTP(w, req)
+	body, err := r.readBody(w, req)
+	if err != nil {
+		r.refuse(w, req, err)
 		return
 	}
+	defer body.Release()
+	req.Body = body
 	own := answerOf(r.handler, req)
 	if peerMayHaveBetterAnswer(own) {
 		own = r.askPeers(req, body, own)
@@ -103,6 +114,29 @@
 	own.write(w)
 }
 
+// readBody returns the body of a request, unless the request can be refused without it.
+func (r *Relay) readBody(w http.ResponseWriter, req *http.Request) (*intake.Body, error) {
+	limit := int64(maxBody)
+	if checker, ok := r.handler.(Checker); ok {
+		var err error
+		if limit, err = checker.Check(req); err != nil {
+			r.bodies.Skip(w, req)
+			return nil, err
+		}
+	}
+	return r.bodies.Read(w, req, limit)
+}
+
+// refuse answers a request whose body was not read.
+func (r *Relay) refuse(w http.ResponseWriter, req *http.Request, err error) {
+	if checker, ok := r.handler.(Checker); ok {
+		checker.Refuse(w, req, err)
+		return
+	}
+	e := errkind.Of(err)
+	http.Error(w, e.Message, errkind.PropertiesOf(e.Kind).Status)
+}
+
 // peerMayHaveBetterAnswer reports whether another host may have a better answer than a.
 func peerMayHaveBetterAnswer(a *Answer) bool {
 	switch a.kind() {
@@ -115,9 +149,12 @@
 // askPeers returns the answer of a peer, or the host's own answer if no peer has a better one. A
 // refusal is returned only if no host may have accepted the request; otherwise the outcome is
 // reported as unknown.
-func (r *Relay) askPeers(req *http.Request, body []byte, own *Answer) *Answer {
+func (r *Relay) askPeers(req *http.Request, body *intake.Body, own *Answer) *Answer {
+	if _, err := body.Grow(req.Context(), messageCopies*int64(len(body.Bytes()))); err != nil {
+		return own
+	}
 	unknown := own.kind() == errkind.OutcomeUnknown
-	message := Request{Method: req.Method, Host: req.Host, Path: req.URL.RequestURI(), Header: req.Header, Body: body, RemoteAddress: req.RemoteAddr, MinVersion: r.host.Version()}
+	message := Request{Method: req.Method, Host: req.Host, Path: req.URL.RequestURI(), Header: req.Header, Body: body.Bytes(), RemoteAddress: req.RemoteAddr, MinVersion: r.host.Version()}
 	for _, address := range r.pick(r.host.Peers()) {
 		answer, err := r.call(req.Context(), address, &message)
 		r.logOutcome(req, address, own, answer, err)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"agatewinch/internal/errkind"
+	"agatewinch/internal/intake"
 	"agatewinch/internal/peer"
 )
 
@@ -51,6 +52,10 @@
 	return errkind.PropertiesOf(kind).Status, map[string]string{HeaderKind: string(kind)}
 }
 
+func bodies() *intake.Reader {
+	return &intake.Reader{Budget: intake.NewBudget("test", 8<<20, nil), Idle: time.Second, Total: time.Second}
+}
+
 // peerVersion is the configuration version of the peers in these tests.
 const peerVersion = 7
 
@@ -70,7 +75,7 @@
 	if other != nil {
 		h.peers = []string{listen(t, peerVersion, other)}
 	}
-	r := New(h, own, logr.Discard())
+	r := New(h, own, bodies(), logr.Discard())
 	t.Cleanup(r.Close)
 	rec := httptest.NewRecorder()
 	r.ServeHTTP(rec, httptest.NewRequest(method, "/q/0123456789abcdef", strings.NewReader(`{"spec":"text"}`)))
@@ -160,7 +165,7 @@
 	var own, other atomic.Int64
 	status, headers := refusal(errkind.LogUnavailable)
 	h := &host{peers: []string{listen(t, peerVersion, answers(status, headers, &other))}}
-	r := New(h, answers(status, headers, &own), logr.Discard())
+	r := New(h, answers(status, headers, &own), bodies(), logr.Discard())
 	t.Cleanup(r.Close)
 	for range 5 {
 		rec := httptest.NewRecorder()
@@ -176,7 +181,7 @@
 	var own, other atomic.Int64
 	status, headers := refusal(errkind.NoConfiguration)
 	h := &host{peers: []string{listen(t, peerVersion, answers(404, map[string]string{HeaderVersion: "7"}, &other))}, version: peerVersion + 1}
-	r := New(h, answers(status, headers, &own), logr.Discard())
+	r := New(h, answers(status, headers, &own), bodies(), logr.Discard())
 	t.Cleanup(r.Close)
 	rec := httptest.NewRecorder()
 	r.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/q/", nil))
@@ -194,11 +199,11 @@
 		return strings.TrimPrefix(s.URL, "http://")
 	}
 	unable, able := &host{refusal: errkind.New(errkind.LogUnavailable, "the log does not answer")}, &host{}
-	r := New(&host{peers: []string{serve(unable), serve(able)}}, http.NotFoundHandler(), logr.Discard())
+	r := New(&host{peers: []string{serve(unable), serve(able)}}, http.NotFoundHandler(), bodies(), logr.Discard())
 	t.Cleanup(r.Close)
 	assert.Assert(t, r.AskSuccessor(t.Context(), 7, "holder"))
 	assert.Equal(t, able.epoch.Load(), int64(7))
-	r = New(&host{peers: []string{serve(unable)}}, http.NotFoundHandler(), logr.Discard())
+	r = New(&host{peers: []string{serve(unable)}}, http.NotFoundHandler(), bodies(), logr.Discard())
 	t.Cleanup(r.Close)
 	assert.Assert(t, !r.AskSuccessor(t.Context(), 7, "holder"))
 }
