Hosts collect garbage at the runtime's usual rate

Cause: a host let its heap grow to five times what is live (gcPercent 400, "memory is plentiful"). On deployments with small hosts memory is scarce, and there it is the second largest part of what the hosts cost. Change: the runtime's default.

--- a/cmd/agatewinch-host/main.go
+++ b/cmd/agatewinch-host/main.go
@@ -41,9 +41,6 @@
 	// memoryShare is the soft memory limit of the Go runtime as a fraction of the memory of
 	// the process.
 	memoryShare = 0.5
-	// gcPercent is above the default of 100 to spend less CPU time on garbage collection;
-	// memory is plentiful.
-	gcPercent = 400
 	// metricsName is the expvar name of the host's metrics.
 	metricsName = "agatewinch"
 )
@@ -68,7 +65,6 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(boot.Settings.MemoryMB) * (1 << 20)))
 	logger, flush := entry.NewLogger(os.Stdout)
 	defer flush()
