Gates bound what they hold for callers, and test/hostile covers them

Cause: a gate limits requests and connections by number, but holds a body of up to 1 MB (4 MB of an operator) for each, for up to 30 s. At the limit of connections new ones were closed, so those who hold on locked others out.

Change: bodies and headers count towards max_held_mb (256); a new connection replaces a stalled or idle one. The peers' listener has a budget and a bound too. gate.ConnLimit is replaced by intake.Connections; its test moves to internal/intake and is as strict: a connection over the limit is closed while a request is in progress on the other, and admitted once that is closed.

Ruled out: budgets for the scheduler's peer connections: a link that is closed there makes the outcome of its requests unknown, and only the system's own processes reach it (open).

--- a/cmd/agatewinch-gate/main.go
+++ b/cmd/agatewinch-gate/main.go
@@ -18,6 +18,7 @@
 	"agatewinch/internal/api"
 	"agatewinch/internal/event"
 	"agatewinch/internal/gate"
+	"agatewinch/internal/intake"
 	"agatewinch/internal/metrics"
 	"agatewinch/internal/peer"
 	"agatewinch/internal/platform/httpadapter"
@@ -32,6 +33,10 @@
 	dialTimeout       = 2 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 16 << 10
+	// maxPeerHeldBytes bounds the messages of peers that are being read or handled, and
+	// maxPeerConnections their connections.
+	maxPeerHeldBytes   = 64 << 20
+	maxPeerConnections = 1024
 	// shutdownTimeout exceeds the longest time that a request waits for a job, plus the time to
 	// detect a lost response.
 	shutdownTimeout = (api.MaxWaitSeconds + 15) * time.Second
@@ -67,11 +72,12 @@
 
 	signalCtx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	listener, err := certs.Listen(s.Listen)
+	connections := intake.NewConnections(s.MaxConnections, g.Held(), intake.NewReporter(logger).Note)
+	listener, err := listen(s.Listen, certs, connections)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	server := newServer(g.Handler(), s.MaxConnections)
+	server := newServer(g.Handler(), connections)
 	runCtx, cancelRun := context.WithCancel(context.Background())
 	defer cancelRun()
 	group, runCtx := errgroup.WithContext(runCtx)
@@ -107,14 +113,16 @@
 // servePeers serves peers until ctx ends. They have a separate listener, so that callers
 // never reach the peer protocol.
 func servePeers(ctx context.Context, g *gate.Gate, certs *tlsconfig.Source, addr string) error {
-	listener, err := certs.Listen(addr)
+	held := intake.NewBudget("peers", maxPeerHeldBytes, nil)
+	connections := intake.NewConnections(maxPeerConnections, held, nil)
+	listener, err := listen(addr, certs, connections)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	peers := peer.NewServer(g.HandlePeer)
+	peers := peer.NewServer(g.HandlePeer, peer.WithBudget(held))
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, peers)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server := newServer(mux, connections)
 	stop := context.AfterFunc(ctx, func() {
 		shutdownCtx, cancel := context.WithTimeout(context.Background(), peerShutdownTimeout)
 		defer cancel()
@@ -139,11 +147,25 @@
 	return client
 }
 
-func newServer(h http.Handler, maxConnections int) *http.Server {
-	return &http.Server{
-		Handler: h, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ConnState: gate.NewConnLimit(maxConnections).ConnState,
+// listen listens on addr, with TLS if certs is not nil, within a bound of connections.
+func listen(addr string, certs *tlsconfig.Source, connections *intake.Connections) (net.Listener, error) {
+	plain, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	wrapped, err := certs.Wrap(connections.Listener(plain))
+	if err != nil {
+		_ = plain.Close()
+	}
+	return wrapped, trace.Wrap(err)
+}
+
+func newServer(h http.Handler, connections *intake.Connections) *http.Server {
+	server := &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
+	connections.Attach(server)
+	return server
 }
 
 // drain shuts the gate down gracefully: it makes readiness checks fail, waits for the grace
--- a/cmd/agatewinch-gate/main_test.go
+++ b/cmd/agatewinch-gate/main_test.go
@@ -23,6 +23,7 @@
 	"agatewinch/internal/docsync"
 	"agatewinch/internal/event"
 	"agatewinch/internal/gate"
+	"agatewinch/internal/intake"
 	"agatewinch/internal/platform/fakelog"
 	"agatewinch/internal/settings"
 )
@@ -116,7 +117,7 @@
 		close(entered)
 		<-finish
 		_, _ = io.WriteString(w, "whole")
-	}), 10)
+	}), intake.NewConnections(10, nil, nil))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	go func() { _ = server.Serve(listener) }()
--- a/cmd/agatewinch-gate/settings.go
+++ b/cmd/agatewinch-gate/settings.go
@@ -44,6 +44,9 @@
 	MaxRequests         int `yaml:"max_requests" validate:"min=1"`
 	MaxOperatorRequests int `yaml:"max_operator_requests" validate:"min=1"`
 	MaxConnections      int `yaml:"max_connections" validate:"min=1"`
+	// MaxHeldMB limits the memory of requests that are unfinished or being handled, in megabytes. It
+	// is at least twice that of the largest request of an operator.
+	MaxHeldMB int64 `yaml:"max_held_mb" validate:"min=16"`
 	// RequestRate and RequestBurst limit the submissions and job lists per second of an
 	// organisation, where the configuration sets no limits for it.
 	RequestRate  int `yaml:"request_rate" validate:"min=1"`
@@ -60,7 +63,7 @@
 	return gateSettings{
 		Host: settings.Host{LogFormat: string(event.FormatJSON)}, PlatformConns: defaultPlatformConns,
 		HeartbeatInterval: membership.DefaultInterval, HeartbeatTimeout: membership.DefaultTimeout, DrainGrace: defaultDrainGrace,
-		MaxRequests: limits.Requests, MaxOperatorRequests: limits.OperatorRequests, MaxConnections: limits.Connections,
+		MaxRequests: limits.Requests, MaxOperatorRequests: limits.OperatorRequests, MaxConnections: limits.Connections, MaxHeldMB: limits.HeldBytes >> 20,
 		RequestRate: limits.RequestRate, RequestBurst: limits.RequestBurst,
 	}
 }
@@ -70,7 +73,7 @@
 		Host: s.Host.Host, Zone: core.ZoneID(s.Zone), OperatorKeys: gate.OperatorKeys(s.OperatorKeys),
 		ConfigSnapshotInterval: s.ConfigSnapshotInterval, Metrics: registry,
 		Limits: gate.Limits{
-			Requests: s.MaxRequests, OperatorRequests: s.MaxOperatorRequests, Connections: s.MaxConnections,
+			Requests: s.MaxRequests, OperatorRequests: s.MaxOperatorRequests, Connections: s.MaxConnections, HeldBytes: s.MaxHeldMB << 20,
 			RequestRate: s.RequestRate, RequestBurst: s.RequestBurst,
 		},
 	}
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"io"
 	"math"
 	"net/http"
 	"regexp"
@@ -12,11 +10,14 @@
 	"agatewinch/internal/api"
 	"agatewinch/internal/config"
 	"agatewinch/internal/errkind"
+	"agatewinch/internal/intake"
 )
 
 const (
 	maxCallerBodyBytes   = 1 << 20
 	maxOperatorBodyBytes = 4 << 20
+	// decodedCopies is how many copies of a body are in memory while it is decoded.
+	decodedCopies = 2
 )
 
 func maxBodyBytes(role config.Role) int64 {
@@ -33,6 +34,11 @@
 	r    *http.Request
 	gate *Gate
 	key  config.Key
+	// maxBody is the largest size of the body in bytes. bodyRead is set once its reading has begun, and
+	// body once it has been read.
+	maxBody  int64
+	bodyRead bool
+	body     *intake.Body
 	// requestID is the caller's request ID; empty until it is known.
 	requestID string
 }
@@ -51,18 +57,28 @@
 }
 
 // decode reads the request body into out. The body must be a single JSON value without
-// unknown fields.
+// unknown fields. Its memory is held until release.
 func (x *exchange) decode(out any) error {
-	data, err := io.ReadAll(x.r.Body)
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return errkind.New(errkind.TooLarge, "the request body is larger than %d bytes", large.Limit)
+	x.bodyRead = true
+	body, err := x.gate.bodies.Read(x.w, x.r, x.maxBody)
+	if err != nil {
+		return err
 	}
+	x.body = body
+	copies, err := body.Grow(x.r.Context(), decodedCopies*int64(len(body.Bytes())))
 	if err != nil {
-		return errkind.New(errkind.InvalidRequest, "the request body could not be read completely")
+		return err
+	}
+	defer body.Shrink(copies)
+	x.setRequestID(body.Bytes())
+	return decodeStrict(body.Bytes(), out)
+}
+
+// release ends the accounting of the request's body.
+func (x *exchange) release() {
+	if x.body != nil {
+		x.body.Release()
 	}
-	x.setRequestID(data)
-	return decodeStrict(data, out)
 }
 
 // setRequestID takes a valid request ID from a body, even if other fields are invalid.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -14,6 +14,7 @@
 	"agatewinch/internal/config"
 	"agatewinch/internal/core"
 	"agatewinch/internal/event"
+	"agatewinch/internal/intake"
 	"agatewinch/internal/membership"
 	"agatewinch/internal/metrics"
 	"agatewinch/internal/platform"
@@ -45,6 +46,8 @@
 	router   *routing.Router
 
 	metrics      *metrics.Registry
+	held         *intake.Budget
+	bodies       *intake.Reader
 	openRequests openRequests
 	rateLimiter  rateLimiter
 	leaving      atomic.Bool
@@ -61,12 +64,20 @@
 	if g.metrics == nil {
 		g.metrics = metrics.New(metrics.SourceGate)
 	}
+	if opts.Limits.HeldBytes == 0 {
+		opts.Limits.HeldBytes = DefaultLimits.HeldBytes
+	}
+	g.held = intake.NewBudget("callers", opts.Limits.HeldBytes, intake.NewReporter(logger).Note)
+	g.bodies = &intake.Reader{Budget: g.held, Idle: intake.DefaultBodyIdle, Total: intake.DefaultBodyTime}
 	g.follower.SnapshotInterval = opts.ConfigSnapshotInterval
 	g.members = g.newMembership()
 	g.router = g.newRouter()
 	return g
 }
 
+// Held returns the budget of the memory of requests, to which those count whose headers are being read.
+func (g *Gate) Held() *intake.Budget { return g.held }
+
 // Run follows the configuration and exchanges heartbeats with peers until ctx ends.
 func (g *Gate) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -3,13 +3,10 @@
 import (
 	"encoding/json"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 
 	"agatewinch/internal/api"
 	"agatewinch/internal/config"
@@ -181,30 +178,6 @@
 	assert.NilError(t, err)
 }
 
-func TestConnectionsOverTheLimitAreClosed(t *testing.T) {
-	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-	server.Config.ConnState = NewConnLimit(1).ConnState
-	server.Start()
-	defer server.Close()
-	get := func(client *http.Client) error {
-		resp, err := client.Get(server.URL)
-		if err == nil {
-			err = resp.Body.Close()
-		}
-		return err
-	}
-	first, second := &http.Client{Transport: &http.Transport{}}, &http.Client{Transport: &http.Transport{}}
-	assert.NilError(t, get(first))
-	assert.Assert(t, get(second) != nil)
-	first.CloseIdleConnections()
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if get(second) == nil {
-			return poll.Success()
-		}
-		return poll.Continue("the closed connection still counts")
-	}, poll.WithDelay(time.Millisecond))
-}
-
 func TestGracefulShutdownFailsReadinessFirstAndThenRefusesNewJobs(t *testing.T) {
 	h := newConfiguredHarness(t)
 	assert.Equal(t, h.call(http.MethodGet, api.PathReady, "", nil).status, http.StatusOK)
--- a/internal/gate/limit.go
+++ b/internal/gate/limit.go
@@ -2,9 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net"
-	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +17,9 @@
 	OperatorRequests int
 	// Connections bounds open connections.
 	Connections int
+	// HeldBytes bounds the memory of requests that are unfinished or being handled, in bytes; zero
+	// means that of DefaultLimits.
+	HeldBytes int64
 	// RequestRate, in requests per second, and RequestBurst limit each organisation
 	// unless the configuration sets other values for it.
 	RequestRate  int
@@ -27,7 +27,7 @@
 }
 
 // DefaultLimits are the defaults of a gate's settings; a small entry host needs less.
-var DefaultLimits = Limits{Requests: 8192, OperatorRequests: 64, Connections: 16384, RequestRate: 5000, RequestBurst: 10000}
+var DefaultLimits = Limits{Requests: 8192, OperatorRequests: 64, Connections: 16384, HeldBytes: 256 << 20, RequestRate: 5000, RequestBurst: 10000}
 
 // minRetryAfter is the shortest retry delay, before jitter, for a request that is refused
 // because of overload, its organisation's rate or the shutdown of the host.
@@ -62,30 +62,3 @@
 func retryError(kind errkind.Kind, message string, after time.Duration) error {
 	return &errkind.Error{Kind: kind, Message: message, RetryAfterSeconds: jittered(after)}
 }
-
-// ConnLimit closes new connections above a limit. Its ConnState method is a hook for
-// http.Server.ConnState.
-type ConnLimit struct {
-	max  int
-	mu   sync.Mutex
-	open map[net.Conn]bool
-}
-
-// NewConnLimit returns a ConnLimit of n connections.
-func NewConnLimit(n int) *ConnLimit { return &ConnLimit{max: n, open: map[net.Conn]bool{}} }
-
-// ConnState tracks open connections and closes a new one above the limit.
-func (l *ConnLimit) ConnState(conn net.Conn, state http.ConnState) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		if len(l.open) >= l.max {
-			_ = conn.Close()
-			return
-		}
-		l.open[conn] = true
-	case http.StateClosed, http.StateHijacked:
-		delete(l.open, conn)
-	}
-}
--- a/internal/gate/routes.go
+++ b/internal/gate/routes.go
@@ -60,7 +60,8 @@
 // serve wraps a route's handler with request limits, authentication and error responses.
 func (g *Gate) serve(rt route) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		x := &exchange{w: w, r: r, gate: g, requestID: r.PathValue("request")}
+		x := &exchange{w: w, r: r, gate: g, requestID: r.PathValue("request"), maxBody: maxBodyBytes(rt.role)}
+		defer x.release()
 		if x.requestID == "" {
 			x.requestID = headerRequestID(r)
 		}
@@ -70,12 +71,14 @@
 			return
 		}
 		defer release()
-		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes(rt.role))
 		x.key, err = g.authenticate(r, rt.role)
 		if err == nil {
 			err = rt.handle(r.Context(), x)
 			g.logAction(rt, x, err)
 		}
+		if !x.bodyRead {
+			g.bodies.Skip(w, r)
+		}
 		if err != nil {
 			x.fail(err)
 		}
--- a/internal/intake/connections.go
+++ b/internal/intake/connections.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -136,8 +137,8 @@
 
 // noteState is a hook for http.Server.ConnState.
 func (c *Connections) noteState(nc net.Conn, state http.ConnState) {
-	k, ok := nc.(*conn)
-	if !ok {
+	k := bounded(nc)
+	if k == nil {
 		return
 	}
 	switch state {
@@ -156,6 +157,15 @@
 
 // connOf returns the connection of a request, or nil if it has none that is bounded here.
 func connOf(ctx context.Context) *conn {
-	k, _ := ctx.Value(connKey{}).(*conn)
+	nc, _ := ctx.Value(connKey{}).(net.Conn)
+	return bounded(nc)
+}
+
+// bounded returns the bounded connection that nc is, or that its TLS runs over, or nil.
+func bounded(nc net.Conn) *conn {
+	if t, ok := nc.(*tls.Conn); ok {
+		nc = t.NetConn()
+	}
+	k, _ := nc.(*conn)
 	return k
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"agatewinch/internal/errkind"
 )
@@ -131,6 +132,46 @@
 	assert.Equal(t, status, 200)
 }
 
+// At the bound, with a request in progress on the only connection, a second one is closed. It is
+// admitted once the first is closed, or as soon as that has been idle for some time.
+func TestConnectionsOverTheLimitAreClosed(t *testing.T) {
+	entered, finish := make(chan struct{}, 1), make(chan struct{})
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			entered <- struct{}{}
+			<-finish
+		}
+	}))
+	bound := NewConnections(1, nil, nil)
+	bound.Attach(server.Config)
+	server.Listener = bound.Listener(server.Listener)
+	server.Start()
+	defer server.Close()
+	get := func(client *http.Client, path string) error {
+		resp, err := client.Get(server.URL + path)
+		if err == nil {
+			err = resp.Body.Close()
+		}
+		return err
+	}
+	first, second := &http.Client{Transport: &http.Transport{}}, &http.Client{Transport: &http.Transport{}}
+	answered := make(chan error, 1)
+	go func() { answered <- get(first, "/wait") }()
+	<-entered
+	time.Sleep(2 * stallTime) // a request in progress never gives way
+	assert.Assert(t, get(second, "/") != nil)
+	close(finish)
+	assert.NilError(t, <-answered)
+	first.CloseIdleConnections()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if get(second, "/") == nil {
+			return poll.Success()
+		}
+		return poll.Continue("the closed connection still counts")
+	}, poll.WithDelay(time.Millisecond))
+	assert.Equal(t, bound.Open(), 1)
+}
+
 func TestHeadersCountTowardsTheBudget(t *testing.T) {
 	b := NewBudget("test", limit, nil)
 	address := start(t, b, 10)
--- a/test/harness/fleet.go
+++ b/test/harness/fleet.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 
+	"agatewinch/internal/api"
 	"agatewinch/internal/config"
 	"agatewinch/internal/core"
 	"agatewinch/internal/standin"
@@ -16,6 +18,8 @@
 	WorkersPerZone int
 	// LeaseTTL is the TTL of a lease on a worker, ReserveTTL that of a reservation.
 	LeaseTTL, ReserveTTL time.Duration
+	// Gate are limits of every gate.
+	Gate GateLimits
 }
 
 // DefaultOptions returns options for three zones with two entry hosts and four workers each.
@@ -66,6 +70,11 @@
 
 func callerKey(org string) string { return org + "-key" }
 
+// Caller returns an API client of an organisation for a host's gate. Each call uses a new connection.
+func Caller(h *EntryHost, org string) *api.Client {
+	return &api.Client{BaseURL: h.GateURL, Key: callerKey(org), HTTP: &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+}
+
 // clusterConfig returns the configuration of a cluster.
 func clusterConfig(opts Options) config.Set {
 	set := config.Set{
--- a/test/harness/hosts.go
+++ b/test/harness/hosts.go
@@ -155,7 +155,7 @@
 		schedulers = append(schedulers, schedulerAddress{Zone: other.Zone, Addr: other.advertised})
 	}
 	host := hostFile{Host: h.Name, Region: region, Zone: h.Zone, Platform: "http://" + c.platformProxyAddr}
-	gate := gateFile{hostFile: host, Schedulers: schedulers, OperatorKeys: []string{config.HashKey(operatorKey)}}
+	gate := gateFile{hostFile: host, Schedulers: schedulers, OperatorKeys: []string{config.HashKey(operatorKey)}, GateLimits: c.Opts.Gate}
 	gate.Listen = h.gateAddr
 	writeYAML(c.T, h.Gate.settings, gate)
 	scheduler := schedulerFile{hostFile: host, LeaseTTL: c.Opts.LeaseTTL, ReserveTTL: c.Opts.ReserveTTL, Advertise: h.advertised, Schedulers: schedulers}
--- a/test/harness/settings.go
+++ b/test/harness/settings.go
@@ -48,6 +48,13 @@
 	hostFile     `yaml:",inline"`
 	Schedulers   []schedulerAddress `yaml:"schedulers"`
 	OperatorKeys []string           `yaml:"operator_keys"`
+	GateLimits   `yaml:",inline"`
+}
+
+// GateLimits are settings of a gate; zero values are the gate's defaults.
+type GateLimits struct {
+	MaxConnections int `yaml:"max_connections,omitempty"`
+	MaxHeldMB      int `yaml:"max_held_mb,omitempty"`
 }
 
 type schedulerFile struct {
--- a/test/hostile/site_test.go
+++ b/test/hostile/site_test.go
@@ -48,13 +48,15 @@
 
 // site is one entry host with its platform.
 type site struct {
-	t                  *testing.T
-	audit              *standin.Audit
-	process            *harness.Process
-	callers, peers     string
-	pid                int
-	mu                 sync.Mutex
-	highestDescriptors int
+	t              *testing.T
+	audit          *standin.Audit
+	process        *harness.Process
+	callers, peers string
+	pid            int
+	// memoryMB and maxDescriptors are the bounds.
+	memoryMB, maxDescriptors int
+	mu                       sync.Mutex
+	highestDescriptors       int
 }
 
 func serve(t *testing.T, address string, h http.Handler) {
@@ -72,7 +74,7 @@
 	t.Helper()
 	knownred.SkipIfListed(t)
 	ports := harness.ReservePorts(t)
-	s := &site{t: t, audit: standin.NewAudit(), callers: ports.Addr(t, 1), peers: ports.Addr(t, 1)}
+	s := &site{t: t, audit: standin.NewAudit(), callers: ports.Addr(t, 1), peers: ports.Addr(t, 1), memoryMB: memoryMB, maxDescriptors: maxDescriptors}
 	store, storeAddress, workerAddress := standin.NewStore(), ports.Addr(t, 1), ports.Addr(t, 1)
 	serve(t, storeAddress, store)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -95,12 +97,18 @@
 	})
 	assert.NilError(t, s.process.Start())
 	s.requireOrdinaryRequest(1)
+	s.watch(ctx)
+	return s
+}
+
+// watch notes which process is observed, and records its descriptors until ctx ends.
+func (s *site) watch(ctx context.Context) {
+	s.t.Helper()
 	r, err := s.process.Resources()
-	assert.NilError(t, err)
+	assert.NilError(s.t, err)
 	s.pid = r.PID
-	t.Logf("before the crowd: %d MB, %d descriptors", r.PeakBytes>>20, r.Descriptors)
+	s.t.Logf("before the crowd: %d MB, %d descriptors", r.PeakBytes>>20, r.Descriptors)
 	go s.watchDescriptors(ctx)
-	return s
 }
 
 // watchDescriptors records the highest number of open descriptors until ctx ends.
@@ -150,10 +158,10 @@
 	descriptors := max(r.Descriptors, s.highestDescriptors)
 	s.mu.Unlock()
 	s.t.Logf("peak: %d MB, %d descriptors", r.PeakBytes>>20, descriptors)
-	if r.PeakBytes > memoryMB<<20 {
-		s.t.Errorf("the process used %d MB, its limit is %d", r.PeakBytes>>20, memoryMB)
+	if r.PeakBytes > int64(s.memoryMB)<<20 {
+		s.t.Errorf("the process used %d MB, its limit is %d", r.PeakBytes>>20, s.memoryMB)
 	}
-	if descriptors > maxDescriptors {
-		s.t.Errorf("the process had %d descriptors open, its limit is %d", descriptors, maxDescriptors)
+	if descriptors > s.maxDescriptors {
+		s.t.Errorf("the process had %d descriptors open, its limit is %d", descriptors, s.maxDescriptors)
 	}
 }
