A header that does not fit ends its connection; fewer requests wait for bytes

Each request that waited for bytes searched all others, at every release. A request relayed from a peer did not count its decoded job.

Change: the connection is closed before the error is returned. At most 64 small and 64 other requests wait, and the search is skipped while none can have stalled. The decoded jobs of relayed requests count.

--- a/cmd/agatewinch-host/main.go
+++ b/cmd/agatewinch-host/main.go
@@ -111,7 +111,7 @@
 	if settings.PeerListen != "" {
 		peerHeld := intake.NewBudget("peers", boot.Intake.PeerBytes, reporter.Note)
 		peers := http.NewServeMux()
-		peers.Handle(peer.Path, peer.Serve(relay.Serve(host, callerHandler), peer.WithBudget(peerHeld)))
+		peers.Handle(peer.Path, peer.Serve(relay.Serve(host, callerHandler, held), peer.WithBudget(peerHeld)))
 		servers = append(servers, newServer(settings.PeerListen, peers, intake.NewConnections(boot.Intake.PeerConnections, peerHeld, reporter.Note)))
 	}
 	g, ctx := errgroup.WithContext(ctx)
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -30,8 +30,13 @@
 	hold *Hold
 }
 
-// NewBody returns a body that belongs to no budget.
-func NewBody(data []byte) *Body { return &Body{data: data} }
+// NewBody returns a body that is in memory already. Only what Grow adds counts towards the budget, which
+// may be nil.
+func NewBody(data []byte, budget *Budget) *Body {
+	hold := budget.Open(func() {})
+	hold.Finish()
+	return &Body{data: data, hold: hold}
+}
 
 // Bytes returns the body without a copy.
 func (b *Body) Bytes() []byte { return b.data }
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -28,6 +28,9 @@
 	// clients that have stalled meanwhile are looked for.
 	growTimeout = time.Second
 	growPoll    = 50 * time.Millisecond
+	// maxWaiting bounds the holds that wait for bytes at a time, small ones and others each: every one
+	// of them is woken when bytes are released.
+	maxWaiting = 64
 	// retryAfterSeconds is the shortest Retry-After of a refusal; the longest is twice as long.
 	retryAfterSeconds = 1.0
 )
@@ -48,6 +51,10 @@
 	used, leaving int64
 	// unfinished are the holds of clients that have not sent their whole request.
 	unfinished map[*Hold]struct{}
+	// noneStalled is the time, in Unix nanoseconds, until which no hold can have stalled.
+	noneStalled int64
+	// waiting counts the holds that wait for bytes: small ones and others.
+	waiting [2]int
 	// freed is closed, and replaced, when bytes are released.
 	freed chan struct{}
 }
@@ -122,11 +129,15 @@
 	if grown, _ := h.tryGrow(n); grown {
 		return nil
 	}
+	leave, ok := h.wait(n)
+	if !ok {
+		return h.budget.refusal("budget", "this host holds too many bytes of unfinished requests")
+	}
+	defer leave()
 	timeout := time.NewTimer(growTimeout)
 	defer timeout.Stop()
 	poll := time.NewTicker(growPoll)
 	defer poll.Stop()
-	defer h.setWaiting(false)
 	for {
 		grown, freed := h.tryGrow(n)
 		switch {
@@ -146,8 +157,30 @@
 	}
 }
 
-// tryGrow adds n bytes if the budget allows it. Otherwise it marks the hold as waiting, evicts stalled
-// holds and returns a channel that is closed when bytes are released, or nil if the hold has ended.
+// wait records that the hold waits for n bytes, unless too many do. leave ends that.
+func (h *Hold) wait(n int64) (leave func(), ok bool) {
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	class := 0
+	if h.bytes+n > smallBytes {
+		class = 1
+	}
+	if b.waiting[class] >= maxWaiting {
+		return nil, false
+	}
+	b.waiting[class]++
+	h.waiting = true
+	return func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.waiting[class]--
+		h.waiting = false
+		h.NoteProgress()
+	}, true
+}
+
+// tryGrow adds n bytes if the budget allows it. Otherwise it evicts stalled holds and returns a channel that is closed when bytes are released, or nil if the hold has ended.
 func (h *Hold) tryGrow(n int64) (grown bool, freed <-chan struct{}) {
 	b := h.budget
 	b.mu.Lock()
@@ -161,7 +194,6 @@
 		h.bytes += n
 		return true, nil
 	}
-	h.waiting = true
 	for b.used-b.leaving+n > limit && b.evictOldest(h) {
 	}
 	return false, b.freed
@@ -178,13 +210,20 @@
 // evictOldest evicts the hold whose client has sent nothing for the longest time, if that is at least
 // stallTime. It reports whether there was one other than newcomer. The caller holds b.mu.
 func (b *Budget) evictOldest(newcomer *Hold) bool {
+	now := time.Now().UnixNano()
+	if now < b.noneStalled {
+		return false
+	}
 	var oldest *Hold
-	latest := time.Now().Add(-stallTime).UnixNano()
+	first := now
 	for h := range b.unfinished {
-		if at := h.progress.Load(); h != newcomer && !h.waiting && h.bytes > 0 && at <= latest {
-			oldest, latest = h, at
+		if at := h.progress.Load(); h != newcomer && !h.waiting && h.bytes > 0 && at < first {
+			oldest, first = h, at
 		}
 	}
+	if stalls := first + int64(stallTime); stalls > now {
+		b.noneStalled, oldest = stalls, nil
+	}
 	if oldest == nil {
 		return false
 	}
@@ -205,13 +244,6 @@
 	return max(0, min(n, h.budget.limit/2-h.bytes))
 }
 
-func (h *Hold) setWaiting(waiting bool) {
-	h.budget.mu.Lock()
-	defer h.budget.mu.Unlock()
-	h.waiting = waiting
-	h.NoteProgress()
-}
-
 // Finish records that the client has sent its whole request: the hold is no longer evicted. It
 // returns false if the hold had been evicted before.
 func (h *Hold) Finish() bool {
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -49,6 +49,7 @@
 	k.lastRead.Store(time.Now().UnixNano())
 	if k.connections.budget != nil && k.readsHeader() {
 		if held := k.noteHeader(p[:n]); held != nil {
+			_ = k.Conn.Close() // net/http may read on after an error; it must not miss these bytes
 			return 0, held
 		}
 	}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -196,6 +196,20 @@
 	t.Errorf("%d bytes are held for a closed connection", b.Used())
 }
 
+// A header that does not fit ends its connection: the rest of it must not be taken for a request.
+func TestHeaderThatDoesNotFitEndsItsConnection(t *testing.T) {
+	b := NewBudget("test", headerStep/2, nil)
+	address := start(t, b, 10)
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	// The header takes several reads, of which one is refused.
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: host\r\n"+strings.Repeat("x:\r\n", 2000)+"\r\n")
+	assert.NilError(t, err)
+	_, err = http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.Assert(t, err != nil, "the request was answered")
+}
+
 func TestLimitsLeaveRoomOnEveryMachine(t *testing.T) {
 	for _, m := range []struct {
 		memory      int64
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -104,8 +104,9 @@
 
 // Serve returns a handler for the messages of other hosts' relays. Relayed requests are never
 // relayed again. They are refused if the sender knows a newer configuration than this host: the
-// sender must not return an answer that is based on an older one.
-func Serve(host Host, handler http.Handler) peer.Handler {
+// sender must not return an answer that is based on an older one. What the handler holds for a request
+// counts towards held, which may be nil.
+func Serve(host Host, handler http.Handler, held *intake.Budget) peer.Handler {
 	return func(ctx context.Context, kind wire.Kind, body cbor.RawMessage) (any, error) {
 		switch kind {
 		case wire.KindRelay:
@@ -125,7 +126,9 @@
 		if host.Version() < req.MinVersion {
 			return &Answer{Status: http.StatusServiceUnavailable, Header: http.Header{HeaderKind: {string(errkind.NoConfiguration)}}}, nil
 		}
-		r, err := http.NewRequestWithContext(ctx, req.Method, "http://"+req.Host+req.Path, intake.NewBody(req.Body))
+		reqBody := intake.NewBody(req.Body, held)
+		defer reqBody.Release()
+		r, err := http.NewRequestWithContext(ctx, req.Method, "http://"+req.Host+req.Path, reqBody)
 		if err != nil {
 			return nil, errkind.New(errkind.InvalidRequest, "malformed request: the relayed method, host or path is invalid")
 		}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -62,7 +62,7 @@
 // listen starts a peer and returns its address.
 func listen(t *testing.T, version int64, handler http.Handler) string {
 	mux := http.NewServeMux()
-	mux.Handle(peer.Path, peer.Serve(Serve(&host{version: version}, handler)))
+	mux.Handle(peer.Path, peer.Serve(Serve(&host{version: version}, handler, nil)))
 	s := httptest.NewServer(mux)
 	t.Cleanup(s.Close)
 	return strings.TrimPrefix(s.URL, "http://")
@@ -193,7 +193,7 @@
 func TestPeersAreAskedToTakeOverUntilOneAgrees(t *testing.T) {
 	serve := func(h *host) string {
 		mux := http.NewServeMux()
-		mux.Handle(peer.Path, peer.Serve(Serve(h, http.NotFoundHandler())))
+		mux.Handle(peer.Path, peer.Serve(Serve(h, http.NotFoundHandler(), nil)))
 		s := httptest.NewServer(mux)
 		t.Cleanup(s.Close)
 		return strings.TrimPrefix(s.URL, "http://")
