Nothing starts in an availability zone that operators evacuate

Cause: the operators' records evacuate/ZONE were not read; tasks went on to be started in evacuated zones.

Change: the reader of the operators' topic keeps the set of evacuated zones (the newest records after a start or a trim, then all records to the end of the topic). The host passes it to the core, which takes workers of these zones out of every choice of workers: placement, gangs, plans, reservations, advice requests, probes for use. A recorded placement is checked again before its start is sent, and the host checks once more before the order leaves. What runs there goes on. A leader that cannot confirm the evacuated zones in time starts nothing; a new one reads them after its claim. Racks kept free for urgent work are a share of the racks that can be used, and no task waits for a rack in an evacuated zone. evacuate.go, which is about workers that leave, is now leaving.go.

Ruled out: stopping the runs there (operators do not ask for it); treating the workers as draining (their runs would be moved); a bound for the age of the zones that also holds while the store answers nobody, at the length without an extension: outages of the topic alone would stop all work.

--- a/internal/core/dispatch/actions.go
+++ b/internal/core/dispatch/actions.go
@@ -16,6 +16,8 @@
 // Start orders a worker to start a run.
 type Start struct {
 	Target
+	// Zone is the worker's availability zone.
+	Zone       string
 	Task       job.TaskID
 	Run        int
 	Payload    string
--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -48,6 +48,8 @@
 	meanUrgentWork float64
 	// cycle caches what the current scheduling cycle has computed.
 	cycle *cycle
+	// evacuation says where nothing may start.
+	evacuation evacuation
 	// zoneSuspectedAt is when the workers of each zone were last suspected to be unreachable
 	// because some of them did not answer.
 	zoneSuspectedAt map[string]time.Duration
@@ -417,14 +419,14 @@
 }
 
 // sendStart sends a start, unless the conditions of its placement no longer hold: the run is
-// stopping, its job has ended, its worker is draining or unlisted, or its ticket has expired. Such
-// a run ends as EndNotStarted.
+// stopping, its job has ended, its worker is draining, unlisted or in an evacuated zone, or its ticket has
+// expired. Such a run ends as EndNotStarted.
 func (c *Core) sendStart(now Now, r *run) {
 	if !r.worker.runs[r] {
 		return
 	}
 	w := r.worker
-	if r.phase == stopping || r.task.step.job.cancelledOrEnded() || !w.listed || w.Draining {
+	if r.phase == stopping || r.task.step.job.cancelledOrEnded() || !w.listed || w.Draining || c.closed(w) {
 		c.endRun(now, r, job.EndNotStarted, r.task.checkpoint)
 		return
 	}
@@ -435,7 +437,7 @@
 	}
 	r.phase, r.startPending = starting, true
 	c.pendingActions.Starts = append(c.pendingActions.Starts, Start{
-		Target: w.target(), Task: r.task.id, Run: r.number, Payload: r.task.step.job.spec.Payload,
+		Target: w.target(), Zone: w.Zone, Task: r.task.id, Run: r.number, Payload: r.task.step.job.spec.Payload,
 		Checkpoint: r.checkpoint, Ticket: ticket, LeaseUntilMs: c.extendLease(now, w, startLeaseTTL), run: r,
 	})
 }
--- a/internal/core/dispatch/evacuate.go
+++ b/internal/core/dispatch/leaving.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// evacuate stops the runs on draining workers that are not expected to end before their worker may
+// stopLeaving stops the runs on draining workers that are not expected to end before their worker may
 // leave, so that their tasks start elsewhere at once. Left where they are they would be lost, a gang
 // with all its members, and would be missed only when the worker's lease has expired.
-func (c *Core) evacuate(now Now) {
+func (c *Core) stopLeaving(now Now) {
 	for _, w := range c.sortedWorkers {
 		if !w.Draining || !w.listed || w.leavesAt == 0 || w.unreachable() {
 			continue
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -116,7 +116,7 @@
 func (c *Core) bestWorker(now Now, s *step, t *task) (best *worker, atLimit bool) {
 	var bestScore float64
 	need := s.spec.Charge()
-	anyRack := s.spec.DataRack == ""
+	anyRack := s.spec.DataRack == "" || c.rackEvacuated(s.spec.DataRack)
 	if !anyRack {
 		wait := c.rackWait(now, c.offRackWait(s))
 		if anyRack = now.Mono-s.readySince >= wait; !anyRack {
@@ -237,7 +237,7 @@
 	if c.cycle.utilisation < 0 {
 		var used, all job.Resources
 		for _, w := range c.sortedWorkers {
-			if w.listed {
+			if w.listed && !c.evacuated(w) {
 				used, all = used.Plus(w.used), all.Plus(w.Capacity)
 			}
 		}
--- a/internal/core/dispatch/preempt.go
+++ b/internal/core/dispatch/preempt.go
@@ -91,6 +91,9 @@
 	}
 	s.nextPreemptAt = nextPreemption(now.Mono)
 	p := c.poolOf(now, s)
+	if len(p.usable) == 0 {
+		return false
+	}
 	groups := [][]*worker{p.usable}
 	if s.spec.SameRack && s.spec.Gang {
 		groups = append(slices.Clone(p.racks), p.usable)
--- a/internal/core/dispatch/probe.go
+++ b/internal/core/dispatch/probe.go
@@ -193,10 +193,11 @@
 }
 
 // probeNeed reports whether a worker needs a probe, and how long its answer may be delayed until
-// a run ends. A worker needs one while it is listed but unreachable and not draining, while it may
-// have runs whose start was sent and is no longer in flight, and to acknowledge recorded ends.
+// a run ends. A worker needs one while it is listed but unreachable and not draining, unless it is idle in
+// an evacuated zone, while it may have runs whose start was sent and is no longer in flight, and to
+// acknowledge recorded ends.
 func (c *Core) probeNeed(w *worker) (time.Duration, bool) {
-	if w.unreachable() && w.listed && !w.Draining {
+	if w.unreachable() && w.listed && !w.Draining && (!c.evacuated(w) || len(w.runs) > 0) {
 		return 0, true // it gets no new work until it answers a probe
 	}
 	if len(w.presumed) > 0 {
--- a/internal/core/dispatch/reachability.go
+++ b/internal/core/dispatch/reachability.go
@@ -87,11 +87,11 @@
 	}
 }
 
-// CountReachable returns how many of the listed workers that are not draining are reachable, and
-// how many such workers there are.
+// CountReachable returns how many of the listed workers that are neither draining nor in an evacuated zone
+// are reachable, and how many such workers there are.
 func (c *Core) CountReachable() (reachable, listed int) {
 	for _, w := range c.sortedWorkers {
-		if !w.listed || w.Draining {
+		if !w.listed || w.Draining || c.evacuated(w) {
 			continue
 		}
 		listed++
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -23,7 +23,7 @@
 		c.setRackPositions()
 	}
 	c.racksIndexed = false
-	c.evacuate(now)
+	c.stopLeaving(now)
 	for _, w := range c.sortedWorkers {
 		if w.listed && !present[w.ID] {
 			w.listed = false
@@ -293,6 +293,6 @@
 		}
 	}
 	c.stopStalledRuns(now)
-	c.evacuate(now)
+	c.stopLeaving(now)
 	c.advanceWaves(now)
 }
--- a/internal/core/dispatch/schedule.go
+++ b/internal/core/dispatch/schedule.go
@@ -111,6 +111,7 @@
 			c.placeTasks(now, s, full)
 		}
 	}
+	c.explainEvacuation(steps)
 }
 
 // wakeForWorkers schedules a cycle for when a paused or quarantined worker becomes usable
--- a/internal/core/dispatch/score.go
+++ b/internal/core/dispatch/score.go
@@ -45,10 +45,10 @@
 // smaller fleet one rack is too large a part to be left to urgent work.
 const minRacksForPositions = 4
 
-// setRackPositions gives each worker the position of its rack, in the order of the racks' names,
-// from 0 to below 1; in a fleet of fewer than minRacksForPositions racks all workers have 1.
+// setRackPositions gives each worker outside evacuated zones the position of its rack, in the order of the
+// racks' names, from 0 to below 1; in a fleet of fewer than minRacksForPositions racks all workers have 1.
 func (c *Core) setRackPositions() {
-	groups := groupByRack(c.sortedWorkers)
+	groups := groupByRack(c.openWorkers())
 	for i, g := range groups {
 		for _, w := range g {
 			w.rackPosition = 1
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -218,6 +218,8 @@
 	// avoidsUrgentRacks caches Core.avoidsUrgentRacks for one scheduling cycle, avoidsIn.
 	avoidsUrgentRacks bool
 	avoidsIn          *cycle
+	// evacuationNoted is the change of the evacuated zones for which a note says that the step waits.
+	evacuationNoted int
 }
 
 func (s *step) name() string { return job.StepName(s.job.spec.ID, s.occurrence.index, s.index) }
--- a/internal/core/dispatch/upkeep.go
+++ b/internal/core/dispatch/upkeep.go
@@ -317,10 +317,10 @@
 // finished starting.
 const servingPercent = 100
 
-// takesWork reports whether new tasks may be placed on w. This excludes workers that will end
-// with the upkeep of their machine.
+// takesWork reports whether new tasks may be placed on w. This excludes workers of evacuated zones, and
+// those that will end with the upkeep of their machine.
 func (c *Core) takesWork(now Now, w *worker) bool {
-	if !w.usable(now.Mono) {
+	if !w.usable(now.Mono) || c.closed(w) {
 		return false
 	}
 	for _, v := range c.waves {
--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -31,7 +31,7 @@
 	for _, s := range actions.Starts {
 		l.observeStartLatency(s)
 		go func() {
-			o := l.order(func() dispatch.Outcome { return l.host.workers.Start(ctx, s, l.epoch) })
+			o := l.start(ctx, s)
 			l.post(func(now dispatch.Now) { l.checkFence(o, s.Worker); l.core.StartAnswered(now, s, o) })
 		}()
 	}
@@ -79,6 +79,14 @@
 	return send()
 }
 
+// start sends a start unless its zone has been evacuated since it was decided, or may have been.
+func (l *leader) start(ctx context.Context, s dispatch.Start) dispatch.Outcome {
+	if !l.mayStartIn(s.Zone) {
+		return dispatch.Withheld
+	}
+	return l.order(func() dispatch.Outcome { return l.host.workers.Start(ctx, s, l.epoch) })
+}
+
 // observeStartLatency records the time from a job's acceptance to the start call for run 1 of task 0
 // of step 0, in each occurrence of the job.
 func (l *leader) observeStartLatency(s dispatch.Start) {
--- a/internal/entry/dispatchloop.go
+++ b/internal/entry/dispatchloop.go
@@ -60,6 +60,14 @@
 	// whose end records are still to be dropped.
 	expired        []string
 	catalogVersion int64
+	// claimedAt is when the claim of the role was sent, by sinceBoot.
+	claimedAt time.Duration
+	// evacuationChanges is the last change of the evacuated zones that was passed to the core, and
+	// startsHeld is set while no starts may be sent because these zones are not known.
+	evacuationChanges int
+	startsHeld        bool
+	// guaranteeShortfall is the last reported number of accelerators that are missing for guarantees.
+	guaranteeShortfall int64
 	// unreachableSince is when most workers stopped answering this host; zero while they
 	// answer.
 	unreachableSince time.Time
@@ -77,7 +85,7 @@
 func newLeader(h *Host, fence sharedlog.Fence, claimedAt, formerRenewalTime time.Duration) *leader {
 	now := time.Now()
 	return &leader{
-		host: h, epoch: fence.Epoch, permission: newPermission(h.sinceBoot, claimedAt), sequence: fence.Sequence, events: make(chan func(dispatch.Now), maxEvents), startedAt: now, appendedAt: now, sweptAt: now, formerRenewalTime: formerRenewalTime,
+		host: h, epoch: fence.Epoch, permission: newPermission(h.sinceBoot, claimedAt), sequence: fence.Sequence, events: make(chan func(dispatch.Now), maxEvents), startedAt: now, appendedAt: now, sweptAt: now, formerRenewalTime: formerRenewalTime, claimedAt: claimedAt,
 		core: dispatch.New(dispatch.Now{UnixMs: now.UnixMilli()}, dispatch.Settings{
 			LeaseTTL: min(workerLeaseTTL, h.settings.MaxLeaseTTL), MaxLeaseTTL: h.settings.MaxLeaseTTL, ProbeWait: probeWait,
 			FormerRenewalTime: formerRenewalTime, SpreadFactor: h.settings.SpreadFactor, MaxStopTime: h.settings.MaxStopTime, RestoreTime: h.settings.RestoreTime, HeartbeatInterval: h.settings.HeartbeatInterval, UpkeepTime: h.settings.UpkeepTime,
@@ -120,6 +128,7 @@
 		case <-wake.C:
 		case <-tick.C:
 			l.core.Tick(l.now())
+			l.reportShortfall()
 			l.sweep(ctx)
 			if why := l.cannotServe(); why != "" {
 				l.host.role.suspendClaims()
@@ -196,10 +205,11 @@
 	}
 }
 
-// addNewJobs passes newly recorded jobs and cancellations to the core.
+// addNewJobs passes newly recorded jobs and cancellations, and the evacuated zones, to the core.
 func (l *leader) addNewJobs() {
 	l.updateGuarantees()
 	now := l.now()
+	l.updateEvacuations(now)
 	for _, id := range l.host.ledger.TakeUpdated() {
 		e, ok := l.host.ledger.Find(id)
 		if !ok || e.Job == nil || e.Ended != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"agatewinch/internal/catalog"
@@ -30,9 +31,10 @@
 	// ShutdownGrace is the time allowed for a graceful shutdown, from the request to stop to the end
 	// of the process.
 	ShutdownGrace time.Duration
-	// ConfigApplyTime is how soon a new configuration has to be in force. ConfigApplyExtension extends
-	// it while some hosts cannot reach the log.
-	ConfigApplyTime, ConfigApplyExtension time.Duration
+	// ConfigApplyTime is how soon a new configuration has to be in force, and EvacuationTime how soon after
+	// the operators' request nothing may start in an evacuated zone; it is zero where zones are not
+	// evacuated. ConfigApplyExtension extends both while some hosts cannot reach the log.
+	ConfigApplyTime, EvacuationTime, ConfigApplyExtension time.Duration
 	// MaxLeaseTTL is the longest TTL of a lease that workers grant.
 	MaxLeaseTTL time.Duration
 	// MaxStopTime is the longest time a worker takes to stop a run.
@@ -113,12 +115,19 @@
 	AskSuccessor(ctx context.Context, epoch int64, holder string) bool
 }
 
-// CatalogSource watches the operators' configuration. Next waits up to wait for a new version and
-// returns nil if there is none.
+// CatalogSource watches what operators request: their configuration and the zones that they evacuate.
 type CatalogSource interface {
+	// Next waits up to wait for a new version of the configuration, or another request, and returns nil
+	// if there is no new version. An error that wraps ErrCatalogUnreadable means that the source has
+	// answered, but the newest version cannot be used.
 	Next(ctx context.Context, wait time.Duration) (*catalog.Catalog, error)
+	// EvacuatedZones returns the zones that were evacuated when the source last answered a call of Next.
+	EvacuatedZones() []string
 }
 
+// ErrCatalogUnreadable means that the newest version of the configuration cannot be decoded.
+var ErrCatalogUnreadable = errors.New("the newest configuration is unreadable")
+
 const (
 	// readWait is how long a read of the log waits for a record. A connection that no longer
 	// answers is noticed only after this time, and a cancellation has to reach the leader
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -22,6 +22,8 @@
 // staticCatalog is a catalog source whose configuration never changes.
 type staticCatalog struct{ sent atomic.Bool }
 
+func (s *staticCatalog) EvacuatedZones() []string { return nil }
+
 func (s *staticCatalog) Next(ctx context.Context, wait time.Duration) (*catalog.Catalog, error) {
 	if s.sent.Swap(true) {
 		sleep(ctx, wait)
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -27,6 +27,7 @@
 	advisor       Advisor
 	fleet         Fleet
 	waves         waves
+	evacuations   evacuations
 	logger        logr.Logger
 	// incarnation distinguishes this start of the process from earlier ones.
 	incarnation int64
--- a/internal/entry/role.go
+++ b/internal/entry/role.go
@@ -257,6 +257,9 @@
 	for _, reader := range r.host.jobReaders {
 		reader.readNow()
 	}
+	if r.host.settings.EvacuationTime > 0 {
+		r.host.evacuations.readNow()
+	}
 	l := newLeader(r.host, fence, claimedAt, r.formerRenewalTime)
 	var reason string
 	if r.stopped() { // the host was stopped while its claim was in flight
@@ -265,6 +268,7 @@
 		reason = l.runGuarded(ctx, r.stop)
 	}
 	r.setLeading(false)
+	r.host.metrics.SetGuaranteeShortfall(0)
 	r.host.ledger.TrackUpdates(false)
 	r.host.stateReader.resume()
 	event.Info(r.host.logger, event.SchedulerStandby, "epoch", epoch, "why", reason)
--- a/internal/entry/topicreader.go
+++ b/internal/entry/topicreader.go
@@ -341,20 +341,41 @@
 func (h *Host) followCatalog(ctx context.Context) error {
 	retry := newBackoff()
 	for ctx.Err() == nil {
-		askedAt := h.sinceBoot()
-		c, err := h.catalogSource.Next(ctx, catalogWait)
-		if err != nil {
-			if ctx.Err() == nil && !h.catalogLost.Swap(true) {
-				event.Error(h.logger, err, event.LogLost, "topic", "configuration")
-			}
+		if h.readCatalog(ctx) {
+			retry.Reset()
+		} else {
 			sleep(ctx, retry.NextBackOff())
-			continue
-		}
-		if h.catalogLost.Swap(false) {
-			event.Info(h.logger, event.LogRegained, "topic", "configuration")
 		}
-		retry.Reset()
-		h.setCatalog(c, askedAt)
 	}
 	return nil
 }
+
+// readCatalog performs one read of the configuration source and applies its answer. It reports whether
+// the next read may follow at once.
+func (h *Host) readCatalog(ctx context.Context) bool {
+	readCtx, cancel, now := h.evacuations.beginRead(ctx)
+	defer cancel()
+	wait := h.settings.catalogWait()
+	if now {
+		wait = 0
+	}
+	askedAt := h.sinceBoot()
+	c, err := h.catalogSource.Next(readCtx, wait)
+	if err == nil || errors.Is(err, ErrCatalogUnreadable) {
+		h.setEvacuatedZones(h.catalogSource.EvacuatedZones(), askedAt, now)
+	}
+	if err != nil {
+		if readCtx.Err() != nil {
+			return true // the process ends, or another read is wanted at once
+		}
+		if !h.catalogLost.Swap(true) {
+			event.Error(h.logger, err, event.LogLost, "topic", "configuration")
+		}
+		return false
+	}
+	if h.catalogLost.Swap(false) {
+		event.Info(h.logger, event.LogRegained, "topic", "configuration")
+	}
+	h.setCatalog(c, askedAt)
+	return true
+}
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -16,4 +16,7 @@
 	WorkerAnswerUnreadable = Event{7107, "worker answer unreadable", "A worker's list of runs cannot be decoded; the call counts as unanswered."}
 	WaveRead               = Event{7108, "wave read", "The operators requested upkeep of machines; the leader drains them, a few at a time."}
 	DecisionFailed         = Event{7109, "decision failed", "An unexpected error ended this host's time as the leader; it goes on serving callers, and another host claims the role. The error and the place are shown."}
+	ZonesEvacuated         = Event{7110, "evacuated zones changed", "The operators evacuated zones or took an evacuation back; the zones that are evacuated now are shown. No tasks start there, and what runs there goes on."}
+	StartsHeld             = Event{7111, "starts held", "The leader cannot confirm which zones are evacuated and starts no tasks; with held=false, it can again. Event 7101 says whether the operators' topic can be read."}
+	GuaranteesShort        = Event{7112, "guarantees exceed open capacity", "The zones that are not evacuated have fewer accelerators than the organisations are guaranteed together; the number that is missing is shown, zero when there are enough again. Guaranteed work waits: take an evacuation back or lower guarantees."}
 )
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -65,6 +65,8 @@
 	errors       map[errkind.Kind]uint64
 	pairs        map[orgClass]bool
 	lastRotation time.Time
+	// guaranteeShortfall is what SetGuaranteeShortfall has set.
+	guaranteeShortfall int64
 }
 
 type orgClass struct{ org, class string }
@@ -111,6 +113,14 @@
 	r.errors[kind]++
 }
 
+// SetGuaranteeShortfall sets by how many accelerators the guarantees of all organisations exceed the
+// capacity that may be used.
+func (r *Registry) SetGuaranteeShortfall(accelerators int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.guaranteeShortfall = accelerators
+}
+
 func (r *Registry) seriesFor(org, class string, measure Measure) *series {
 	p := orgClass{org, class}
 	if !r.pairs[p] && len(r.pairs) >= MaxPairs {
@@ -147,6 +157,9 @@
 type Snapshot struct {
 	Series []Row                   `json:"series"`
 	Errors map[errkind.Kind]uint64 `json:"errors"`
+	// GuaranteeShortfall is by how many accelerators the guarantees of all organisations exceed the
+	// capacity that may be used. It is zero on hosts without the leader role.
+	GuaranteeShortfall int64 `json:"guarantee_shortfall,omitempty"`
 }
 
 // Row is one histogram.
@@ -176,7 +189,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.rotate()
-	out := Snapshot{Series: []Row{}, Errors: map[errkind.Kind]uint64{}}
+	out := Snapshot{Series: []Row{}, Errors: map[errkind.Kind]uint64{}, GuaranteeShortfall: r.guaranteeShortfall}
 	for kind, n := range r.errors {
 		out.Errors[kind] = n
 	}
