--- a/internal/core/dispatch/evacuation_test.go
+++ b/internal/core/dispatch/evacuation_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -110,6 +111,41 @@
 	assert.Equal(t, len(h.starts), 0)
 }
 
+// With a long queue reservations are kept between cycles, unless the zones change.
+func TestReservationsInAnEvacuatedZoneAreDroppedBehindALongQueue(t *testing.T) {
+	h := zonedHarness(t, 2)
+	h.add(single("busy", 1, 2, whole))
+	h.accept()
+	h.add(gang("gang", 1, 2, whole))
+	for i := range largeBacklog {
+		h.core.AddJob(h.clock(), single(fmt.Sprintf("flood%d", i), 2, 4, one), nil)
+	}
+	h.flush()
+	h.now += minCycleInterval
+	assert.Equal(t, len(h.core.reservations), 2)
+	h.evacuate(closedZone)
+	assert.Equal(t, len(h.core.reservations), 0)
+}
+
+func TestTaskDoesNotWaitForItsDataInAnEvacuatedZone(t *testing.T) {
+	h := zonedHarness(t, 12)
+	h.evacuate(closedZone)
+	j := single("j", 1, 1, one)
+	j.Steps[0].DataRack = "r0"
+	h.add(j)
+	assert.Equal(t, h.startsIn(openZone), 1)
+}
+
+func TestRacksAreKeptForUrgentWorkAmongThoseOutsideEvacuatedZones(t *testing.T) {
+	h := zonedHarness(t, 30)
+	h.evacuate(closedZone)
+	assert.Equal(t, h.core.workers["w6"].rackPosition, 0.0)
+	assert.Equal(t, h.core.workers["w12"].rackPosition, 0.25)
+	h.evacuate()
+	assert.Equal(t, h.core.workers["w0"].rackPosition, 0.0)
+	assert.Equal(t, h.core.workers["w6"].rackPosition, 0.2)
+}
+
 func TestRunsInAnEvacuatedZoneGoOnAndAreNotPreemptedForIt(t *testing.T) {
 	h := zonedHarness(t, 6)
 	h.add(gang("low", 2, 6, whole))
