--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -20,17 +20,18 @@
 }
 
 // TestInvariantsHoldUnderFaults runs the real dispatch core under lost answers, late orders,
-// takeovers, crashes and partitions: no task has two runs at a time, none starts after it was
-// recorded as done, and no worker exceeds its capacity.
+// takeovers, crashes, partitions and evacuations: no task has two runs at a time, none starts after it
+// was recorded as done or in an evacuated zone, and no worker exceeds its capacity.
 func TestInvariantsHoldUnderFaults(t *testing.T) {
 	faults := map[string]Faults{
-		"none":       {},
-		"lost":       {LostAnswer: 0.1},
-		"late":       {Late: 0.06},
-		"takeovers":  {Takeover: 4 * time.Second},
-		"crashes":    {Crash: 3 * time.Second},
-		"partitions": {Partition: 3 * time.Second},
-		"all":        {LostAnswer: 0.05, Late: 0.04, Takeover: 6 * time.Second, Crash: 5 * time.Second, Partition: 5 * time.Second},
+		"none":        {},
+		"lost":        {LostAnswer: 0.1},
+		"late":        {Late: 0.06},
+		"takeovers":   {Takeover: 4 * time.Second},
+		"crashes":     {Crash: 3 * time.Second},
+		"partitions":  {Partition: 3 * time.Second},
+		"evacuations": {Evacuation: 3 * time.Second, Takeover: 4 * time.Second},
+		"all":         {LostAnswer: 0.05, Late: 0.04, Takeover: 6 * time.Second, Crash: 5 * time.Second, Partition: 5 * time.Second, Evacuation: 5 * time.Second},
 	}
 	for name, f := range faults {
 		for seed := uint64(1); seed <= 6; seed++ {
--- a/internal/sim/simulation.go
+++ b/internal/sim/simulation.go
@@ -28,6 +28,8 @@
 	Crash time.Duration
 	// Partition is the mean time between partitions of workers; zero means never.
 	Partition time.Duration
+	// Evacuation is the mean time between evacuations of zones; zero means never.
+	Evacuation time.Duration
 }
 
 // Delays, intervals and limits of the model.
@@ -61,6 +63,8 @@
 	jobs         map[string]*simJob
 	recordedDone map[string]bool
 	gangs        map[string]*gangState
+	// evacuated counts the evacuations of each zone that are in force.
+	evacuated map[string]int
 	// Wasted is the lost work of interrupted runs in core-seconds, with accelerators counted as
 	// in job.Resources.Cores. It excludes the work of the runs that failed.
 	Wasted float64
@@ -131,7 +135,7 @@
 func New(seed uint64, set dispatch.Settings, workers []*Worker) *Simulation {
 	sim := &Simulation{
 		Settings: set, Workers: workers, rand: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
-		ledger: ledger.New(), jobs: map[string]*simJob{}, recordedDone: map[string]bool{}, gangs: map[string]*gangState{},
+		ledger: ledger.New(), jobs: map[string]*simJob{}, recordedDone: map[string]bool{}, gangs: map[string]*gangState{}, evacuated: map[string]int{},
 	}
 	for _, w := range workers {
 		w.startIncarnation(0)
@@ -152,6 +156,9 @@
 // Run simulates until the given time.
 func (sim *Simulation) Run(until time.Duration) {
 	if sim.leader == nil {
+		if sim.Faults.Evacuation > 0 {
+			sim.assignZones()
+		}
 		sim.takeOver()
 		sim.schedule(tickInterval, sim.tick)
 		sim.schedule(workerListInterval, sim.updateWorkers)
@@ -176,6 +183,9 @@
 	if sim.Faults.Partition > 0 {
 		sim.repeat(sim.Faults.Partition, sim.partition)
 	}
+	if sim.Faults.Evacuation > 0 {
+		sim.repeat(sim.Faults.Evacuation, sim.evacuate)
+	}
 }
 
 // repeat calls f again and again, at exponentially distributed intervals with the given mean.
@@ -200,6 +210,7 @@
 	sim.ledger.TrackUpdates(true) // the new core gets all earlier jobs below
 	ldr.core.SetWorkers(sim.clock(), sim.workerInfos())
 	ldr.core.SetGuarantees(sim.guarantees())
+	ldr.core.SetEvacuatedZones(sim.clock(), sim.evacuatedZones())
 	sim.ledger.EachByArrival(func(id string, e *ledger.Entry) {
 		switch {
 		case e.Job == nil:
@@ -260,6 +271,7 @@
 	}
 	actions := ldr.core.TakeActions(sim.clock())
 	for _, s := range actions.Starts {
+		sim.checkZone(s)
 		sim.send(ldr, s.Worker, s.Incarnation, func(w *Worker) dispatch.Outcome { return sim.startRun(w, s, ldr.epoch) },
 			func(o dispatch.Outcome) { ldr.core.StartAnswered(sim.clock(), s, o) })
 	}
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -55,6 +55,7 @@
 		"host paused":                   s.pauseHost,
 		"host stopped as planned":       s.stopHost,
 		"manifest changed":              s.changeManifest,
+		"zone evacuated":                s.evacuateZone,
 		"worker crashed":                func() { s.workers[s.randomBelow(len(s.workers))].Crash(s.randomDuration(2 * time.Second)) },
 		"store silent to a host":        storeLink(proxy.DropBothDirections()),
 		"store refuses a host":          storeLink(proxy.LinkFaults{Refuse: true}),
@@ -124,6 +125,29 @@
 	}
 }
 
+// minEvacuation is longer than the audit lets a task start in an evacuated zone.
+const minEvacuation = 7500 * time.Millisecond
+
+// evacuateZone evacuates a zone, unless that has been done, and takes that back later.
+func (s *soak) evacuateZone() {
+	name := zone(s.randomBelow(zoneCount))
+	if !s.evacuations[name].TryLock() {
+		return
+	}
+	defer s.evacuations[name].Unlock()
+	s.putEvacuation(name, true)
+	s.audit.SetEvacuated(name, true)
+	time.Sleep(minEvacuation + s.randomDuration(3*time.Second))
+	s.audit.SetEvacuated(name, false)
+	s.putEvacuation(name, false)
+}
+
+func (s *soak) putEvacuation(zone string, evacuated bool) {
+	if err := s.store.EvacuateZone(context.Background(), zone, evacuated); err != nil {
+		s.t.Errorf("evacuate %s %t: %v", zone, evacuated, err)
+	}
+}
+
 func (s *soak) partitionStore() {
 	for _, h := range s.hosts {
 		h.storeProxy.Set("", proxy.DropBothDirections())
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -26,6 +26,7 @@
 const (
 	hostCount   = 3
 	workerCount = 4
+	zoneCount   = 2
 	callerCount = 6
 	// faultTime is the time during which faults are injected and jobs submitted. settleTime
 	// is the maximum time for all jobs to end afterwards: twice the longest lease, plus
@@ -56,6 +57,8 @@
 	hosts         []*entryHost
 	workers       []*standin.Worker
 	workerProxies []*proxy.Proxy
+	// evacuations holds a lock for each zone, held while the zone is evacuated.
+	evacuations map[string]*sync.Mutex
 	// mu guards rand and the fields below.
 	mu sync.Mutex
 	// failOrders is true while faults are injected into random orders to workers.
@@ -66,6 +69,9 @@
 	notes []string
 }
 
+// zone returns the zone of worker n.
+func zone(n int) string { return fmt.Sprintf("zone-%d", n%zoneCount) }
+
 func manifest(version int) []byte { return standin.Manifest(version, hostHeader, key) }
 
 func (s *soak) note(format string, args ...any) {
@@ -115,16 +121,19 @@
 // newSoak starts the stand-in platform, the workers and the hosts.
 func newSoak(t testing.TB, seed uint64) *soak {
 	t.Helper()
-	s := &soak{t: t, rand: rand.New(rand.NewPCG(seed, seed)), audit: standin.NewAudit(), store: standin.NewStore(), version: 1}
+	s := &soak{t: t, rand: rand.New(rand.NewPCG(seed, seed)), audit: standin.NewAudit(), store: standin.NewStore(), version: 1, evacuations: map[string]*sync.Mutex{}}
 	ports := harness.ReservePorts(t)
 	storeAddr := ports.Addr(t, 1)
 	serve(t, storeAddr, s.store)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	assert.NilError(t, s.store.PutManifest(ctx, manifest(1)))
+	for n := range zoneCount {
+		s.evacuations[zone(n)] = &sync.Mutex{}
+	}
 	for n := range workerCount {
 		workerAddr, proxyAddr := ports.Addr(t, 1), ports.Addr(t, 1)
-		w := standin.NewWorker(fmt.Sprintf("worker-%d", n), proxyAddr, s.store, s.audit, s.orderFault)
+		w := standin.NewWorker(fmt.Sprintf("worker-%d", n), proxyAddr, zone(n), s.store, s.audit, s.orderFault)
 		serve(t, workerAddr, w)
 		s.workerProxies = append(s.workerProxies, s.newProxy(proxyAddr, workerAddr))
 		s.workers = append(s.workers, w)
