Warm workers are preferred to cold ones

Cause: a worker's entry tells for how long it stays slow after its start, for instance once an evacuation is taken back; that was decoded, checked and ignored.

Ruled out: keeping work off cold workers, which would only delay it.

--- a/internal/core/dispatch/evacuation_test.go
+++ b/internal/core/dispatch/evacuation_test.go
@@ -267,3 +267,18 @@
 	assert.Equal(t, len(h.starts), 1)
 	assert.Assert(t, h.starts[0].Zone != s.Zone)
 }
+
+// Workers may be cold when an evacuation is taken back.
+func TestWarmWorkersArePreferredToColdOnesUntilTheseAreWarm(t *testing.T) {
+	h := newHarness(t)
+	fleet := h.fleet(2, whole)
+	fleet[0].ColdRemaining = 2 * time.Second
+	h.core.SetWorkers(h.clock(), fleet)
+	h.add(single("a", 1, 1, one))
+	assert.Equal(t, h.starts[0].Worker, "w1")
+	h.add(single("b", 1, 8, one))
+	assert.Equal(t, h.starts[8].Worker, "w0", "a cold worker is better than none")
+	h.now += 3 * time.Second
+	h.core.SetWorkers(h.clock(), fleet)
+	assert.Assert(t, !h.core.workers["w0"].cold)
+}
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -66,6 +66,7 @@
 	w.ClockMs, w.clockAt = clockMs, clockAt
 	w.listed, w.entryRead = true, true
 	w.setLeaveTime(now)
+	w.setCold(now)
 	clear(w.labels)
 	for _, l := range info.Labels {
 		w.labels[l] = true
--- a/internal/core/dispatch/score.go
+++ b/internal/core/dispatch/score.go
@@ -15,7 +15,7 @@
 
 // score rates w for a task of s; the lowest score is best.
 func (s *step) score(w *worker, need job.Resources) float64 {
-	score := leftover(w, need) + s.rackPositionScore(w) + s.colocationScore(w)
+	score := leftover(w, need) + s.rackPositionScore(w) + s.colocationScore(w) + w.coldScore()
 	if s.job.spec.Priority == urgentPriority {
 		score += packWeight * w.nonUrgentShare(need)
 	}
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -101,6 +101,9 @@
 	// MinRemaining is the time, from the writing of the entry, for which a draining worker stays at
 	// least. It is zero if that is not known.
 	MinRemaining time.Duration
+	// ColdRemaining is the time, from the writing of the entry, for which the worker stays slow after its
+	// start.
+	ColdRemaining time.Duration
 	// ClockMs is the worker's monotonic clock when it wrote the entry, in milliseconds.
 	ClockMs int64
 	// Unreadable is set if the newest entry under the worker's ID cannot be read. All fields but
@@ -272,6 +275,8 @@
 	// runsByEnd caches the runs in the order of their expected ends. It is nil after a run was
 	// added, removed or stopped; progress reports do not reset it.
 	runsByEnd []*run
+	// cold is set while the worker is slow after its start.
+	cold bool
 	// leavesAt is the earliest time at which a draining worker leaves; zero if that is not known.
 	leavesAt time.Duration
 	// entryRead is set once an entry of the current incarnation has been read. Before that the labels,
