--- a/internal/entry/evacuation.go
+++ b/internal/entry/evacuation.go
@@ -81,7 +81,7 @@
 	wake = wake || !h.knowsEvacuations(0)
 	changed := h.evacuations.set(zones, askedAt)
 	if changed {
-		event.Info(h.logger, event.ZonesEvacuated, "zones", zones)
+		event.Info(h.logger, event.ZonesEvacuated, "zones", append([]string{}, zones...)) // an empty list, not null
 	}
 	if changed || wake {
 		h.signalJobs()
