--- a/test/hostile/site_test.go
+++ b/test/hostile/site_test.go
@@ -80,7 +80,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	assert.NilError(t, store.PutManifest(ctx, standin.Manifest(1, hostHeader, key)))
-	worker := standin.NewWorker("worker", workerAddress, store, s.audit, func() standin.Fault { return standin.NoFault })
+	worker := standin.NewWorker("worker", workerAddress, "zone", store, s.audit, func() standin.Fault { return standin.NoFault })
 	serve(t, workerAddress, worker)
 	go func() { _ = worker.Run(ctx) }() // ends with ctx
 	text := standin.Settings(standin.HostSettings{Name: "host", CallerAddress: s.callers, ReadinessAddress: ports.Addr(t, 1), PeerAddress: s.peers, SeedAddress: s.peers, StoreAddress: storeAddress})
