--- a/test/hostile/crowd_test.go
+++ b/test/hostile/crowd_test.go
@@ -52,9 +52,10 @@
 		s.audit.AddJob(&job.Job{ID: m.id, Payload: "10", Steps: []job.Step{{Count: 1, Need: job.Resources{CPU: 1, MemMB: 1}}}})
 		c.members = append(c.members, m)
 		sending.Go(func() {
-			conn, err := net.DialTimeout("tcp", address, writeTimeout)
+			conn, err := net.DialTimeout("tcp", address, patience)
 			if err != nil {
-				return // the host may refuse the connection
+				s.t.Errorf("a member of the crowd is missing: %v", err)
+				return
 			}
 			m.conn = conn
 			c.answers.Go(m.readAnswer)
