Clients that trickle give way too

Cause: a client counted as stalled only 250 ms after its last byte, so that one byte now and then kept its place until the limit of 30 s for a body, and a crowd of such clients kept all others out.

Change: each byte buys time at a pace of 64 kB a second; the client furthest behind gives way. Nothing changes while there is room.

Ruled out: a least rate at all times; a slow link is legal.

--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -183,9 +183,7 @@
 	}
 	n, err := r.Body.Read(b.data[len(b.data):cap(b.data)])
 	b.data = b.data[:len(b.data)+n]
-	if n > 0 {
-		b.hold.NoteProgress()
-	}
+	b.hold.NoteProgress(n)
 	return err
 }
 
@@ -202,7 +200,7 @@
 		}
 		n, err := r.Read(body.data[len(body.data):cap(body.data)])
 		body.data = body.data[:len(body.data)+n]
-		hold.NoteProgress()
+		hold.NoteProgress(n)
 		switch {
 		case errors.Is(err, io.EOF):
 			return body.data, nil
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -1,7 +1,7 @@
 // Package intake bounds what a process holds for clients that it does not control: the bytes of
 // requests that are unfinished or being handled, and the open connections. When a bound is reached,
-// the client that has sent nothing for the longest time gives way, so that clients which finish their
-// requests are still served.
+// the client that is furthest behind a least pace gives way, so that clients which finish their requests
+// are still served.
 package intake
 
 import (
@@ -9,7 +9,6 @@
 	"expvar"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"agatewinch/internal/errkind"
@@ -24,6 +23,9 @@
 	// stallTime is how long a client must have sent nothing before it gives way to another:
 	// several round trips between regions.
 	stallTime = 250 * time.Millisecond
+	// pace is how many bytes a second a client must send so as not to stall: somewhat less than what
+	// brings the largest body of the operators' configuration within a usual deadline.
+	pace = 64 << 10
 	// growTimeout is the longest wait for bytes of the budget, and growPoll the interval at which
 	// clients that have stalled meanwhile are looked for.
 	growTimeout = time.Second
@@ -77,9 +79,8 @@
 type Hold struct {
 	budget *Budget
 	// evict interrupts the client's request.
-	evict func()
-	// progress is when the client last sent something, in Unix nanoseconds.
-	progress atomic.Int64
+	evict    func()
+	progress progress
 
 	// The fields below are guarded by budget.mu. waiting is set while the hold waits for bytes:
 	// that its client sends nothing is not the client's fault.
@@ -95,17 +96,17 @@
 		return nil
 	}
 	h := &Hold{budget: b, evict: evict}
-	h.NoteProgress()
+	h.progress.reset()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.unfinished[h] = struct{}{}
 	return h
 }
 
-// NoteProgress records that the client has sent something.
-func (h *Hold) NoteProgress() {
+// NoteProgress records that the client has sent n bytes.
+func (h *Hold) NoteProgress(n int) {
 	if h != nil {
-		h.progress.Store(time.Now().UnixNano())
+		h.progress.add(n)
 	}
 }
 
@@ -176,7 +177,7 @@
 		defer b.mu.Unlock()
 		b.waiting[class]--
 		h.waiting = false
-		h.NoteProgress()
+		h.progress.reset()
 	}, true
 }
 
@@ -207,8 +208,7 @@
 	return b.limit - int64(smallShare*float64(b.limit))
 }
 
-// evictOldest evicts the hold whose client has sent nothing for the longest time, if that is at least
-// stallTime. It reports whether there was one other than newcomer. The caller holds b.mu.
+// evictOldest evicts the hold whose client is furthest behind the pace, if that is at least stallTime. It reports whether there was one other than newcomer. The caller holds b.mu.
 func (b *Budget) evictOldest(newcomer *Hold) bool {
 	now := time.Now().UnixNano()
 	if now < b.noneStalled {
@@ -217,7 +217,7 @@
 	var oldest *Hold
 	first := now
 	for h := range b.unfinished {
-		if at := h.progress.Load(); h != newcomer && !h.waiting && h.bytes > 0 && at < first {
+		if at := h.progress.at(); h != newcomer && !h.waiting && h.bytes > 0 && at < first {
 			oldest, first = h, at
 		}
 	}
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -5,7 +5,6 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -26,8 +25,9 @@
 type conn struct {
 	net.Conn
 	connections *Connections
-	// lastRead is when the client last sent something, in Unix nanoseconds.
-	lastRead atomic.Int64
+	// progress is that of the client with its request, or the time of its last bytes on a connection
+	// that was taken over.
+	progress progress
 
 	// stage is guarded by connections.mu.
 	stage stage
@@ -46,8 +46,18 @@
 	if n == 0 {
 		return n, err
 	}
-	k.lastRead.Store(time.Now().UnixNano())
-	if k.connections.budget != nil && k.readsHeader() {
+	switch s := k.stageNow(); {
+	case s == stageUpgraded:
+		k.progress.reset()
+		return n, err
+	case s == stageBody:
+		k.progress.add(n)
+		return n, err
+	case s != stageHeader && s != stageIdle:
+		return n, err
+	}
+	k.progress.add(n)
+	if k.connections.budget != nil {
 		if held := k.noteHeader(p[:n]); held != nil {
 			_ = k.Conn.Close() // net/http may read on after an error; it must not miss these bytes
 			return 0, held
@@ -93,11 +103,7 @@
 	k.connections.mu.Lock()
 	defer k.connections.mu.Unlock()
 	k.stage = s
-}
-
-func (k *conn) readsHeader() bool {
-	s := k.stageNow()
-	return s == stageHeader || s == stageIdle
+	k.progress.reset()
 }
 
 // setReading records whether the client is sending a body.
@@ -110,6 +116,7 @@
 	switch {
 	case reading:
 		k.stage = stageBody
+		k.progress.reset()
 	case k.stage == stageBody:
 		k.stage = stageServing
 	}
@@ -142,7 +149,7 @@
 	}
 	k.held += step
 	k.headerMu.Unlock()
-	header.NoteProgress()
+	header.NoteProgress(len(part))
 	if step == 0 {
 		return nil
 	}
--- a/internal/intake/connections.go
+++ b/internal/intake/connections.go
@@ -31,8 +31,8 @@
 )
 
 // Connections bounds the open connections of one or more listeners. At the bound, a new connection
-// replaces one that has been refused, else the one whose client has sent nothing of its request for the
-// longest time, else the one that has been idle for the longest time. If there is none, the new one is
+// replaces one that has been refused, else the one whose client is furthest behind the pace with its
+// request, else the one that has been idle for the longest time. If there is none, the new one is
 // closed.
 type Connections struct {
 	max int
@@ -90,7 +90,7 @@
 // admit adds a connection, or returns nil if there is no room for it.
 func (c *Connections) admit(nc net.Conn) net.Conn {
 	added := &conn{Conn: nc, connections: c}
-	added.lastRead.Store(time.Now().UnixNano())
+	added.progress.reset()
 	c.mu.Lock()
 	var victim *conn
 	full := len(c.open) >= c.max
@@ -116,9 +116,9 @@
 func (c *Connections) victim() *conn {
 	var stalled, idle *conn
 	latest := time.Now().Add(-stallTime).UnixNano()
-	older := func(a, b *conn) bool { return b == nil || a.lastRead.Load() < b.lastRead.Load() }
+	older := func(a, b *conn) bool { return b == nil || a.progress.at() < b.progress.at() }
 	for k := range c.open {
-		at := k.lastRead.Load()
+		at := k.progress.at()
 		switch {
 		case k.stage == stageRefused:
 			return k
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -24,7 +24,7 @@
 func stalled(t *testing.T, b *Budget, n int64, evictions *int) *Hold {
 	h := b.Open(func() { *evictions++ })
 	assert.NilError(t, h.Grow(t.Context(), n))
-	h.progress.Store(time.Now().Add(-time.Minute).UnixNano())
+	h.progress.nanoseconds.Store(time.Now().Add(-time.Minute).UnixNano())
 	return h
 }
 
@@ -132,6 +132,27 @@
 	assert.Equal(t, status, 200)
 }
 
+// Clients that send a byte now and then do not keep others out.
+func TestNewConnectionReplacesOneThatTrickles(t *testing.T) {
+	address := start(t, NewBudget("test", limit, nil), 3)
+	for range 3 {
+		conn, err := net.Dial("tcp", address)
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		_, err = io.WriteString(conn, head+"Content-Length: 100000\r\n\r\n")
+		assert.NilError(t, err)
+		go func() {
+			for err == nil {
+				time.Sleep(20 * time.Millisecond)
+				_, err = conn.Write([]byte("x"))
+			}
+		}()
+	}
+	time.Sleep(2 * stallTime)
+	status, _ := exchange(t, address, head+"Content-Length: 1\r\n\r\nx")
+	assert.Equal(t, status, 200)
+}
+
 // At the bound, with a request in progress on the only connection, a second one is closed. It is
 // admitted once the first is closed, or as soon as that has been idle for some time.
 func TestConnectionsOverTheLimitAreClosed(t *testing.T) {
