A gang overtaken by an evacuation is not started in part

Cause: between the record of a gang's placement and its starts, a zone of some members is evacuated. The members before the first of these were started and stopped again, which threw away their slots for a moment.

Change: a start is dropped if any member of its gang may not start where it was placed.

Ruled out: the same in the host's last check, which withholds each start alone; that window is a few milliseconds.

Measured: the test of the dropped start now requires that no member starts; it fails without the change. Tests of internal/core/dispatch and internal/sim pass.

--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -419,14 +419,14 @@
 }
 
 // sendStart sends a start, unless the conditions of its placement no longer hold: the run is
-// stopping, its job has ended, its worker is draining, unlisted or in an evacuated zone, or its ticket has
-// expired. Such a run ends as EndNotStarted.
+// stopping, its job has ended, its worker is draining or unlisted, it or a member of its gang is in an
+// evacuated zone, or its ticket has expired. Such a run ends as EndNotStarted.
 func (c *Core) sendStart(now Now, r *run) {
 	if !r.worker.runs[r] {
 		return
 	}
 	w := r.worker
-	if r.phase == stopping || r.task.step.job.cancelledOrEnded() || !w.listed || w.Draining || c.closed(w) {
+	if r.phase == stopping || r.task.step.job.cancelledOrEnded() || !w.listed || w.Draining || c.startClosed(r) {
 		c.endRun(now, r, job.EndNotStarted, r.task.checkpoint)
 		return
 	}
--- a/internal/core/dispatch/evacuation.go
+++ b/internal/core/dispatch/evacuation.go
@@ -76,6 +76,14 @@
 // closed reports whether nothing may start on w, because of an evacuation or because starts are held.
 func (c *Core) closed(w *worker) bool { return c.evacuation.held || c.evacuated(w) }
 
+// startClosed reports whether r, or another member of its gang, may not start where it was placed.
+func (c *Core) startClosed(r *run) bool {
+	if !c.evacuation.held && len(c.evacuation.zones) == 0 {
+		return false
+	}
+	return slices.ContainsFunc(gangOf(r), func(m *run) bool { return c.closed(m.worker) })
+}
+
 // explainEvacuation adds a note for each step that still waits and that workers of evacuated zones could
 // run, once for each change of these zones.
 func (c *Core) explainEvacuation(steps []*step) {
--- a/internal/core/dispatch/evacuation_test.go
+++ b/internal/core/dispatch/evacuation_test.go
@@ -84,9 +84,8 @@
 	h.core.SetEvacuatedZones(h.clock(), []string{closedZone})
 	h.core.Recorded(h.clock(), batch)
 	h.flush()
-	assert.Equal(t, h.startsIn(closedZone), 0)
 	h.advance(5 * time.Second)
-	assert.Equal(t, h.startsIn(closedZone), 0)
+	assert.Equal(t, len(h.starts), 0, "the rest of the gang is not started for nothing")
 }
 
 func TestPlanAndReservationsInAnEvacuatedZoneAreDropped(t *testing.T) {
