--- a/internal/core/dispatch/evacuation_test.go
+++ b/internal/core/dispatch/evacuation_test.go
@@ -74,18 +74,20 @@
 	}
 }
 
-// The evacuation is read while the record of a gang's placement is being appended.
+// The evacuation is read while the record of a gang's placement is being appended: that of the zone of its
+// first member, or of others.
 func TestStartIsDroppedWhenItsZoneIsEvacuatedBeforeTheRecord(t *testing.T) {
-	h := zonedHarness(t, 12)
-	g := gang("g", 1, 12, whole)
-	h.core.AddJob(h.clock(), g, nil)
-	h.core.TakeActions(h.clock())
-	batch := h.core.TakeBatch()
-	h.core.SetEvacuatedZones(h.clock(), []string{closedZone})
-	h.core.Recorded(h.clock(), batch)
-	h.flush()
-	h.advance(5 * time.Second)
-	assert.Equal(t, len(h.starts), 0, "the rest of the gang is not started for nothing")
+	for _, zone := range []string{closedZone, openZone} {
+		h := zonedHarness(t, 12)
+		h.core.AddJob(h.clock(), gang("g", 1, 12, whole), nil)
+		h.core.TakeActions(h.clock())
+		batch := h.core.TakeBatch()
+		h.core.SetEvacuatedZones(h.clock(), []string{zone})
+		h.core.Recorded(h.clock(), batch)
+		h.flush()
+		h.advance(5 * time.Second)
+		assert.Equal(t, len(h.starts), 0, "%s: the rest of the gang is not started for nothing", zone)
+	}
 }
 
 func TestPlanAndReservationsInAnEvacuatedZoneAreDropped(t *testing.T) {
