--- a/internal/core/dispatch/actions.go
+++ b/internal/core/dispatch/actions.go
@@ -39,7 +39,8 @@
 // worker. The worker may delay its answer by up to MaxWait until a run ends.
 type Probe struct {
 	Target
-	// LeaseUntilMs is the end of the lease by the worker's clock, in milliseconds.
+	// LeaseUntilMs is the end of the lease by the worker's clock, in milliseconds; zero if the lease is not
+	// extended.
 	LeaseUntilMs int64
 	// Ack is the number of the last end that is recorded.
 	Ack     int64
--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -12,7 +13,12 @@
 	settings Settings
 	// inheritedUntil is when the last lease that former leaders may have granted expires.
 	inheritedUntil time.Duration
-	jobs           map[string]*trackedJob
+	// knownLeasesUntil is when the last lease expires that former leaders may have granted to incarnations
+	// that they knew.
+	knownLeasesUntil time.Duration
+	// leasesUntil is the latest time to which leases may last; see LimitLeases.
+	leasesUntil time.Duration
+	jobs        map[string]*trackedJob
 	// seq is the number of jobs added so far.
 	seq     int
 	workers map[string]*worker
@@ -71,7 +77,7 @@
 // New returns a core without jobs and workers. This process becomes the leader at now: leases
 // of former leaders are assumed to last for up to Settings.inheritedLease from then on.
 func New(now Now, set Settings) *Core {
-	c := &Core{settings: set, inheritedUntil: now.Mono + set.inheritedLease(), jobs: map[string]*trackedJob{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, zoneSuspectedAt: map[string]time.Duration{}, cycle: newCycle()}
+	c := &Core{settings: set, inheritedUntil: now.Mono + set.inheritedLease(), knownLeasesUntil: now.Mono + set.FormerLeaseTime + leaseExpiryMargin, leasesUntil: math.MaxInt64, jobs: map[string]*trackedJob{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, zoneSuspectedAt: map[string]time.Duration{}, cycle: newCycle()}
 	c.openBatch()
 	return c
 }
@@ -155,7 +161,7 @@
 		w, ended := c.workerFor(now, r.Worker, r.Incarnation)
 		active := &run{task: t, number: r.Run, worker: w, phase: adopted, inherited: true, need: t.step.spec.Charge(), placedAt: now.Mono, percentAt: now.Mono, checkpoint: r.Checkpoint, pacing: pacing{percent: unknownPace}}
 		c.addRun(active)
-		w.inheritedUntil = c.inheritedUntil
+		c.inheritLease(active, r.LeaseLimited, ended)
 		if ended {
 			c.stop(now, active, "worker restarted")
 		}
@@ -383,7 +389,7 @@
 		r.Failures, r.FailedRuns = t.step.failures, slices.Clone(t.step.failedRuns)
 	}
 	if t.current != nil {
-		r.Active, r.Worker, r.Incarnation = true, t.current.worker.ID, t.current.worker.Incarnation
+		r.Active, r.Worker, r.Incarnation, r.LeaseLimited = true, t.current.worker.ID, t.current.worker.Incarnation, t.current.leaseLimited
 	}
 	return r
 }
@@ -440,13 +446,6 @@
 	})
 }
 
-// extendLease extends a worker's lease and returns its end by the worker's clock, in milliseconds.
-// A lease never gets shorter.
-func (c *Core) extendLease(now Now, w *worker, ttl time.Duration) int64 {
-	w.leaseUntilMs = max(w.leaseUntilMs, w.clockAtLeast(now.Mono)+min(ttl, c.settings.LeaseTTL).Milliseconds())
-	return w.leaseUntilMs
-}
-
 // TakeActions runs a scheduling cycle if one is due, and returns the calls to send.
 func (c *Core) TakeActions(now Now) Actions {
 	kind := c.cycleDue(now)
--- a/internal/core/dispatch/incarnation.go
+++ b/internal/core/dispatch/incarnation.go
@@ -51,7 +51,7 @@
 	c.resolveAll(w)
 	for _, r := range c.runsOf(w) {
 		unsent := r.phase == recording || r.phase == stopping && !r.stopSent
-		if r.listed || unsent {
+		if r.listed || r.leaseLimited || unsent {
 			c.endRun(now, r, job.EndLost, r.checkpoint)
 			continue
 		}
--- /dev/null
+++ b/internal/core/dispatch/lease.go
@@ -0,0 +1,56 @@
+package dispatch
+
+import "time"
+
+// probesPerLease is how many probes that wait as long as they may fit into the rest of a lease, so that it is
+// extended in time after one that was not answered.
+const probesPerLease = 3
+
+// LimitLeases limits the leases that are granted from now on to the given time, by Now.Mono. The process
+// counts it from the last record that the log accepted from this leader. A successor knows that record,
+// and the limit, and so when all leases of this leader have expired. A worker may grant a longer lease only
+// to a new incarnation of which this leader does not know.
+func (c *Core) LimitLeases(until time.Duration) { c.leasesUntil = until }
+
+// LongestLease is the longest time for which a lease of the given TTL may keep runs on a worker, whose clock
+// may be slow.
+func LongestLease(ttl time.Duration) time.Duration {
+	return time.Duration(float64(ttl)/minClockRate) + leaseExpiryMargin
+}
+
+// leaseLeft returns for how long a lease may be granted now.
+func (c *Core) leaseLeft(now Now) time.Duration {
+	return max(0, min(c.settings.LeaseTTL, c.leasesUntil-now.Mono))
+}
+
+// extendLease extends a worker's lease and returns its end by the worker's clock, in milliseconds. The
+// clock may be slow, so that the lease is requested for less than the time that is left. A lease never gets
+// shorter.
+func (c *Core) extendLease(now Now, w *worker, ttl time.Duration) int64 {
+	ttl = min(ttl, time.Duration(float64(c.leaseLeft(now))*minClockRate))
+	w.leaseUntilMs = max(w.leaseUntilMs, w.clockAtLeast(now.Mono)+ttl.Milliseconds())
+	return w.leaseUntilMs
+}
+
+// inheritLease sets how long the leases of former leaders may cover an adopted run. limited is set if the
+// run is known to be on the recorded incarnation, under leases with a limit, and ended if that incarnation
+// has ended.
+func (c *Core) inheritLease(r *run, limited, ended bool) {
+	r.inheritedUntil = c.inheritedUntil
+	if limited && !ended {
+		r.leaseLimited, r.inheritedUntil = true, c.knownLeasesUntil
+		r.worker.inheritedUntil = min(r.worker.inheritedUntil, c.knownLeasesUntil)
+	}
+}
+
+// markLeaseLimited records that every lease on a run that its worker has just listed is subject to the
+// leaders' limit, once no other lease can be left on the worker: one of a leader before the limits, or one
+// that was meant for a previous incarnation.
+func (c *Core) markLeaseLimited(now Now, r *run) {
+	r.inheritedUntil = 0
+	if r.leaseLimited || r.phase != running || now.Mono <= r.worker.inheritedUntil {
+		return
+	}
+	r.leaseLimited = true
+	c.record(r.task)
+}
--- a/internal/core/dispatch/probe.go
+++ b/internal/core/dispatch/probe.go
@@ -121,6 +121,7 @@
 		}
 		r.load = row.Load
 		c.markRunning(now, r)
+		c.markLeaseLimited(now, r)
 		switch {
 		case r.phase != running:
 		case t.step.job.cancelledOrEnded() && !t.done:
@@ -175,11 +176,12 @@
 			continue
 		}
 		w.probing = true
-		until := w.leaseUntilMs
-		if w.unansweredCalls == 0 || until == 0 {
+		until := int64(0)
+		if !w.unreachable() && !w.hasAdopted() {
 			// The lease of a worker that does not answer is not extended: it has to expire,
 			// so that its tasks can be started elsewhere.
 			until = c.extendLease(now, w, c.settings.LeaseTTL)
+			wait = min(wait, c.leaseLeft(now)/probesPerLease)
 		}
 		c.pendingActions.Probes = append(c.pendingActions.Probes, Probe{Target: w.target(), LeaseUntilMs: until, Ack: w.recordedEnd, MaxWait: wait, sentAt: now.Mono})
 	}
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -285,7 +285,7 @@
 		}
 		for _, r := range c.runsOf(w) {
 			switch {
-			case expired && r.phase != recording:
+			case now.Mono > max(w.leasesExpireAt(), r.inheritedUntil) && r.phase != recording:
 				c.endRun(now, r, job.EndLost, r.checkpoint)
 			case r.phase == stopping && r.stopSent && !r.stopAcked && now.Mono >= r.nextStopAt:
 				c.sendStop(now, r)
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -33,6 +33,11 @@
 	// FormerRenewalTime bounds how long a former leader may keep renewing leases after
 	// its successor took over. It is zero if the former leader is known to have stopped.
 	FormerRenewalTime time.Duration
+	// NoFormerLeader is set if there has never been another leader.
+	NoFormerLeader bool
+	// FormerLeaseTime bounds how long after its successor took over a former leader's leases on an
+	// incarnation that it knew last; see Core.LimitLeases.
+	FormerLeaseTime time.Duration
 	// SpreadFactor is how many times longer a task takes outside the rack with its data, or in a
 	// gang that is spread over several racks.
 	SpreadFactor float64
@@ -73,8 +78,12 @@
 )
 
 // inheritedLease is how long after a takeover a lease granted by a former leader may last on
-// any worker: a lease covers a worker, not a run, and is never shortened.
+// any worker: a lease covers a worker, not a run, and is never shortened. It allows for an incarnation
+// that the former leader did not know of.
 func (s Settings) inheritedLease() time.Duration {
+	if s.NoFormerLeader {
+		return 0
+	}
 	return s.FormerRenewalTime + s.longestLease()
 }
 
@@ -82,7 +91,7 @@
 // the worker's clock, and a lease meant for a previous incarnation may be granted to the
 // current one for the full MaxLeaseTTL.
 func (s Settings) longestLease() time.Duration {
-	return time.Duration(float64(max(s.LeaseTTL, s.MaxLeaseTTL))/minClockRate) + leaseExpiryMargin
+	return LongestLease(max(s.LeaseTTL, s.MaxLeaseTTL))
 }
 
 // WorkerInfo is a worker's entry: what it publishes about itself.
@@ -133,7 +142,13 @@
 	phase  phase
 	// inherited runs were placed by a former leader.
 	inherited bool
-	need      job.Resources
+	// leaseLimited is set once the current incarnation of the worker has listed the run and every lease
+	// on it is subject to the leaders' limit; see Core.LimitLeases.
+	leaseLimited bool
+	// inheritedUntil is when the last lease expires that may cover a run of a former leader; zero for
+	// others.
+	inheritedUntil time.Duration
+	need           job.Resources
 	// placedAt is when the run was placed or adopted.
 	placedAt time.Duration
 	// checkpoint is the newest known checkpoint.
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -190,6 +190,10 @@
 	// FailedRuns are the numbers of the failed runs of a task's gang, which count once however many of
 	// its tasks fail in them.
 	FailedRuns []int `cbor:"10,keyasint,omitempty"`
+	// LeaseLimited is set once the recorded incarnation of the worker has listed the active run, and every
+	// lease of that incarnation ends within the lease limit of the leaders that granted it (see
+	// ledger.Role).
+	LeaseLimited bool `cbor:"11,keyasint,omitempty"`
 }
 
 // PresumedEnd is a run whose end was inferred and not listed by its worker.
--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -15,6 +15,7 @@
 func (l *leader) dispatchActions(ctx context.Context) {
 	var actions dispatch.Actions
 	now := l.now() // before the checks: a pause after them must not lengthen a lease
+	l.core.LimitLeases(now.Mono + l.permission.leaseLeft())
 	switch {
 	case l.permission.valid():
 		began := time.Now()
--- a/internal/entry/dispatchloop.go
+++ b/internal/entry/dispatchloop.go
@@ -20,10 +20,10 @@
 	tickInterval = 250 * time.Millisecond
 	// workerListInterval is how often the list of workers is read.
 	workerListInterval = 500 * time.Millisecond
-	// workerLeaseTTL is the TTL of the leases that the leader requests, for which workers continue
-	// their runs without a leader: long enough for a takeover, short enough that the tasks of an
-	// unreachable worker are soon started on another.
-	workerLeaseTTL = 8 * time.Second
+	// leaseLimit is how long after the last record that the log has accepted from a leader its leases
+	// last: long enough for a takeover and for the log's usual outages, short enough that the tasks of a
+	// worker that is lost together with the leader are soon started on another.
+	leaseLimit = 7500 * time.Millisecond
 	// probeWait is the longest time that a probe waits on the worker for a run to end. Workers
 	// limit the wait to the same time.
 	probeWait = 2 * time.Second
@@ -53,6 +53,8 @@
 	appendedAt time.Time
 	// formerRenewalTime is how long after startedAt former leaders may go on renewing leases.
 	formerRenewalTime time.Duration
+	// formerLeaseTime is how long after startedAt the leases of former leaders may last.
+	formerLeaseTime time.Duration
 	// lossReason is the reason why the role was lost; empty while it is held.
 	lossReason string
 	sweptAt    time.Time
@@ -74,13 +76,13 @@
 const maxEvents = 4096
 
 // newLeader returns the leader after a claim of the role that was sent at claimedAt, by sinceBoot.
-func newLeader(h *Host, fence sharedlog.Fence, claimedAt, formerRenewalTime time.Duration) *leader {
+func newLeader(h *Host, fence sharedlog.Fence, claimedAt time.Duration, former formerTimes) *leader {
 	now := time.Now()
 	return &leader{
-		host: h, epoch: fence.Epoch, permission: newPermission(h.sinceBoot, claimedAt), sequence: fence.Sequence, events: make(chan func(dispatch.Now), maxEvents), startedAt: now, appendedAt: now, sweptAt: now, formerRenewalTime: formerRenewalTime,
+		host: h, epoch: fence.Epoch, permission: newPermission(h.sinceBoot, claimedAt), sequence: fence.Sequence, events: make(chan func(dispatch.Now), maxEvents), startedAt: now, appendedAt: now, sweptAt: now, formerRenewalTime: former.renewals, formerLeaseTime: former.leases,
 		core: dispatch.New(dispatch.Now{UnixMs: now.UnixMilli()}, dispatch.Settings{
-			LeaseTTL: min(workerLeaseTTL, h.settings.MaxLeaseTTL), MaxLeaseTTL: h.settings.MaxLeaseTTL, ProbeWait: probeWait,
-			FormerRenewalTime: formerRenewalTime, SpreadFactor: h.settings.SpreadFactor, MaxStopTime: h.settings.MaxStopTime, RestoreTime: h.settings.RestoreTime, HeartbeatInterval: h.settings.HeartbeatInterval, UpkeepTime: h.settings.UpkeepTime,
+			LeaseTTL: min(leaseLimit, h.settings.MaxLeaseTTL), MaxLeaseTTL: h.settings.MaxLeaseTTL, ProbeWait: probeWait,
+			FormerRenewalTime: former.renewals, FormerLeaseTime: former.leases, NoFormerLeader: former.none, SpreadFactor: h.settings.SpreadFactor, MaxStopTime: h.settings.MaxStopTime, RestoreTime: h.settings.RestoreTime, HeartbeatInterval: h.settings.HeartbeatInterval, UpkeepTime: h.settings.UpkeepTime,
 		}),
 	}
 }
--- a/internal/entry/permission.go
+++ b/internal/entry/permission.go
@@ -41,5 +41,8 @@
 // valid reports whether orders may be sent now.
 func (p *permission) valid() bool { return !p.withdrawn.Load() && p.age() < leaderTimeout }
 
+// leaseLeft returns for how long leases may be granted now.
+func (p *permission) leaseLeft() time.Duration { return max(0, leaseLimit-p.age()) }
+
 // mayRenewLeases reports whether the leases of workers may be renewed now.
 func (p *permission) mayRenewLeases() bool { return p.age() < maxTimeWithoutLog }
--- a/internal/entry/role.go
+++ b/internal/entry/role.go
@@ -69,8 +69,8 @@
 	// claimsSuspendedUntil keeps this host from claiming the role after it gave the role up because
 	// workers did not answer it.
 	claimsSuspendedUntil time.Time
-	// formerRenewalTime bounds how long the former leader may continue to renew worker leases.
-	formerRenewalTime time.Duration
+	// former bounds what former leaders may still do after this host's claim.
+	former formerTimes
 }
 
 func newRole(h *Host) *role {
@@ -195,8 +195,8 @@
 	if !r.shouldClaim() || !h.knowsJobsOfAllTasks(ctx) {
 		return sharedlog.Fence{}, false
 	}
-	r.formerRenewalTime = r.renewalTimeAfter(former)
-	claim := ledger.Role{Epoch: former.Epoch + 1, Holder: h.settings.Host, Incarnation: h.incarnation, FormerRenewalMs: r.formerRenewalTime.Milliseconds()}
+	r.former = formerTimes{r.renewalTimeAfter(former), r.leaseTimeAfter(former), former.Epoch == 0}
+	claim := ledger.Role{Epoch: former.Epoch + 1, Holder: h.settings.Host, Incarnation: h.incarnation, FormerRenewalMs: r.former.renewals.Milliseconds(), LeaseLimitMs: limitAfter(r.former.leases)}
 	rec, err := ledger.RoleRecord(claim)
 	if err != nil {
 		event.Error(h.logger, err, event.RoleSuperseded)
@@ -218,21 +218,6 @@
 	return sharedlog.Fence{}, false
 }
 
-// renewalTimeAfter returns how long other leaders may go on renewing leases after a claim that follows the
-// given record, which was the newest at the last check: none does for longer than maxTimeWithoutLog after
-// the newest record. A holder that has given up the role, or that was this host, renews none any more, but
-// leaders before it may: it may have held the role for a moment only, or, if the answer to its claim
-// was lost, not at all.
-func (r *role) renewalTimeAfter(former ledger.Role) time.Duration {
-	r.mu.Lock()
-	left := max(0, maxTimeWithoutLog-(r.host.sinceBoot()-r.recordSeenAt))
-	r.mu.Unlock()
-	if former.Epoch != 0 && !former.Released && former.Holder != r.host.settings.Host {
-		return left
-	}
-	return min(max(0, time.Duration(former.FormerRenewalMs)*time.Millisecond), left)
-}
-
 // knowsJobsOfAllTasks reports whether this host knows the jobs of all recorded tasks, after
 // reading the job topics to their ends if needed. A leader that does not know them would
 // regard their resources as free, and start the tasks again once it reads the jobs.
@@ -257,7 +242,7 @@
 	for _, reader := range r.host.jobReaders {
 		reader.readNow()
 	}
-	l := newLeader(r.host, fence, claimedAt, r.formerRenewalTime)
+	l := newLeader(r.host, fence, claimedAt, r.former)
 	var reason string
 	if r.stopped() { // the host was stopped while its claim was in flight
 		reason = l.release(ctx, "planned stop")
--- a/internal/entry/statelog.go
+++ b/internal/entry/statelog.go
@@ -144,9 +144,10 @@
 
 // roleRecord returns the record with which the leader renews the role or gives it up.
 func (l *leader) roleRecord(released bool) (sharedlog.Record, error) {
-	left := max(0, l.formerRenewalTime-time.Since(l.startedAt))
+	elapsed := time.Since(l.startedAt)
 	return ledger.RoleRecord(ledger.Role{
-		Epoch: l.epoch, Holder: l.host.settings.Host, Incarnation: l.host.incarnation, Released: released, FormerRenewalMs: left.Milliseconds(),
+		Epoch: l.epoch, Holder: l.host.settings.Host, Incarnation: l.host.incarnation, Released: released,
+		FormerRenewalMs: max(0, l.formerRenewalTime-elapsed).Milliseconds(), LeaseLimitMs: limitAfter(l.formerLeaseTime - elapsed),
 	})
 }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -54,6 +54,9 @@
 	// FormerRenewalMs is how long after this record, in milliseconds, leaders before the holder may
 	// go on renewing the leases of workers.
 	FormerRenewalMs int64 `cbor:"5,keyasint,omitempty"`
+	// LeaseLimitMs is how long after their last record the leases of the holder, and of all leaders before it,
+	// may last on worker incarnations that they knew, in milliseconds; zero in the records of older versions.
+	LeaseLimitMs int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // HostEntry is the record of a host, which the host writes when it starts.
