--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -20,8 +20,8 @@
 	smallBytes = 32 << 10
 	// smallShare is that part of the budget.
 	smallShare = 0.125
-	// stallTime is how long a client must have sent nothing before it gives way to another:
-	// several round trips between regions.
+	// stallTime is how far a client must be behind the pace before it gives way to another: several
+	// round trips between regions.
 	stallTime = 250 * time.Millisecond
 	// pace is how many bytes a second a client must send so as not to stall: somewhat less than what
 	// brings the largest body of the operators' configuration within a usual deadline.
