A model of run times and speeds: the package and its interface

The smoothed ratio of the core of cells moves there. Nothing is fed to the model yet, so all decisions are as before. Not measured.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,5 +1,7 @@
 package core
 
+import "agatewinch/internal/core/estimate"
+
 // Core is the scheduling state machine of one zone. It is not safe for concurrent use.
 type Core struct {
 	opts    Options
@@ -39,7 +41,7 @@
 	// them that have accelerators.
 	usableWorkers      []*worker
 	acceleratorWorkers []*worker
-	estimates          map[estimateKey]*estimate
+	estimates          map[estimateKey]*estimate.Ratio
 	// placedByWeight counts the placed jobs by the weight of their class.
 	placedByWeight map[int]int
 	orphanOutcomes orphanOutcomes
@@ -55,7 +57,7 @@
 		orgs:        map[OrgID]*org{},
 		jobs:        map[JobID]*job{},
 		tasks:       map[taskKey]*task{},
-		estimates:   map[estimateKey]*estimate{},
+		estimates:   map[estimateKey]*estimate.Ratio{},
 		classes:     map[ClassName]Class{},
 		capacityLog: capacityLog{version: 1},
 
--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"agatewinch/internal/core/estimate"
 	"agatewinch/internal/core/job"
 )
 
@@ -46,6 +47,8 @@
 	lastArrival time.Duration
 	// meanUrgentWork is the moving average of the work of urgent jobs, in core-seconds.
 	meanUrgentWork float64
+	// estimates is what has been learned of run times and of the speeds of workers.
+	estimates *estimate.Model
 	// cycle caches what the current scheduling cycle has computed.
 	cycle *cycle
 	// zoneSuspectedAt is when the workers of each zone were last suspected to be unreachable
@@ -71,7 +74,7 @@
 // New returns a core without jobs and workers. This process becomes the leader at now: leases
 // of former leaders are assumed to last for up to Settings.inheritedLease from then on.
 func New(now Now, set Settings) *Core {
-	c := &Core{settings: set, inheritedUntil: now.Mono + set.inheritedLease(), jobs: map[string]*trackedJob{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, zoneSuspectedAt: map[string]time.Duration{}, cycle: newCycle()}
+	c := &Core{settings: set, inheritedUntil: now.Mono + set.inheritedLease(), jobs: map[string]*trackedJob{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, zoneSuspectedAt: map[string]time.Duration{}, cycle: newCycle(), estimates: estimate.NewModel()}
 	c.openBatch()
 	return c
 }
--- a/internal/core/policy_test.go
+++ b/internal/core/policy_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"agatewinch/internal/core/estimate"
 	"agatewinch/internal/errkind"
 )
 
@@ -369,7 +370,7 @@
 		j.tasks = []*task{{ran: 10 * time.Hour}}
 		c.recordRunTime(j)
 	}
-	assert.Assert(t, c.estimate(j).upper <= time.Minute<<int(estimateRange))
+	assert.Assert(t, c.estimate(j).upper <= time.Minute<<int(estimate.RatioRange))
 	for range 200 {
 		j.tasks = []*task{{ran: 30 * time.Second}}
 		c.recordRunTime(j)
