Placement and preemption consider how fast workers are

Cause: the slow workers of a fleet were used where fast ones were free, and a gang on workers of several speeds kept the fast ones as long as the slowest took. Change: ends and progress feed the model. A worker's slowdown adds to its score the risk that the job misses its objective there and, as best fit does for its resources, the time to spare; a gang considers workers of like speed and weighs what the faster ones would waste; work waits for a worker that is not several times slower if it then ends sooner. While all workers are equally fast or nothing is known of run times, decisions are as before. Ruled out: a mean speed per machine, since a gang ends with its slowest machine and that one is not known; a table of speeds in the log, since it is learned in some runs per worker.

--- a/internal/core/dispatch/cycle.go
+++ b/internal/core/dispatch/cycle.go
@@ -19,6 +19,8 @@
 	runsByLoss map[*worker][]*run
 	// gangLoss caches the loss of stopping a gang that runs, by its step.
 	gangLoss map[*step]float64
+	// speedClasses are the speed classes of the listed workers, in increasing order.
+	speedClasses []int
 	// utilisation is that of the scarcest resource; negative until it has been computed.
 	utilisation float64
 }
--- a/internal/core/dispatch/gang.go
+++ b/internal/core/dispatch/gang.go
@@ -30,6 +30,9 @@
 		}
 		return
 	}
+	if c.worthWaiting(now, s, slowestClass(workers), len(workers)) {
+		return
+	}
 	c.startGang(now, s, workers)
 }
 
@@ -61,6 +64,7 @@
 	if s.spec.SameRack && s.spec.DataRack == "" && sl.rackFree < len(s.tasks) && sl.rackCapacity >= len(s.tasks) && c.waitsForRack(now, s) {
 		return nil
 	}
+	c.rateSpeeds(now, s)
 	p := c.poolOf(now, s)
 	eligible := func(w *worker) bool { return c.mayPlaceOn(now, s, w) && !s.hasFailedOn(w) }
 	if s.failures > 0 && (!c.avoidsFailedWorkers(now, s, s.failures, s.lastFailedAt()) || transientSlots(s, filter(p.usable, eligible)) < len(s.tasks)) {
@@ -125,6 +129,9 @@
 		for _, w := range group {
 			total += s.score(w, job.Resources{})
 		}
+		if s.speeds != nil {
+			total += float64(len(group)) * s.speeds.score(slowestClass(workers))
+		}
 		if best == nil || total < bestTotal {
 			best, bestTotal = workers, total
 		}
@@ -230,8 +237,12 @@
 	if capacity < len(s.tasks) {
 		return nil
 	}
+	order := s.byScore(group)
+	if s.speeds != nil {
+		return s.assignAtLikeSpeed(order, s.speedsIn.speedClasses)
+	}
 	var workers []*worker
-	for _, o := range s.byScore(group) {
+	for _, o := range order {
 		for range timesFit(o.worker.free(), need, s.spec.MaxPerWorker) {
 			workers = append(workers, o.worker)
 			if len(workers) == len(s.tasks) {
--- /dev/null
+++ b/internal/core/dispatch/observe.go
@@ -0,0 +1,116 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"agatewinch/internal/core/estimate"
+)
+
+// observable reports whether the time that r takes tells about run times and speeds. That of a
+// best-effort task depends on its pace, and a long-running task never ends.
+func (r *run) observable() bool {
+	s := r.task.step.spec
+	return !s.LongRunning && !s.BestEffort && !r.inherited && r.confirmed
+}
+
+// resumed reports whether r began with the progress that a checkpoint had saved.
+func (r *run) resumed() bool { return r.resumedFrom != "" }
+
+// peers returns the runs that make progress together with r: those of its gang, or r alone.
+func (r *run) peers() []*run {
+	if !r.task.step.spec.Gang {
+		return []*run{r}
+	}
+	var all []*run
+	for _, t := range r.task.step.tasks {
+		if t.current != nil && t.current.number == r.number && t.current != r {
+			all = append(all, t.current)
+		}
+	}
+	return append(all, r)
+}
+
+// beganAt returns when the work of some runs began: when the last of them was confirmed. It reports
+// false if that is not known.
+func beganAt(runs []*run) (time.Duration, bool) {
+	at := time.Duration(0)
+	for _, r := range runs {
+		if !r.confirmed || r.inherited {
+			return 0, false
+		}
+		at = max(at, r.confirmedAt)
+	}
+	return at, true
+}
+
+// machinesOf returns the workers of some runs, each once, in a fixed order.
+func machinesOf(runs []*run) []string {
+	ids := make([]string, len(runs))
+	for i, r := range runs {
+		ids[i] = r.worker.ID
+	}
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
+
+// declaredThere returns the declared time of r where it runs: SpreadFactor times as long for a gang on
+// several racks that should be on one, and outside the rack with the data.
+func (c *Core) declaredThere(r *run, peers []*run) time.Duration {
+	s := r.task.step.spec
+	spread := false
+	for _, p := range peers {
+		spread = spread || s.DataRack != "" && p.worker.Rack != s.DataRack || s.SameRack && p.worker.Rack != r.worker.Rack
+	}
+	if spread {
+		return time.Duration(float64(s.Estimate) * max(1, c.settings.SpreadFactor))
+	}
+	return s.Estimate
+}
+
+// observeDone tells the model that r is done. In a gang the first member that is done stands for all.
+func (c *Core) observeDone(now Now, r *run) {
+	if r.task.done || !r.observable() || r.resumed() {
+		return
+	}
+	peers := r.peers()
+	if len(peers) < len(r.task.step.tasks) && r.task.step.spec.Gang {
+		return
+	}
+	if began, ok := beganAt(peers); ok {
+		c.estimates.ObserveGangEnd(now.Mono, r.task.step.kind(), machinesOf(peers), c.declaredThere(r, peers), now.Mono-began)
+	}
+}
+
+// observeProgress tells the model what a worker has reported of r.
+func (c *Core) observeProgress(now Now, r *run) {
+	if !r.observable() || r.phase != running {
+		return
+	}
+	peers := r.peers()
+	p := estimate.Progress{Run: r.task.id.String(), Kind: r.task.step.kind(), Declared: c.declaredThere(r, peers), Percent: r.percent, StartedAt: -1, Machines: len(machinesOf(peers))}
+	if began, ok := beganAt(peers); ok && !r.resumed() {
+		p.StartedAt = began
+	}
+	c.estimates.ObserveProgress(now.Mono, r.worker.ID, p)
+	c.noteSpeed(now, r.worker)
+}
+
+const (
+	// slowFrom is the slowdown from which a worker is reported as slow, and slowUntil the one below which
+	// it is reported as having recovered.
+	slowFrom, slowUntil = 2.0, 1.5
+)
+
+// noteSpeed notes when w turns slow and when it has recovered.
+func (c *Core) noteSpeed(now Now, w *worker) {
+	slowdown := c.slowdown(now, w)
+	switch {
+	case !w.slow && slowdown >= slowFrom:
+		w.slow = true
+		c.note(Note{Kind: "worker slow", Worker: w.ID, Why: speedInputs(slowdown)})
+	case w.slow && slowdown < slowUntil:
+		w.slow = false
+		c.note(Note{Kind: "worker recovered", Worker: w.ID, Why: speedInputs(slowdown)})
+	}
+}
--- a/internal/core/dispatch/outcome.go
+++ b/internal/core/dispatch/outcome.go
@@ -18,6 +18,11 @@
 	return fmt.Sprintf("to %d%% from %d%%, tail latency at %.2f of its target", to, from, tail)
 }
 
+// speedInputs describes the slowdown of a worker, for its log line.
+func speedInputs(slowdown float64) string {
+	return fmt.Sprintf("runs take %.2f times as long", slowdown)
+}
+
 // sortRuns orders runs by task and number.
 func sortRuns(runs []*run) {
 	slices.SortFunc(runs, func(a, b *run) int {
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -123,6 +123,7 @@
 			c.wakeAt(now, s.readySince+wait)
 		}
 	}
+	c.rateSpeeds(now, s)
 	avoid := c.hasAlternative(now, s, t)
 	for _, w := range c.poolOf(now, s).usable {
 		if !w.free().Fits(need) || !c.mayPlaceOn(now, s, w) {
@@ -139,7 +140,7 @@
 		if avoid && t.hasFailedOn(w) {
 			continue
 		}
-		score := s.score(w, need)
+		score := s.score(w, need) + s.speedScore(w)
 		if !inDataRack {
 			score += offRackScore
 		}
@@ -147,6 +148,9 @@
 			best, bestScore = w, score
 		}
 	}
+	if best != nil && c.worthWaiting(now, s, best.speedClass, 1) {
+		return nil, atLimit
+	}
 	return best, atLimit
 }
 
@@ -295,7 +299,7 @@
 func (c *Core) place(now Now, t *task, w *worker, number int) {
 	t.latestRun = number
 	c.reservations[w].useSlack(now, t.step)
-	r := &run{task: t, number: number, worker: w, phase: recording, need: t.step.spec.Charge(), placedAt: now.Mono, percentAt: now.Mono, checkpoint: t.checkpoint, pacing: pacing{percent: fullPace}}
+	r := &run{task: t, number: number, worker: w, phase: recording, need: t.step.spec.Charge(), placedAt: now.Mono, percentAt: now.Mono, checkpoint: t.checkpoint, resumedFrom: t.checkpoint, pacing: pacing{percent: fullPace}}
 	c.addRun(r)
 	c.record(t)
 	c.batch.starts = append(c.batch.starts, r)
--- a/internal/core/dispatch/probe.go
+++ b/internal/core/dispatch/probe.go
@@ -121,6 +121,7 @@
 		}
 		r.load = row.Load
 		c.markRunning(now, r)
+		c.observeProgress(now, r)
 		switch {
 		case r.phase != running:
 		case t.step.job.cancelledOrEnded() && !t.done:
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -165,6 +165,7 @@
 func (c *Core) endRun(now Now, r *run, end job.End, checkpoint string) {
 	t, s, j := r.task, r.task.step, r.task.step.job
 	c.removeRun(r)
+	c.estimates.ForgetRun(r.worker.ID, t.id.String())
 	if r.startPending && !r.listed {
 		r.worker.addLateStart(now, r)
 	}
@@ -175,6 +176,7 @@
 	switch end {
 	case job.EndDone:
 		r.worker.health.recordSuccess()
+		c.observeDone(now, r)
 		c.markDone(now, t)
 	case job.EndFailed:
 		c.recordFailure(now, t, r.worker, r.number)
--- a/internal/core/dispatch/schedule.go
+++ b/internal/core/dispatch/schedule.go
@@ -80,6 +80,7 @@
 	c.wake = 0
 	c.cycle = newCycle()
 	c.indexRacks()
+	c.refreshSpeeds(now)
 	c.applyGuarantees()
 	steps := c.readySteps(now)
 	c.backlog = len(steps)
--- a/internal/core/dispatch/score.go
+++ b/internal/core/dispatch/score.go
@@ -8,6 +8,9 @@
 // workers in it.
 const offRackScore = 100
 
+// acceleratorWeight is the weight of the share of a worker's accelerators that stays unused.
+const acceleratorWeight = 4.0
+
 // packWeight is the weight of packing urgent work onto few workers. It exceeds that of best
 // fit: urgent gangs that need whole workers can preempt everything but urgent work, so that a
 // single urgent task on a worker full of other work would make that worker unusable for them.
@@ -63,7 +66,7 @@
 // would stay free. Accelerators have the largest weight, because large tasks need whole workers.
 func leftover(w *worker, need job.Resources) float64 {
 	f := w.free().Minus(need)
-	return 4*fraction(f.Accelerators, w.Capacity.Accelerators) + fraction(f.MemMB, w.Capacity.MemMB) + 0.5*fraction(f.CPU, w.Capacity.CPU)
+	return acceleratorWeight*fraction(f.Accelerators, w.Capacity.Accelerators) + fraction(f.MemMB, w.Capacity.MemMB) + 0.5*fraction(f.CPU, w.Capacity.CPU)
 }
 
 func fraction(part, whole int64) float64 {
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -138,7 +138,9 @@
 	placedAt time.Duration
 	// checkpoint is the newest known checkpoint.
 	checkpoint string
-	percent    int
+	// resumedFrom is the checkpoint with which the run was started.
+	resumedFrom string
+	percent     int
 	// load is the tail latency of a serving task in milliseconds, or the number of
 	// processor cores that another task uses.
 	load   float64
@@ -215,6 +217,9 @@
 	readySince time.Duration
 	ready      bool
 	advice     advice
+	// speeds says how slowdowns affect the step in the scheduling cycle speedsIn; nil if they do not.
+	speeds   *speeds
+	speedsIn *cycle
 	// avoidsUrgentRacks caches Core.avoidsUrgentRacks for one scheduling cycle, avoidsIn.
 	avoidsUrgentRacks bool
 	avoidsIn          *cycle
@@ -305,6 +310,12 @@
 	// pausedUntil is when a worker that refused a start may get new work again.
 	pausedUntil time.Duration
 	health      health
+	// slow is set while the worker is reported as slow.
+	slow bool
+	// speedClass is the class of the worker's slowdown as of speedAt, once speedKnown is set.
+	speedClass int
+	speedAt    time.Duration
+	speedKnown bool
 	// lateStarts are unanswered starts that the worker may still execute.
 	lateStarts []lateStart
 	// presumed are the ends of runs on the current incarnation that were presumed and may still be
--- a/internal/core/estimate/distribution.go
+++ b/internal/core/estimate/distribution.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
@@ -27,10 +28,15 @@
 // as many of them, in two sketches of which the older is dropped when the newer is full.
 type distribution struct {
 	newer, older *hdrhistogram.PackedHistogram
-	// quantiles caches the results of quantile until the next observation.
+	// quantiles caches the results of quantile until the next observation, and curve those for the
+	// quantiles i/curveSteps; it is nil until they are asked for.
 	quantiles map[float64]float64
+	curve     []float64
 }
 
+// curveSteps is the number of parts of equal probability by which a curve describes a distribution.
+const curveSteps = 50
+
 func newDistribution() *distribution {
 	return &distribution{newer: newSketch(), quantiles: map[float64]float64{}}
 }
@@ -45,6 +51,7 @@
 		return // impossible: v is in range
 	}
 	clear(d.quantiles)
+	d.curve = nil
 }
 
 func (d *distribution) count() int64 {
@@ -66,12 +73,45 @@
 	if x, ok := d.quantiles[q]; ok {
 		return x
 	}
+	d.mergeInto(scratch)
+	x := float64(scratch.ValueAtQuantile(100*q)) * ratioUnit
+	d.quantiles[q] = x
+	return x
+}
+
+func (d *distribution) mergeInto(scratch *hdrhistogram.Histogram) {
 	scratch.Reset()
 	d.newer.MergeInto(scratch)
 	if d.older != nil {
 		d.older.MergeInto(scratch)
 	}
-	x := float64(scratch.ValueAtQuantile(100*q)) * ratioUnit
-	d.quantiles[q] = x
-	return x
+}
+
+// ratios returns the ratios at the quantiles i/curveSteps.
+func (d *distribution) ratios(scratch *hdrhistogram.Histogram) []float64 {
+	if d.curve == nil {
+		d.mergeInto(scratch)
+		d.curve = make([]float64, curveSteps+1)
+		for i := range d.curve {
+			d.curve[i] = float64(scratch.ValueAtQuantile(100*float64(i)/curveSteps)) * ratioUnit
+		}
+	}
+	return d.curve
+}
+
+// above returns the share of the ratios of a curve above x, interpolated between its quantiles.
+func above(curve []float64, x float64) float64 {
+	i, _ := slices.BinarySearch(curve, x)
+	switch {
+	case i == 0:
+		return 1
+	case i > curveSteps:
+		return 0
+	}
+	below, next := curve[i-1], curve[i]
+	part := 1.0
+	if next > below {
+		part = (x - below) / (next - below)
+	}
+	return 1 - (float64(i-1)+part)/curveSteps
 }
--- a/internal/core/estimate/model.go
+++ b/internal/core/estimate/model.go
@@ -144,3 +144,43 @@
 	}
 	return median, max(minSpread, math.Log2(high/low)/2)
 }
+
+// RunTimes is the distribution of the run times of tasks with one declared time on a machine of usual
+// speed. It is valid until the next observation.
+type RunTimes struct {
+	curve    []float64
+	declared time.Duration
+}
+
+// RunTimes returns the distribution for the finest kind of which enough is known. ok is false if there
+// is none.
+func (m *Model) RunTimes(k Kind, declared time.Duration) (r RunTimes, ok bool) {
+	base, undeclared := orNominal(declared)
+	for _, l := range k.levels(undeclared) {
+		if d := m.distributions[l]; d != nil && d.knows(0.5) {
+			return RunTimes{d.ratios(m.scratch), base}, true
+		}
+	}
+	return RunTimes{}, false
+}
+
+// Risk returns the probability that a task runs for longer than limit.
+func (r RunTimes) Risk(limit time.Duration) float64 {
+	return above(r.curve, float64(limit)/float64(r.declared))
+}
+
+// Median returns the median run time.
+func (r RunTimes) Median() time.Duration {
+	return time.Duration(r.curve[curveSteps/2] * float64(r.declared))
+}
+
+// Remaining returns the median of the time for which a task still runs that has run for the time so far.
+// One that has run for longer than all of its kind needs a tenth of that time more.
+func (r RunTimes) Remaining(sofar time.Duration) time.Duration {
+	risk := r.Risk(sofar)
+	if risk <= 0 {
+		return sofar / 10
+	}
+	ratio := r.curve[int(math.Ceil((1-risk/2)*curveSteps))]
+	return max(0, time.Duration(ratio*float64(r.declared))-sofar)
+}
--- /dev/null
+++ b/internal/core/estimate/model_test.go
@@ -0,0 +1,174 @@
+package estimate
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var build = Kind{Org: "org", Queue: "build", Size: 2}
+
+const declared = 10 * time.Second
+
+func times(d time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(d) * factor)
+}
+
+func near(t *testing.T, got, want, tolerance float64) {
+	t.Helper()
+	assert.Assert(t, math.Abs(got-want) <= tolerance*want, "got %.3f, want %.3f", got, want)
+}
+
+func TestDeclaredTimeHoldsWhileNothingIsKnown(t *testing.T) {
+	m := NewModel()
+	assert.Equal(t, m.RunTime(build, declared, 0.5), declared)
+	assert.Equal(t, m.RunTime(build, 0, 0.9), time.Duration(0))
+	assert.Equal(t, m.Slowdown(0, "m"), 1.0)
+	m.ObserveEnd(0, build, "m", declared, 5*declared)
+	assert.Equal(t, m.RunTime(build, declared, 0.5), declared, "one run says little about its kind")
+}
+
+// One site's tail is three in a hundred runs at seven times the usual time.
+func TestTailOfRunTimesIsKnownBesideTheMedian(t *testing.T) {
+	m := NewModel()
+	for i := range 400 {
+		ran := declared / 2
+		if i%33 == 0 {
+			ran = 7 * declared / 2
+		}
+		m.ObserveEnd(0, build, fmt.Sprint("m", i), declared, ran)
+	}
+	near(t, m.RunTime(build, declared, 0.5).Seconds(), 5, 0.03)
+	near(t, m.RunTime(build, declared, 0.98).Seconds(), 35, 0.03)
+	r, ok := m.RunTimes(build, declared)
+	assert.Assert(t, ok)
+	near(t, r.Risk(6*time.Second), 0.03, 0.4)
+	near(t, r.Remaining(0).Seconds(), 5, 0.03)
+	near(t, r.Remaining(6*time.Second).Seconds(), 29, 0.03)
+	near(t, r.Remaining(50*time.Second).Seconds(), 5, 0.03)
+}
+
+func TestKindOfFewRunsSharesTheDistributionOfACoarserOne(t *testing.T) {
+	m := NewModel()
+	other := build
+	other.Org = "other"
+	for i := range 100 {
+		m.ObserveEnd(0, build, fmt.Sprint("m", i), declared, 2*declared)
+	}
+	near(t, m.RunTime(other, declared, 0.5).Seconds(), 20, 0.03)
+	for i := range 100 {
+		m.ObserveEnd(0, other, fmt.Sprint("m", i), declared, declared/2)
+	}
+	near(t, m.RunTime(other, declared, 0.5).Seconds(), 5, 0.03)
+	near(t, m.RunTime(build, declared, 0.5).Seconds(), 20, 0.03)
+}
+
+// play observes runs on a fleet of 48 machines of which every third takes 1.6 times as long, while the
+// times that callers declare are off by a third. Each run is on the given number of machines.
+func play(m *Model, runs, width int) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for i := range runs {
+		slowest := 1.0
+		var ids []string
+		for _, n := range rng.Perm(48)[:width] {
+			ids = append(ids, fmt.Sprint("m", n))
+			if n%3 == 0 {
+				slowest = 1.6
+			}
+		}
+		off := 1 + (2*rng.Float64()-1)/3
+		m.ObserveGangEnd(time.Duration(i)*10*time.Millisecond, build, ids, declared, times(declared, slowest/off))
+	}
+}
+
+func meanSlowdowns(m *Model) (slow, other float64) {
+	for n := range 48 {
+		if s := m.LastingSlowdown(fmt.Sprint("m", n)); n%3 == 0 {
+			slow += s / 16
+		} else {
+			other += s / 32
+		}
+	}
+	return slow, other
+}
+
+func TestLastingSpeedsAreLearnedFromEnds(t *testing.T) {
+	m := NewModel()
+	play(m, 600, 1)
+	slow, other := meanSlowdowns(m)
+	near(t, slow/other, 1.6, 0.1)
+}
+
+// A gang ends with the slowest of its machines. One that ends early clears all of them, and one that ends
+// late blames those that others have not cleared.
+func TestLastingSpeedsAreLearnedFromGangs(t *testing.T) {
+	m := NewModel()
+	play(m, 600, 3)
+	slow, other := meanSlowdowns(m)
+	near(t, slow/other, 1.6, 0.15)
+}
+
+func TestOneLongRunDoesNotBrandAMachine(t *testing.T) {
+	m := NewModel()
+	play(m, 600, 1)
+	m.ObserveEnd(6*time.Second, build, "m1", declared, 7*declared)
+	assert.Assert(t, m.Slowdown(6*time.Second, "m1") < 1.2, "%.2f", m.Slowdown(6*time.Second, "m1"))
+}
+
+// report reports the progress of a run of 10 s on a machine every two seconds, from start to end, during
+// which it runs at the given share of its usual speed. It returns the progress at the end.
+func report(m *Model, run string, start, from, until time.Duration, percent, speed float64) float64 {
+	for now := from; now < until; {
+		now += 2 * time.Second
+		percent += 20 * speed
+		m.ObserveProgress(now, "m", Progress{Run: run, Kind: build, Declared: declared, Percent: int(percent), StartedAt: start, Machines: 1})
+	}
+	return percent
+}
+
+func TestSlowMachineIsFoundAndForgotten(t *testing.T) {
+	m := NewModel()
+	play(m, 600, 1)
+	p := report(m, "a", 0, 0, 4*time.Second, 0, 1)
+	near(t, m.Slowdown(4*time.Second, "m"), 1, 0.25)
+	p = report(m, "a", 0, 4*time.Second, 6*time.Second, p, 0.2)
+	assert.Assert(t, m.Slowdown(6*time.Second, "m") > 2.5, "found by the first report: %.2f", m.Slowdown(6*time.Second, "m"))
+	report(m, "a", 0, 6*time.Second, 8*time.Second, p, 1)
+	near(t, m.Slowdown(8*time.Second, "m"), 1, 0.25)
+	report(m, "a", 0, 8*time.Second, 10*time.Second, p, 0.2)
+	near(t, m.Slowdown(time.Minute, "m"), 1, 0.25)
+}
+
+// Of the machines of a slow gang any may be the cause.
+func TestSlowGangDoesNotBrandAllItsMachines(t *testing.T) {
+	m := NewModel()
+	play(m, 600, 1)
+	for n := range 8 {
+		for i, percent := range []int{20, 24} {
+			m.ObserveProgress(time.Duration(i+1)*2*time.Second, fmt.Sprint("m", n), Progress{Run: "a", Kind: build, Declared: declared, Percent: percent, Machines: 8})
+		}
+	}
+	assert.Assert(t, m.Slowdown(4*time.Second, "m1") < 1.5*m.LastingSlowdown("m1"), "%.2f", m.Slowdown(4*time.Second, "m1"))
+}
+
+func TestSpeedOfAMachineIsKnownUnderItsNextWorker(t *testing.T) {
+	m := NewModel()
+	play(m, 600, 1)
+	before := m.LastingSlowdown("m3")
+	m.Continue("m3", "n3")
+	assert.Equal(t, m.LastingSlowdown("n3"), before)
+	assert.Equal(t, m.LastingSlowdown("m3"), 1.0)
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	m := NewModel()
+	for i := range maxMachines + 10 {
+		m.ObserveEnd(time.Duration(i), Kind{Org: fmt.Sprint(i)}, fmt.Sprint("m", i), declared, declared)
+	}
+	assert.Equal(t, len(m.fleet.machines), maxMachines)
+	assert.Equal(t, len(m.distributions), maxDistributions)
+}
