Expected ends, slack, backfill and time-outs use learned run times

Cause: a run that had outlived its estimate counted as ended, one that resumed from a checkpoint was extrapolated as if it had begun at zero, and backfilled work was expected to take its declared time. Change: the median of the learned distribution replaces the declared time in slack, in the hold-back and in the waits for racks; a run without progress that has outlived it is expected to go on by the distribution's remaining time; work on reserved capacity must end before the gang starts with a probability of nine tenths; the time until the first percent counts as stalled by the expected time on that worker. Until enough is observed each of these is the declared time, as before.

--- a/internal/core/dispatch/estimate.go
+++ b/internal/core/dispatch/estimate.go
@@ -12,10 +12,24 @@
 	return estimate.Kind{Org: j.Org, Queue: j.Queue, Image: s.spec.Image, Size: estimate.SizeOf(int64(len(s.tasks)) * max(1, s.spec.Need.Accelerators))}
 }
 
+// runTime returns the expected run time of r on its worker.
+func (r *run) runTime() time.Duration {
+	if r.expected > 0 {
+		return r.expected
+	}
+	return r.task.step.spec.Estimate
+}
+
 // expectedRunTime returns the median run time of a task of s on w, or on a worker of usual speed if w
 // is nil. While nothing is known it is the declared time.
 func (c *Core) expectedRunTime(now Now, s *step, w *worker) time.Duration {
-	return c.runTimeQuantile(now, s, w, 0.5)
+	if s.expectedIn != c.cycle {
+		s.expected, s.expectedIn = c.estimates.RunTime(s.kind(), s.spec.Estimate, 0.5), c.cycle
+	}
+	if w == nil {
+		return s.expected
+	}
+	return time.Duration(float64(s.expected) * c.slowdown(now, w))
 }
 
 // runTimeQuantile returns the quantile q (0 to 1) of the run time of a task of s on w, or on a worker
@@ -27,8 +41,3 @@
 	}
 	return time.Duration(float64(d) * c.slowdown(now, w))
 }
-
-// slowdown returns by which factor runs on w take longer now than on a worker of usual speed.
-func (c *Core) slowdown(now Now, w *worker) float64 {
-	return c.estimates.Slowdown(now.Mono, w.ID)
-}
--- a/internal/core/dispatch/gang.go
+++ b/internal/core/dispatch/gang.go
@@ -147,7 +147,7 @@
 
 // waitsForRack reports whether a gang should keep waiting for a rack that could hold all of it.
 func (c *Core) waitsForRack(now Now, s *step) bool {
-	until := s.readySince + c.rackWait(now, c.spreadWait(s))
+	until := s.readySince + c.rackWait(now, c.spreadWait(now, s))
 	if now.Mono >= until {
 		return false
 	}
@@ -169,11 +169,11 @@
 // spreadWait is how long a gang waits for one rack before it runs on several, where it takes
 // SpreadFactor times as long: the time that it would lose there, up to maxSpreadWait. An urgent
 // gang waits for urgentSpreadWait.
-func (c *Core) spreadWait(s *step) time.Duration {
+func (c *Core) spreadWait(now Now, s *step) time.Duration {
 	if s.job.spec.Priority == urgentPriority {
 		return urgentSpreadWait
 	}
-	return min(time.Duration(float64(s.spec.Estimate)*(c.settings.SpreadFactor-1)), maxSpreadWait)
+	return min(time.Duration(float64(c.expectedRunTime(now, s, nil))*(c.settings.SpreadFactor-1)), maxSpreadWait)
 }
 
 const (
--- a/internal/core/dispatch/hazard.go
+++ b/internal/core/dispatch/hazard.go
@@ -75,7 +75,7 @@
 		return false
 	}
 	c.hazard.advance(now.Mono)
-	if math.Exp(-c.hazard.rate(len(c.sortedWorkers))*s.spec.Estimate.Seconds()) >= minCompletion || c.utilisation() < quietUtilisation {
+	if math.Exp(-c.hazard.rate(len(c.sortedWorkers))*c.expectedRunTime(now, s, nil).Seconds()) >= minCompletion || c.utilisation() < quietUtilisation {
 		return false
 	}
 	c.wakeAt(now, now.Mono+holdBackInterval)
--- a/internal/core/dispatch/health.go
+++ b/internal/core/dispatch/health.go
@@ -86,12 +86,12 @@
 )
 
 // timePerPercent returns how long r is expected to take for a percent of its work: as long as for those it
-// has reported or, before it has reported any, by the estimate for a spread gang or away from its data.
+// has reported or, before it has reported any, by its expected run time for a spread gang or away from its data.
 func (r *run) timePerPercent(spreadFactor float64) time.Duration {
 	if n := r.percent - r.firstPercent; n > 0 {
 		return (r.percentAt - r.firstPercentAt) / time.Duration(n)
 	}
-	return time.Duration(float64(r.task.step.spec.Estimate) / 100 * max(1, spreadFactor))
+	return time.Duration(float64(r.runTime()) / 100 * max(1, spreadFactor))
 }
 
 // stallTimeout returns the time without progress after which r is stalled. It doubles with each run of
--- a/internal/core/dispatch/observe.go
+++ b/internal/core/dispatch/observe.go
@@ -93,9 +93,25 @@
 		p.StartedAt = began
 	}
 	c.estimates.ObserveProgress(now.Mono, r.worker.ID, p)
+	c.extendOutlived(now, r)
+	r.worker.speedAt = now.Mono - speedRefresh
 	c.noteSpeed(now, r.worker)
 }
 
+// extendOutlived raises the expected run time of a run that has reported no progress and has run for
+// longer: the longer it has run, the longer it is expected to go on.
+func (c *Core) extendOutlived(now Now, r *run) {
+	ran := now.Mono - r.placedAt
+	if r.percent > 0 || ran < r.runTime() {
+		return
+	}
+	if times, known := c.estimates.RunTimes(r.task.step.kind(), r.task.step.spec.Estimate); known {
+		slowdown := c.slowdown(now, r.worker)
+		r.expected = ran + time.Duration(slowdown*float64(times.Remaining(time.Duration(float64(ran)/slowdown))))
+		r.worker.runsByEnd = nil
+	}
+}
+
 const (
 	// slowFrom is the slowdown from which a worker is reported as slow, and slowUntil the one below which
 	// it is reported as having recovered.
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -28,7 +28,7 @@
 func (c *Core) shapeOf(now Now, s *step) shape {
 	return shape{
 		pool: s.pool(), rack: s.spec.DataRack, need: s.spec.Charge(), maxPerWorker: s.spec.MaxPerWorker,
-		priority: s.job.spec.Priority, avoidsUrgentRacks: c.avoidsUrgentRacks(now, s), estimate: s.spec.Estimate,
+		priority: s.job.spec.Priority, avoidsUrgentRacks: c.avoidsUrgentRacks(now, s), estimate: c.expectedRunTime(now, s, nil),
 	}
 }
 
@@ -103,8 +103,8 @@
 
 // offRackWait is how long a task waits for the rack with its data: the time that it would lose
 // elsewhere, where it takes SpreadFactor times as long, but at most maxRackWait.
-func (c *Core) offRackWait(s *step) time.Duration {
-	return min(time.Duration(float64(s.spec.Estimate)*(c.settings.SpreadFactor-1)), maxRackWait)
+func (c *Core) offRackWait(now Now, s *step) time.Duration {
+	return min(time.Duration(float64(c.expectedRunTime(now, s, nil))*(c.settings.SpreadFactor-1)), maxRackWait)
 }
 
 // maxRackWait bounds the wait for a rack, because estimates are often wrong.
@@ -118,7 +118,7 @@
 	need := s.spec.Charge()
 	anyRack := s.spec.DataRack == ""
 	if !anyRack {
-		wait := c.rackWait(now, c.offRackWait(s))
+		wait := c.rackWait(now, c.offRackWait(now, s))
 		if anyRack = now.Mono-s.readySince >= wait; !anyRack {
 			c.wakeAt(now, s.readySince+wait)
 		}
@@ -212,7 +212,7 @@
 	if w.rackPosition < urgentRackShare && c.avoidsUrgentRacks(now, s) {
 		return false
 	}
-	return c.reservations[w].allows(now, s) || c.quiet(now)
+	return c.mayBackfill(now, s, w) || c.quiet(now)
 }
 
 const (
@@ -274,7 +274,7 @@
 	if !c.urgentArrived || s.spec.LongRunning {
 		return false
 	}
-	spare := c.slack(now, s) - time.Duration(slackMargin*float64(s.spec.Estimate))
+	spare := c.slack(now, s) - time.Duration(slackMargin*float64(c.expectedRunTime(now, s, nil)))
 	until := min(now.Mono+spare, c.lastUrgentArrival+urgentRecent)
 	if until <= now.Mono || c.slotsFor(now, s).ordinaryCapacity == 0 {
 		return false
@@ -298,8 +298,8 @@
 // place creates a run of t on w. Its start is sent once the record is in the log.
 func (c *Core) place(now Now, t *task, w *worker, number int) {
 	t.latestRun = number
-	c.reservations[w].useSlack(now, t.step)
-	r := &run{task: t, number: number, worker: w, phase: recording, need: t.step.spec.Charge(), placedAt: now.Mono, percentAt: now.Mono, checkpoint: t.checkpoint, resumedFrom: t.checkpoint, pacing: pacing{percent: fullPace}}
+	c.useReserved(now, t.step, w)
+	r := &run{task: t, number: number, worker: w, phase: recording, need: t.step.spec.Charge(), placedAt: now.Mono, percentAt: now.Mono, checkpoint: t.checkpoint, resumedFrom: t.checkpoint, expected: c.expectedRunTime(now, t.step, w), pacing: pacing{percent: fullPace}}
 	c.addRun(r)
 	c.record(t)
 	c.batch.starts = append(c.batch.starts, r)
--- a/internal/core/dispatch/reserve.go
+++ b/internal/core/dispatch/reserve.go
@@ -157,7 +157,7 @@
 const never = time.Duration(math.MaxInt64)
 
 // expectedEnd returns when a run is expected to end: extrapolated from its progress or, before it
-// reports any, by its step's estimate. A stopping run counts as having ended, and a long-running one
+// reports any, by its expected run time. A stopping run counts as having ended, and a long-running one
 // never ends.
 func (r *run) expectedEnd() time.Duration {
 	if r.phase == stopping {
@@ -166,23 +166,31 @@
 	if r.task.step.spec.LongRunning {
 		return never
 	}
-	estimate := r.task.step.spec.Estimate
-	if r.percent > 0 && r.confirmed {
+	if n := r.percent - r.firstPercent; r.resumed() && n > 0 {
+		return r.percentAt + time.Duration(float64(r.percentAt-r.firstPercentAt)*float64(100-r.percent)/float64(n))
+	}
+	if r.percent > 0 && r.confirmed && !r.resumed() {
 		return r.confirmedAt + time.Duration(float64(r.percentAt-r.confirmedAt)*100/float64(r.percent))
 	}
-	return r.placedAt + estimate
+	return r.placedAt + r.runTime()
 }
 
-// allows reports whether a task of s may be placed on the worker of r: r is nil or for s itself,
-// the task is expected to end before the gang's start, or it fits into the slack.
-func (r *reservation) allows(now Now, s *step) bool {
-	return r == nil || r.step == s || now.Mono+s.spec.Estimate <= r.at || r.slack.Fits(s.spec.Charge())
+// backfillQuantile is the probability with which a task on reserved capacity has to end before the gang
+// starts.
+const backfillQuantile = 0.9
+
+// mayBackfill reports whether a task of s may be placed on w: it has no reservation or one for s itself,
+// the task ends before the start of the gang that it is reserved for, or the task fits into the slack.
+func (c *Core) mayBackfill(now Now, s *step, w *worker) bool {
+	r := c.reservations[w]
+	return r == nil || r.step == s || now.Mono+c.runTimeQuantile(now, s, w, backfillQuantile) <= r.at || r.slack.Fits(s.spec.Charge())
 }
 
-// useSlack subtracts a task of s, placed on the worker of a reservation for another gang, from the
-// reservation's slack, if the task is expected to run beyond the gang's start.
-func (r *reservation) useSlack(now Now, s *step) {
-	if r != nil && r.step != s && now.Mono+s.spec.Estimate > r.at {
+// useReserved subtracts a task of s that is placed on w from the slack of a reservation for another gang,
+// if the task may run beyond the gang's start.
+func (c *Core) useReserved(now Now, s *step, w *worker) {
+	r := c.reservations[w]
+	if r != nil && r.step != s && now.Mono+c.runTimeQuantile(now, s, w, backfillQuantile) > r.at {
 		r.slack = r.slack.Minus(s.spec.Charge())
 	}
 }
--- a/internal/core/dispatch/schedule.go
+++ b/internal/core/dispatch/schedule.go
@@ -224,14 +224,15 @@
 }
 
 // slack returns how long s can still wait without its job missing the latency objective, based
-// on the estimates of the remaining steps.
+// on the expected run times of the remaining steps.
 func (c *Core) slack(now Now, s *step) time.Duration {
 	j := s.job
 	remaining, total := time.Duration(0), time.Duration(0)
 	for _, o := range s.occurrence.steps {
-		total += o.spec.Estimate
+		expected := c.expectedRunTime(now, o, nil)
+		total += expected
 		if o.done < len(o.tasks) {
-			remaining += o.spec.Estimate
+			remaining += expected
 		}
 	}
 	due := s.occurrence.readySince + time.Duration(j.spec.Stretch*float64(total)) + j.spec.Objective
--- a/internal/core/dispatch/speed.go
+++ b/internal/core/dispatch/speed.go
@@ -22,13 +22,19 @@
 	return math.Exp2(float64(class-usualClass) / classesPerOctave)
 }
 
-// refreshSpeed updates the speed class of w if that is due.
+// refreshSpeed updates the slowdown and the speed class of w if that is due.
 func (c *Core) refreshSpeed(now Now, w *worker) {
-	if w.speedKnown && now.Mono < w.speedAt+speedRefresh {
+	if w.slowdown > 0 && now.Mono < w.speedAt+speedRefresh {
 		return
 	}
-	class := usualClass + int(math.Round(classesPerOctave*math.Log2(c.slowdown(now, w))))
-	w.speedClass, w.speedAt, w.speedKnown = min(max(class, 0), speedClasses-1), now.Mono, true
+	w.slowdown, w.speedAt = c.estimates.Slowdown(now.Mono, w.ID), now.Mono
+	w.speedClass = min(max(usualClass+int(math.Round(classesPerOctave*math.Log2(w.slowdown))), 0), speedClasses-1)
+}
+
+// slowdown returns by which factor runs on w take longer now than on a worker of usual speed.
+func (c *Core) slowdown(now Now, w *worker) float64 {
+	c.refreshSpeed(now, w)
+	return w.slowdown
 }
 
 // speeds says how the slowdown of a worker affects a step, by speed class.
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -140,7 +140,10 @@
 	checkpoint string
 	// resumedFrom is the checkpoint with which the run was started.
 	resumedFrom string
-	percent     int
+	// expected is the run time that was expected on the worker at the placement; zero for runs that
+	// this leader has not placed.
+	expected time.Duration
+	percent  int
 	// load is the tail latency of a serving task in milliseconds, or the number of
 	// processor cores that another task uses.
 	load   float64
@@ -217,6 +220,10 @@
 	readySince time.Duration
 	ready      bool
 	advice     advice
+	// expected is the expected run time of a task on a worker of usual speed, computed once in the
+	// scheduling cycle expectedIn.
+	expected   time.Duration
+	expectedIn *cycle
 	// speeds says how slowdowns affect the step in the scheduling cycle speedsIn; nil if they do not.
 	speeds   *speeds
 	speedsIn *cycle
@@ -312,10 +319,11 @@
 	health      health
 	// slow is set while the worker is reported as slow.
 	slow bool
-	// speedClass is the class of the worker's slowdown as of speedAt, once speedKnown is set.
+	// slowdown is by which factor runs on the worker take longer than on one of usual speed, as of
+	// speedAt, and speedClass its class. It is zero before it has been computed.
+	slowdown   float64
 	speedClass int
 	speedAt    time.Duration
-	speedKnown bool
 	// lateStarts are unanswered starts that the worker may still execute.
 	lateStarts []lateStart
 	// presumed are the ends of runs on the current incarnation that were presumed and may still be
