Speeds are learned from the members of gangs, which make progress each at its own pace

Change: members of one gang are compared with each other, which tells the speeds of their workers within seconds whatever the declared time is worth; single tasks are compared with their kind when they end. Ruled out: blaming the slowest of a gang by probabilities, which needs several hundred gangs.

--- a/internal/core/dispatch/observe.go
+++ b/internal/core/dispatch/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"agatewinch/internal/core/estimate"
@@ -68,27 +69,51 @@
 	return s.Estimate
 }
 
+// gangName names the gang's run that r belongs to.
+func (r *run) gangName() string {
+	return r.task.step.name() + "/" + strconv.Itoa(r.number)
+}
+
 // observeDone tells the model that r is done. In a gang the first member that is done stands for all.
 func (c *Core) observeDone(now Now, r *run) {
+	s := r.task.step
 	if r.task.done || !r.observable() || r.resumed() {
 		return
 	}
 	peers := r.peers()
-	if len(peers) < len(r.task.step.tasks) && r.task.step.spec.Gang {
+	began, ok := beganAt(peers)
+	if !ok || s.spec.Gang && len(peers) < len(s.tasks) {
 		return
 	}
-	if began, ok := beganAt(peers); ok {
-		c.estimates.ObserveGangEnd(now.Mono, r.task.step.kind(), machinesOf(peers), c.declaredThere(r, peers), now.Mono-began)
+	if s.spec.Gang {
+		c.estimates.ObserveGangEnd(now.Mono, s.kind(), r.gangName(), machinesOf(peers), c.declaredThere(r, peers), now.Mono-began)
+		return
+	}
+	c.estimates.ObserveEnd(now.Mono, s.kind(), r.worker.ID, c.declaredThere(r, peers), now.Mono-began)
+}
+
+// forgetProgress drops the progress of a run that has ended.
+func (c *Core) forgetProgress(r *run) {
+	if !r.observable() {
+		return
+	}
+	c.estimates.ForgetRun(r.worker.ID, r.task.id.String())
+	if r.task.step.spec.Gang {
+		c.estimates.ForgetGang(r.gangName())
 	}
 }
 
 // observeProgress tells the model what a worker has reported of r.
 func (c *Core) observeProgress(now Now, r *run) {
+	s := r.task.step
 	if !r.observable() || r.phase != running {
 		return
 	}
 	peers := r.peers()
-	p := estimate.Progress{Run: r.task.id.String(), Kind: r.task.step.kind(), Declared: c.declaredThere(r, peers), Percent: r.percent, StartedAt: -1, Machines: len(machinesOf(peers))}
+	p := estimate.Progress{Run: r.task.id.String(), Kind: s.kind(), Declared: c.declaredThere(r, peers), Percent: r.percent, StartedAt: -1}
+	if s.spec.Gang {
+		p.Gang, p.Members = r.gangName(), len(peers)
+	}
 	if began, ok := beganAt(peers); ok && !r.resumed() {
 		p.StartedAt = began
 	}
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -165,7 +165,6 @@
 func (c *Core) endRun(now Now, r *run, end job.End, checkpoint string) {
 	t, s, j := r.task, r.task.step, r.task.step.job
 	c.removeRun(r)
-	c.estimates.ForgetRun(r.worker.ID, t.id.String())
 	if r.startPending && !r.listed {
 		r.worker.addLateStart(now, r)
 	}
@@ -183,6 +182,7 @@
 	case job.EndLeaseExpired, job.EndGangTimeout:
 		t.notBefore = now.Mono + placementDelay
 	}
+	c.forgetProgress(r)
 	if s.spec.Gang && end != job.EndDone && !t.done {
 		s.gangEnds.record(r.number, end)
 		c.breakGang(now, s, r.number)
--- a/internal/core/estimate/fleet.go
+++ b/internal/core/estimate/fleet.go
@@ -70,15 +70,15 @@
 
 // machine is what is known of one machine.
 type machine struct {
-	// evidence is the logarithm of the likelihood of all observed ends, for each factor.
+	// evidence is the logarithm of the likelihood of all observations, for each factor.
 	evidence weights
-	// posterior and lasting, its mean relative to that of the prior, follow from evidence and the
-	// prior of that version.
-	posterior weights
-	lasting   float64
-	version   int
-	seenAt    time.Duration
-	recent    []recentProgress
+	// posterior follows from evidence and the prior of that version. lasting is its mean relative to that
+	// of the prior, and deviation its standard deviation in octaves.
+	posterior          weights
+	lasting, deviation float64
+	version            int
+	seenAt             time.Duration
+	recent             []recentProgress
 }
 
 const (
@@ -88,10 +88,16 @@
 	priorInterval = 50
 	// maxMachines bounds the memory for machines: the one not seen for longest is forgotten.
 	maxMachines = 5000
-	// evidenceMemory is the time after which evidence of a lasting speed counts for 1/e.
-	evidenceMemory = 10 * time.Minute
-	// maxEvidence bounds the logarithm of the ratio of the likelihoods of two factors.
+	// evidenceMemory is the time after which evidence of a lasting speed counts for 1/e: a worker runs
+	// several tasks in it.
+	evidenceMemory = time.Minute
+	// maxEvidence bounds the logarithm of the ratio of the likelihoods of two factors, so that a machine
+	// whose speed has changed is known after a few runs.
 	maxEvidence = 10.0
+	// outlierShare is the assumed share of observations that say nothing, so that no single run decides.
+	outlierShare = 0.05
+	// minProbability keeps logarithms finite.
+	minProbability = 1e-9
 )
 
 func newFleet() *fleet {
@@ -150,9 +156,21 @@
 	}
 	m.posterior = m.posterior.normalised()
 	m.lasting = m.posterior.mean() / f.priorMean
+	m.deviation = m.posterior.deviation()
 	m.version = f.version
 }
 
+// deviation returns the standard deviation of the base-2 logarithm of the factor under p, which is
+// normalised.
+func (p *weights) deviation() float64 {
+	sum, squares := 0.0, 0.0
+	for i, x := range p {
+		sum += x * octaves(i)
+		squares += x * octaves(i) * octaves(i)
+	}
+	return math.Sqrt(max(0, squares-sum*sum))
+}
+
 // lasting returns the lasting slowdown of a machine.
 func (f *fleet) lasting(id string) float64 {
 	if m := f.known(id); m != nil {
@@ -170,50 +188,32 @@
 	return s
 }
 
-// observeEnd adds a run that took 2^x times the usual time of its kind, whose logarithms have the given
-// standard deviation, on machines of which the slowest counted.
-func (f *fleet) observeEnd(now time.Duration, ids []string, x, spread float64) {
-	likelihood := likelihoodOf(x+math.Log2(f.priorMean), spread)
-	below := make([]weights, len(ids)) // the logarithm of the probability of each factor or less
-	var all weights
-	for i, id := range ids {
-		m := f.fade(now, id)
-		sum := 0.0
-		for g, p := range m.posterior {
-			sum += p
-			below[i][g] = math.Log(max(sum, minProbability))
-			all[g] += below[i][g]
-		}
-	}
-	for i, id := range ids {
-		f.machines[id].weigh(&likelihood, &all, &below[i])
-		f.machines[id].update(f)
-	}
-	f.untilPrior--
-	if f.untilPrior <= 0 {
-		f.computePrior()
-	}
-}
-
-// minProbability keeps logarithms finite.
-const minProbability = 1e-9
-
-// fade returns a machine with its evidence faded up to now.
-func (f *fleet) fade(now time.Duration, id string) *machine {
-	var before time.Duration
+// observe adds a run that took 2^x times the usual time on a machine, where the standard deviation of x
+// that has other causes is spread.
+func (f *fleet) observe(now time.Duration, id string, x, spread float64) {
+	before := now
 	if old := f.machines[id]; old != nil {
 		before = old.seenAt
 	}
 	m := f.see(now, id)
 	keep := math.Exp(-max(0, now-before).Seconds() / evidenceMemory.Seconds())
+	likelihood := likelihoodOf(x+math.Log2(f.priorMean), spread)
 	for g := range m.evidence {
-		m.evidence[g] *= keep
+		m.evidence[g] = keep*m.evidence[g] + math.Log(outlierShare+(1-outlierShare)*likelihood[g])
+	}
+	top := slices.Max(m.evidence[:])
+	for g := range m.evidence {
+		m.evidence[g] = max(m.evidence[g]-top, -maxEvidence)
+	}
+	m.update(f)
+	f.untilPrior--
+	if f.untilPrior <= 0 {
+		f.computePrior()
 	}
-	return m
 }
 
-// likelihoodOf returns the likelihood of an observation x octaves above the usual, for each factor.
-// Its tails are heavy (Student's t with three degrees of freedom), so that no single run decides.
+// likelihoodOf returns the likelihood of an observation x octaves above the usual, for each factor,
+// relative to the greatest. Its tails are heavy (Student's t with three degrees of freedom).
 func likelihoodOf(x, spread float64) (l weights) {
 	for g := range l {
 		d := (x - octaves(g)) / spread
@@ -222,32 +222,6 @@
 	return l
 }
 
-// weigh adds to the evidence the likelihood of an observation that depends on the slowest of several
-// machines. all holds the logarithms of the probability that none of them exceeds a factor, and own
-// those of m itself.
-func (m *machine) weigh(likelihood, all, own *weights) {
-	var others weights // the probability that no other machine exceeds a factor
-	for g := range others {
-		others[g] = math.Exp(min(0, all[g]-own[g]))
-	}
-	slower := 0.0 // the likelihood if another machine is the slowest
-	for g := gridSize - 1; g >= 0; g-- {
-		m.evidence[g] += math.Log(max(minProbability, others[g]*likelihood[g]+slower))
-		if g > 0 {
-			slower += max(0, others[g]-others[g-1]) * likelihood[g]
-		}
-	}
-	m.bound()
-}
-
-// bound keeps the evidence within maxEvidence, so that a machine whose speed has changed is known soon.
-func (m *machine) bound() {
-	top := slices.Max(m.evidence[:])
-	for g := range m.evidence {
-		m.evidence[g] = max(m.evidence[g]-top, -maxEvidence)
-	}
-}
-
 // computePrior computes the prior from what is known of all machines.
 func (f *fleet) computePrior() {
 	f.untilPrior = priorInterval
--- a/internal/core/estimate/model.go
+++ b/internal/core/estimate/model.go
@@ -51,33 +51,47 @@
 	distributions map[key]*distribution
 	scratch       *hdrhistogram.Histogram
 	fleet         *fleet
+	// gangs holds the progress of the gangs that run, by name.
+	gangs map[string]*gang
 }
 
 // NewModel returns a model without observations.
 func NewModel() *Model {
-	return &Model{distributions: map[key]*distribution{}, scratch: hdrhistogram.New(1, maxRecorded, ratioDigits), fleet: newFleet()}
+	return &Model{distributions: map[key]*distribution{}, scratch: hdrhistogram.New(1, maxRecorded, ratioDigits), fleet: newFleet(), gangs: map[string]*gang{}}
 }
 
 // ObserveEnd adds a run of one task that is done: it ran for the given time on a machine. declared is
 // the time that its caller declared, multiplied by any slowdown that follows from where it ran, or zero.
+// A run that took no time is ignored.
 func (m *Model) ObserveEnd(now time.Duration, k Kind, machine string, declared, ran time.Duration) {
-	m.ObserveGangEnd(now, k, []string{machine}, declared, ran)
+	if ran <= 0 {
+		return
+	}
+	declared, undeclared := orNominal(declared)
+	ratio := float64(ran) / float64(declared)
+	if median, spread, known := m.usual(k, undeclared); known {
+		m.fleet.observe(now, machine, boundedLog2(ratio/median), spread)
+	}
+	m.observeRatio(k, undeclared, ratio/m.fleet.lasting(machine))
 }
 
-// ObserveGangEnd adds a run of a gang that is done. Its members run as fast as the slowest of their
-// machines, each of which is named once. A run that took no time is ignored.
-func (m *Model) ObserveGangEnd(now time.Duration, k Kind, machines []string, declared, ran time.Duration) {
+// ObserveGangEnd adds a run of a gang that is done, by the name under which the progress of its members
+// was observed. A gang ends when its slowest member does. machines are those of all members.
+func (m *Model) ObserveGangEnd(now time.Duration, k Kind, gang string, machines []string, declared, ran time.Duration) {
+	m.compareMembers(now, gang)
+	m.ForgetGang(gang)
 	if ran <= 0 || len(machines) == 0 {
 		return
 	}
 	declared, undeclared := orNominal(declared)
-	usual, spread := m.usual(k, undeclared)
-	ratio := float64(ran) / float64(declared)
-	slowest := m.fleet.slowest(machines)
-	m.fleet.observeEnd(now, machines, boundedLog2(ratio/usual), spread)
+	m.observeRatio(k, undeclared, float64(ran)/float64(declared)/m.fleet.slowest(machines))
+}
+
+// observeRatio adds a ratio of run time to declared time on a machine of usual speed.
+func (m *Model) observeRatio(k Kind, undeclared bool, ratio float64) {
 	for _, l := range k.levels(undeclared) {
 		if d := m.distribution(l); d != nil {
-			d.observe(ratio / slowest)
+			d.observe(ratio)
 		}
 	}
 }
@@ -132,17 +146,15 @@
 )
 
 // usual returns the median ratio of a kind and the standard deviation of the ratios' base-2 logarithm.
-func (m *Model) usual(k Kind, undeclared bool) (median, spread float64) {
-	median, ok := m.Ratio(k, undeclared, 0.5)
-	if !ok {
-		return median, unknownSpread
-	}
+// known is false if too little has been observed; the ratio is then one.
+func (m *Model) usual(k Kind, undeclared bool) (median, spread float64, known bool) {
+	median, known = m.Ratio(k, undeclared, 0.5)
 	high, okHigh := m.Ratio(k, undeclared, oneSigma)
 	low, okLow := m.Ratio(k, undeclared, 1-oneSigma)
-	if !okHigh || !okLow {
-		return median, unknownSpread
+	if !known || !okHigh || !okLow {
+		return median, unknownSpread, false
 	}
-	return median, max(minSpread, math.Log2(high/low)/2)
+	return median, max(minSpread, math.Log2(high/low)/2), true
 }
 
 // RunTimes is the distribution of the run times of tasks with one declared time on a machine of usual
--- a/internal/core/estimate/model_test.go
+++ b/internal/core/estimate/model_test.go
@@ -67,21 +67,39 @@
 	near(t, m.RunTime(build, declared, 0.5).Seconds(), 20, 0.03)
 }
 
-// play observes runs on a fleet of 48 machines of which every third takes 1.6 times as long, while the
-// times that callers declare are off by a third. Each run is on the given number of machines.
-func play(m *Model, runs, width int) {
+// play observes runs of single tasks on a fleet of 48 machines of which every third takes 1.6 times as
+// long, while the times that callers declare are off by a third.
+func play(m *Model, runs int) {
 	rng := rand.New(rand.NewPCG(1, 2))
 	for i := range runs {
-		slowest := 1.0
+		n := rng.IntN(48)
+		off := 1 + (2*rng.Float64()-1)/3
+		m.ObserveEnd(time.Duration(i)*10*time.Millisecond, build, fmt.Sprint("m", n), declared, times(declared, slowdownOf(n)/off))
+	}
+}
+
+func slowdownOf(n int) float64 {
+	if n%3 == 0 {
+		return 1.6
+	}
+	return 1
+}
+
+// playGangs observes gangs of three members on the same fleet, whose declared times are off by up to nine
+// tenths. Each member reports its progress once, and the slowest ends the gang.
+func playGangs(m *Model, gangs int) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for i := range gangs {
+		start := time.Duration(i) * 20 * time.Millisecond
+		took, slowest := times(declared, 1/(1+0.9*(2*rng.Float64()-1))), 0.0
 		var ids []string
-		for _, n := range rng.Perm(48)[:width] {
+		for _, n := range rng.Perm(48)[:3] {
 			ids = append(ids, fmt.Sprint("m", n))
-			if n%3 == 0 {
-				slowest = 1.6
-			}
+			slowest = max(slowest, slowdownOf(n))
+			percent := int(100 * float64(2*time.Second) / float64(took) / slowdownOf(n))
+			m.ObserveProgress(start+2*time.Second, ids[len(ids)-1], Progress{Run: fmt.Sprint(i, n), Kind: build, Declared: declared, Percent: percent, StartedAt: start, Gang: fmt.Sprint(i), Members: 3})
 		}
-		off := 1 + (2*rng.Float64()-1)/3
-		m.ObserveGangEnd(time.Duration(i)*10*time.Millisecond, build, ids, declared, times(declared, slowest/off))
+		m.ObserveGangEnd(start+took, build, fmt.Sprint(i), ids, declared, times(took, slowest))
 	}
 }
 
@@ -98,23 +116,24 @@
 
 func TestLastingSpeedsAreLearnedFromEnds(t *testing.T) {
 	m := NewModel()
-	play(m, 600, 1)
+	play(m, 600)
 	slow, other := meanSlowdowns(m)
 	near(t, slow/other, 1.6, 0.1)
 }
 
-// A gang ends with the slowest of its machines. One that ends early clears all of them, and one that ends
-// late blames those that others have not cleared.
-func TestLastingSpeedsAreLearnedFromGangs(t *testing.T) {
+// The members of a gang have the same work, so that their progress tells the speeds of their machines
+// even where the declared times say little.
+func TestLastingSpeedsAreLearnedFromTheMembersOfGangs(t *testing.T) {
 	m := NewModel()
-	play(m, 600, 3)
+	playGangs(m, 100)
 	slow, other := meanSlowdowns(m)
-	near(t, slow/other, 1.6, 0.15)
+	near(t, slow/other, 1.6, 0.1)
+	assert.Equal(t, len(m.gangs), 0)
 }
 
 func TestOneLongRunDoesNotBrandAMachine(t *testing.T) {
 	m := NewModel()
-	play(m, 600, 1)
+	play(m, 600)
 	m.ObserveEnd(6*time.Second, build, "m1", declared, 7*declared)
 	assert.Assert(t, m.Slowdown(6*time.Second, "m1") < 1.2, "%.2f", m.Slowdown(6*time.Second, "m1"))
 }
@@ -125,14 +144,14 @@
 	for now := from; now < until; {
 		now += 2 * time.Second
 		percent += 20 * speed
-		m.ObserveProgress(now, "m", Progress{Run: run, Kind: build, Declared: declared, Percent: int(percent), StartedAt: start, Machines: 1})
+		m.ObserveProgress(now, "m", Progress{Run: run, Kind: build, Declared: declared, Percent: int(percent), StartedAt: start})
 	}
 	return percent
 }
 
 func TestSlowMachineIsFoundAndForgotten(t *testing.T) {
 	m := NewModel()
-	play(m, 600, 1)
+	play(m, 600)
 	p := report(m, "a", 0, 0, 4*time.Second, 0, 1)
 	near(t, m.Slowdown(4*time.Second, "m"), 1, 0.25)
 	p = report(m, "a", 0, 4*time.Second, 6*time.Second, p, 0.2)
@@ -143,21 +162,22 @@
 	near(t, m.Slowdown(time.Minute, "m"), 1, 0.25)
 }
 
-// Of the machines of a slow gang any may be the cause.
-func TestSlowGangDoesNotBrandAllItsMachines(t *testing.T) {
+// A member that falls behind the others of its gang shows that its machine is slow, and theirs are not.
+func TestSlowMemberOfAGangIsFoundByItsReports(t *testing.T) {
 	m := NewModel()
-	play(m, 600, 1)
-	for n := range 8 {
-		for i, percent := range []int{20, 24} {
-			m.ObserveProgress(time.Duration(i+1)*2*time.Second, fmt.Sprint("m", n), Progress{Run: "a", Kind: build, Declared: declared, Percent: percent, Machines: 8})
-		}
+	playGangs(m, 100)
+	now := 10 * time.Second
+	for n, percent := range []int{4, 20, 21, 20} {
+		m.ObserveProgress(now, fmt.Sprint("m", 3*n), Progress{Run: fmt.Sprint("late", n), Kind: build, Declared: declared, Percent: percent, StartedAt: now - 2*time.Second, Gang: "late", Members: 4})
 	}
-	assert.Assert(t, m.Slowdown(4*time.Second, "m1") < 1.5*m.LastingSlowdown("m1"), "%.2f", m.Slowdown(4*time.Second, "m1"))
+	m.ObserveProgress(now+2*time.Second, "m0", Progress{Run: "late0", Kind: build, Declared: declared, Percent: 8, StartedAt: now - 2*time.Second, Gang: "late", Members: 4})
+	assert.Assert(t, m.Slowdown(now+2*time.Second, "m0") > 2*m.LastingSlowdown("m0"), "%.2f", m.Slowdown(now, "m0"))
+	near(t, m.Slowdown(now+2*time.Second, "m3"), m.LastingSlowdown("m3"), 0.2)
 }
 
 func TestSpeedOfAMachineIsKnownUnderItsNextWorker(t *testing.T) {
 	m := NewModel()
-	play(m, 600, 1)
+	play(m, 600)
 	before := m.LastingSlowdown("m3")
 	m.Continue("m3", "n3")
 	assert.Equal(t, m.LastingSlowdown("n3"), before)
@@ -166,7 +186,7 @@
 
 func TestMemoryIsBounded(t *testing.T) {
 	m := NewModel()
-	for i := range maxMachines + 10 {
+	for i := range maxMachines + 100 {
 		m.ObserveEnd(time.Duration(i), Kind{Org: fmt.Sprint(i)}, fmt.Sprint("m", i), declared, declared)
 	}
 	assert.Equal(t, len(m.fleet.machines), maxMachines)
--- a/internal/core/estimate/progress.go
+++ b/internal/core/estimate/progress.go
@@ -19,9 +19,10 @@
 	// StartedAt is when its work began at zero percent. It is negative if that is not known, as for a run
 	// that resumed from a checkpoint.
 	StartedAt time.Duration
-	// Machines is the number of machines of which the slowest determines the progress: those of a gang,
-	// or one.
-	Machines int
+	// Gang names the gang of which the run is a member, and Members is the number of its runs; empty and
+	// zero for other runs. Each member makes progress as fast as its own machine.
+	Gang    string
+	Members int
 }
 
 // recentProgress is the newest progress of a run on a machine.
@@ -34,12 +35,15 @@
 	begun   bool
 	// at is the end of the newest interval that has been observed; zero before there is one.
 	at time.Duration
-	// fastest is the least time that a percent took in an interval.
-	fastest time.Duration
+	// first and firstPercent are when its observation began, and the progress then.
+	first        time.Duration
+	firstPercent int
+	// perPercent is the base-2 logarithm of the time in nanoseconds that a percent took in the newest
+	// interval, and fastest the least so far; zero before there is one.
+	perPercent, fastest float64
 	// octaves is the base-2 logarithm of the time that the newest interval took, relative to the usual
 	// time on this machine, and spread the standard deviation of its error.
 	octaves, spread float64
-	machines        int
 }
 
 const (
@@ -53,6 +57,9 @@
 	progressMemory = 4 * time.Second
 	// forgottenProgress is the age from which observed progress does not count at all.
 	forgottenProgress = 3 * progressMemory
+	// complete is the progress of a run that is done or waits for the rest of its gang: it has taken an
+	// unknown part of the time.
+	complete = 100
 	// slowShare is the assumed share of time for which a machine is slower than it lastingly is.
 	slowShare = 0.02
 )
@@ -60,23 +67,55 @@
 // ObserveProgress adds the progress of a run on a machine. Only the latest interval of each run counts
 // for the machine's present speed, so that slowness which passes is forgotten.
 func (m *Model) ObserveProgress(now time.Duration, machine string, p Progress) {
+	if p.Percent >= complete {
+		return
+	}
 	mc := m.fleet.see(now, machine)
 	mc.dropOldProgress(now)
 	r := mc.progressOf(p)
 	if !r.begin(now, p) || now-r.from < minProgressTime {
 		return
 	}
+	percents := r.observe(now, p)
+	usual, spread := m.usualPercent(p, mc)
+	r.compare(usual, spread, percents)
+	if p.Gang != "" {
+		m.observeMember(now, machine, p, r)
+	}
+}
+
+// usualPercent returns the base-2 logarithm of the time in nanoseconds that a percent of a run usually
+// takes on a machine, and its standard deviation.
+func (m *Model) usualPercent(p Progress, mc *machine) (octaves, spread float64) {
 	declared, undeclared := orNominal(p.Declared)
-	median, spread := m.usual(p.Kind, undeclared)
-	usual := float64(declared) * median * mc.lasting / 100
-	r.observe(now, p, usual, spread)
+	median, spread, _ := m.usual(p.Kind, undeclared)
+	return math.Log2(float64(declared) / 100 * median * mc.lasting), spread
+}
+
+// observeMember adds the progress of a member of a gang, and compares it with the other members.
+func (m *Model) observeMember(now time.Duration, machine string, p Progress, r *recentProgress) {
+	g := m.gangs[p.Gang]
+	if g == nil {
+		g = &gang{}
+		m.gangs[p.Gang] = g
+	}
+	percents := max(0.5, float64(p.Percent-r.firstPercent))
+	whole := math.Log2(float64(now-r.first) / percents)
+	i := g.observe(p.Run, machine, whole, r.perPercent, 1/percents)
+	mc := m.fleet.known(machine)
+	if median, spread, ok := m.reference(g, i, func(m member) float64 { return m.recent }); ok && spread < r.spread {
+		r.octaves, r.spread = r.perPercent-median-math.Log2(mc.lasting), math.Hypot(minSpread, spread)
+	}
+	if len(g.members) == p.Members && percents >= minWhole {
+		m.compareMembers(now, p.Gang)
+	}
 }
 
 // progressOf returns what is known of the progress of a run, and adds it if it is new.
 func (m *machine) progressOf(p Progress) *recentProgress {
 	i := slices.IndexFunc(m.recent, func(r recentProgress) bool { return r.run == p.Run })
 	if i < 0 {
-		m.recent = append(m.recent, recentProgress{run: p.Run, at: -1, from: p.StartedAt, begun: p.StartedAt >= 0})
+		m.recent = append(m.recent, recentProgress{run: p.Run, at: -1, first: p.StartedAt, from: p.StartedAt, begun: p.StartedAt >= 0})
 		i = len(m.recent) - 1
 	}
 	return &m.recent[i]
@@ -88,25 +127,30 @@
 	if r.begun {
 		return true
 	}
+	r.first, r.firstPercent = now, p.Percent
 	r.from, r.percent, r.begun = now, p.Percent, p.Percent > 0
 	return false
 }
 
-// observe ends the current interval, in which a percent usually takes the given time in nanoseconds.
-func (r *recentProgress) observe(now time.Duration, p Progress, usual, spread float64) {
+// observe ends the current interval and returns how many percents were done in it.
+func (r *recentProgress) observe(now time.Duration, p Progress) float64 {
 	percents := max(0.5, float64(p.Percent-r.percent)) // less than one may not show
-	took := time.Duration(float64(now-r.from) / percents)
+	r.perPercent = math.Log2(float64(now-r.from) / percents)
+	r.at, r.from, r.percent = now, now, p.Percent
+	return percents
+}
+
+// compare sets by how much longer the newest interval took than usual on this machine: than earlier ones
+// of the run if that is much, and otherwise than others of its kind.
+func (r *recentProgress) compare(usual, spread, percents float64) {
 	rounding := 1 / percents
-	r.octaves, r.spread = boundedLog2(float64(took)/usual), math.Hypot(spread, rounding)
-	if r.fastest > 0 {
-		if own := boundedLog2(float64(took) / float64(r.fastest)); own >= ownSlowdown {
-			r.octaves, r.spread = own, math.Hypot(minSpread, rounding)
-		}
+	r.octaves, r.spread = r.perPercent-usual, math.Hypot(spread, rounding)
+	if own := r.perPercent - r.fastest; r.fastest > 0 && own >= ownSlowdown {
+		r.octaves, r.spread = own, math.Hypot(minSpread, rounding)
 	}
-	if r.fastest == 0 || took < r.fastest {
-		r.fastest = took
+	if r.fastest == 0 || r.perPercent < r.fastest {
+		r.fastest = r.perPercent
 	}
-	r.at, r.from, r.percent, r.machines = now, now, p.Percent, p.Machines
 }
 
 // dropOldProgress drops the runs that have not been reported for forgottenProgress.
@@ -129,7 +173,7 @@
 	if !observed {
 		return 1
 	}
-	top := slices.Max(evidence[:])
+	top := slices.Max(evidence[normalSpeed:])
 	sum, mean := 0.0, 0.0
 	for g := normalSpeed; g < gridSize; g++ {
 		w := slowPrior[g] * math.Exp(evidence[g]-top)
@@ -139,15 +183,11 @@
 	return max(1, mean/sum/slowPriorMean)
 }
 
-// addEvidence adds the logarithm of the likelihood of r for each factor, multiplied by weight. Where the
-// progress depends on several machines, another of them may be the slow one.
+// addEvidence adds the logarithm of the likelihood of r for each factor, multiplied by weight.
 func (r *recentProgress) addEvidence(evidence *weights, weight float64) {
 	likelihood := likelihoodOf(r.octaves, r.spread)
-	noOther := math.Pow(1-slowShare, float64(max(1, r.machines)-1))
-	slower := 0.0 // the likelihood if another machine is slower
-	for g := gridSize - 1; g >= normalSpeed; g-- {
-		evidence[g] += weight * math.Log(max(minProbability, noOther*likelihood[g]+(1-noOther)*slower))
-		slower += slowPrior[g] / slowShare * likelihood[g]
+	for g := normalSpeed; g < gridSize; g++ {
+		evidence[g] += weight * math.Log(max(minProbability, likelihood[g]))
 	}
 }
 
