Runs of one step are compared with each other, and placements note the expected time

Change: a run is compared with the others of its step on other machines and counts by how much these differ; without enough of them one run of a step counts. The time to spare counts only for work that is not urgent. The note of a placement shows the expected time there and the worker's slowdown.

--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -343,6 +343,7 @@
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			c.dropPlan(s)
+			c.estimates.ForgetGroup(s.name())
 			for _, t := range s.tasks {
 				delete(c.tasks, t.id.String())
 				for _, p := range slices.Clone(t.presumed) {
--- a/internal/core/dispatch/observe.go
+++ b/internal/core/dispatch/observe.go
@@ -55,13 +55,13 @@
 	return slices.Compact(ids)
 }
 
-// declaredThere returns the declared time of r where it runs: SpreadFactor times as long for a gang on
-// several racks that should be on one, and outside the rack with the data.
+// declaredThere returns the declared time of r where it runs: SpreadFactor times as long outside the rack
+// with its data, and in a gang on several racks that should be on one.
 func (c *Core) declaredThere(r *run, peers []*run) time.Duration {
 	s := r.task.step.spec
-	spread := false
+	spread := s.DataRack != "" && r.worker.Rack != s.DataRack
 	for _, p := range peers {
-		spread = spread || s.DataRack != "" && p.worker.Rack != s.DataRack || s.SameRack && p.worker.Rack != r.worker.Rack
+		spread = spread || s.SameRack && p.worker.Rack != r.worker.Rack
 	}
 	if spread {
 		return time.Duration(float64(s.Estimate) * max(1, c.settings.SpreadFactor))
@@ -69,9 +69,22 @@
 	return s.Estimate
 }
 
-// gangName names the gang's run that r belongs to.
-func (r *run) gangName() string {
-	return r.task.step.name() + "/" + strconv.Itoa(r.number)
+// longestDeclared returns the longest declared time of some runs where they run.
+func (c *Core) longestDeclared(runs []*run) time.Duration {
+	d := time.Duration(0)
+	for _, r := range runs {
+		d = max(d, c.declaredThere(r, runs))
+	}
+	return d
+}
+
+// group names the runs with which r is compared: those of its gang's run or of its step.
+func (r *run) group() string {
+	name := r.task.step.name()
+	if r.task.step.spec.Gang {
+		return name + "/" + strconv.Itoa(r.number)
+	}
+	return name
 }
 
 // observeDone tells the model that r is done. In a gang the first member that is done stands for all.
@@ -85,11 +98,7 @@
 	if !ok || s.spec.Gang && len(peers) < len(s.tasks) {
 		return
 	}
-	if s.spec.Gang {
-		c.estimates.ObserveGangEnd(now.Mono, s.kind(), r.gangName(), machinesOf(peers), c.declaredThere(r, peers), now.Mono-began)
-		return
-	}
-	c.estimates.ObserveEnd(now.Mono, s.kind(), r.worker.ID, c.declaredThere(r, peers), now.Mono-began)
+	c.estimates.Observe(now.Mono, estimate.End{Kind: s.kind(), Declared: c.longestDeclared(peers), Ran: now.Mono - began, Run: r.task.id.String(), Group: r.group(), Gang: s.spec.Gang, Machines: machinesOf(peers)})
 }
 
 // forgetProgress drops the progress of a run that has ended.
@@ -99,7 +108,7 @@
 	}
 	c.estimates.ForgetRun(r.worker.ID, r.task.id.String())
 	if r.task.step.spec.Gang {
-		c.estimates.ForgetGang(r.gangName())
+		c.estimates.ForgetGroup(r.group())
 	}
 }
 
@@ -110,10 +119,7 @@
 		return
 	}
 	peers := r.peers()
-	p := estimate.Progress{Run: r.task.id.String(), Kind: s.kind(), Declared: c.declaredThere(r, peers), Percent: r.percent, StartedAt: -1}
-	if s.spec.Gang {
-		p.Gang, p.Members = r.gangName(), len(peers)
-	}
+	p := estimate.Progress{Run: r.task.id.String(), Kind: s.kind(), Declared: c.declaredThere(r, peers), Percent: r.percent, StartedAt: -1, Group: r.group(), Gang: s.spec.Gang, Members: len(peers)}
 	if began, ok := beganAt(peers); ok && !r.resumed() {
 		p.StartedAt = began
 	}
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -303,10 +303,10 @@
 	c.addRun(r)
 	c.record(t)
 	c.batch.starts = append(c.batch.starts, r)
-	c.note(Note{Kind: "placed", Task: t.id.String(), Run: number, Worker: w.ID, Why: t.step.placementInputs(now, w)})
+	c.note(Note{Kind: "placed", Task: t.id.String(), Run: number, Worker: w.ID, Why: c.placementInputs(now, t.step, w)})
 }
 
 // placementInputs describes the inputs of a placement decision, for its log line.
-func (s *step) placementInputs(now Now, w *worker) string {
-	return fmt.Sprintf("priority %d, within guarantee %t, waited %v, estimate %v, gang %t, same rack %t, data rack %q, label %q, rack %s", s.job.spec.Priority, s.job.withinGuarantee, (now.Mono - s.readySince).Round(time.Millisecond), s.spec.Estimate, s.spec.Gang, s.spec.SameRack, s.spec.DataRack, s.spec.Label, w.Rack)
+func (c *Core) placementInputs(now Now, s *step, w *worker) string {
+	return fmt.Sprintf("priority %d, within guarantee %t, waited %v, estimate %v, expected %v, slowdown %.2f, gang %t, same rack %t, data rack %q, label %q, rack %s", s.job.spec.Priority, s.job.withinGuarantee, (now.Mono - s.readySince).Round(time.Millisecond), s.spec.Estimate, c.expectedRunTime(now, s, w).Round(time.Millisecond), c.slowdown(now, w), s.spec.Gang, s.spec.SameRack, s.spec.DataRack, s.spec.Label, w.Rack)
 }
--- a/internal/core/dispatch/speed.go
+++ b/internal/core/dispatch/speed.go
@@ -42,7 +42,7 @@
 	// expected is the expected run time on a worker of usual speed.
 	expected time.Duration
 	// risk is the probability that a task which starts now makes its job miss the latency objective, and
-	// spare the part of the time that it has to run that it would not need.
+	// spare, for work that is not urgent, the part of the time allowed for it that it would not need.
 	risk, spare [speedClasses]float64
 }
 
@@ -66,7 +66,7 @@
 	for _, class := range c.cycle.speedClasses {
 		slowdown := slowdownOf(class)
 		sp.risk[class] = times.Risk(time.Duration(float64(allowed) / slowdown))
-		if allowed > 0 {
+		if allowed > 0 && s.job.spec.Priority != urgentPriority {
 			sp.spare[class] = max(0, 1-slowdown*float64(expected)/float64(allowed))
 		}
 	}
--- a/internal/core/estimate/model.go
+++ b/internal/core/estimate/model.go
@@ -51,40 +51,69 @@
 	distributions map[key]*distribution
 	scratch       *hdrhistogram.Histogram
 	fleet         *fleet
-	// gangs holds the progress of the gangs that run, by name.
-	gangs map[string]*gang
+	// groups holds the progress of the groups that run, by name.
+	groups map[string]*group
 }
 
 // NewModel returns a model without observations.
 func NewModel() *Model {
-	return &Model{distributions: map[key]*distribution{}, scratch: hdrhistogram.New(1, maxRecorded, ratioDigits), fleet: newFleet(), gangs: map[string]*gang{}}
+	return &Model{distributions: map[key]*distribution{}, scratch: hdrhistogram.New(1, maxRecorded, ratioDigits), fleet: newFleet(), groups: map[string]*group{}}
 }
 
-// ObserveEnd adds a run of one task that is done: it ran for the given time on a machine. declared is
-// the time that its caller declared, multiplied by any slowdown that follows from where it ran, or zero.
-// A run that took no time is ignored.
+// End is the end of a run that is done.
+type End struct {
+	// Kind is the kind of its task, and Declared the time that its caller declared, multiplied by any
+	// slowdown that follows from where it ran, or zero.
+	Kind     Kind
+	Declared time.Duration
+	// Ran is how long it ran. A run that took no time is ignored.
+	Ran time.Duration
+	// Run, Group and Gang are those of its Progress.
+	Run, Group string
+	Gang       bool
+	// Machines are the machine of the run or, for a gang, those of all its members, each once.
+	Machines []string
+}
+
+// ObserveEnd adds a run of one task that is done: it ran for the given time on a machine.
 func (m *Model) ObserveEnd(now time.Duration, k Kind, machine string, declared, ran time.Duration) {
-	if ran <= 0 {
-		return
-	}
-	declared, undeclared := orNominal(declared)
-	ratio := float64(ran) / float64(declared)
-	if median, spread, known := m.usual(k, undeclared); known {
-		m.fleet.observe(now, machine, boundedLog2(ratio/median), spread)
-	}
-	m.observeRatio(k, undeclared, ratio/m.fleet.lasting(machine))
+	m.Observe(now, End{Kind: k, Declared: declared, Ran: ran, Machines: []string{machine}})
 }
 
-// ObserveGangEnd adds a run of a gang that is done, by the name under which the progress of its members
-// was observed. A gang ends when its slowest member does. machines are those of all members.
-func (m *Model) ObserveGangEnd(now time.Duration, k Kind, gang string, machines []string, declared, ran time.Duration) {
-	m.compareMembers(now, gang)
-	m.ForgetGang(gang)
-	if ran <= 0 || len(machines) == 0 {
+// Observe adds a run that is done. A gang ends when its slowest member does, as one run.
+func (m *Model) Observe(now time.Duration, e End) {
+	if e.Gang {
+		m.compareMembers(now, e.Group)
+		m.ForgetGroup(e.Group)
+	}
+	if e.Ran <= 0 || len(e.Machines) == 0 {
 		return
 	}
-	declared, undeclared := orNominal(declared)
-	m.observeRatio(k, undeclared, float64(ran)/float64(declared)/m.fleet.slowest(machines))
+	declared, undeclared := orNominal(e.Declared)
+	ratio := float64(e.Ran) / float64(declared)
+	if !e.Gang {
+		m.compareEnd(now, e, ratio, undeclared)
+	}
+	m.observeRatio(e.Kind, undeclared, ratio/m.fleet.slowest(e.Machines))
+}
+
+// compareEnd tells the lasting speed of a machine from the time that a run took there: by the other runs
+// of its group or, if these are too few, by its kind.
+func (m *Model) compareEnd(now time.Duration, e End, ratio float64, undeclared bool) {
+	if e.Group != "" {
+		g := m.groupNamed(e.Group)
+		whole := math.Log2(ratio / complete)
+		o := member{run: e.Run, machine: e.Machines[0], whole: whole, recent: whole}
+		if i, ok := g.observe(o); ok {
+			if r := m.referenceFor(g, i, wholeOf, false); r.known {
+				m.observeSpeed(now, o, r)
+				return
+			}
+		}
+	}
+	if median, spread, known := m.usual(e.Kind, undeclared); known {
+		m.fleet.observe(now, e.Machines[0], boundedLog2(ratio/median), spread)
+	}
 }
 
 // observeRatio adds a ratio of run time to declared time on a machine of usual speed.
--- a/internal/core/estimate/model_test.go
+++ b/internal/core/estimate/model_test.go
@@ -97,9 +97,9 @@
 			ids = append(ids, fmt.Sprint("m", n))
 			slowest = max(slowest, slowdownOf(n))
 			percent := int(100 * float64(2*time.Second) / float64(took) / slowdownOf(n))
-			m.ObserveProgress(start+2*time.Second, ids[len(ids)-1], Progress{Run: fmt.Sprint(i, n), Kind: build, Declared: declared, Percent: percent, StartedAt: start, Gang: fmt.Sprint(i), Members: 3})
+			m.ObserveProgress(start+2*time.Second, ids[len(ids)-1], Progress{Run: fmt.Sprint(i, n), Kind: build, Declared: declared, Percent: percent, StartedAt: start, Group: fmt.Sprint(i), Gang: true, Members: 3})
 		}
-		m.ObserveGangEnd(start+took, build, fmt.Sprint(i), ids, declared, times(took, slowest))
+		m.Observe(start+took, End{Kind: build, Declared: declared, Ran: times(took, slowest), Group: fmt.Sprint(i), Gang: true, Machines: ids})
 	}
 }
 
@@ -128,7 +128,22 @@
 	playGangs(m, 100)
 	slow, other := meanSlowdowns(m)
 	near(t, slow/other, 1.6, 0.1)
-	assert.Equal(t, len(m.gangs), 0)
+	assert.Equal(t, len(m.groups), 0)
+}
+
+// The tasks of a step share the error of their declared time, which must not count once for each of them.
+func TestStepWithAnErrorInItsDeclaredTimeDoesNotBrandMachines(t *testing.T) {
+	m := NewModel()
+	play(m, 600)
+	for n := range 12 {
+		for i := range 3 {
+			m.ObserveProgress(8*time.Second, fmt.Sprint("m", n), Progress{Run: fmt.Sprint(n, i), Kind: build, Declared: declared, Percent: 10, StartedAt: 6 * time.Second, Group: "step"})
+		}
+	}
+	for n := range 12 {
+		id := fmt.Sprint("m", n)
+		assert.Assert(t, m.Slowdown(8*time.Second, id) < 1.3*m.LastingSlowdown(id), "%s: %.2f", id, m.Slowdown(8*time.Second, id))
+	}
 }
 
 func TestOneLongRunDoesNotBrandAMachine(t *testing.T) {
@@ -168,9 +183,9 @@
 	playGangs(m, 100)
 	now := 10 * time.Second
 	for n, percent := range []int{4, 20, 21, 20} {
-		m.ObserveProgress(now, fmt.Sprint("m", 3*n), Progress{Run: fmt.Sprint("late", n), Kind: build, Declared: declared, Percent: percent, StartedAt: now - 2*time.Second, Gang: "late", Members: 4})
+		m.ObserveProgress(now, fmt.Sprint("m", 3*n), Progress{Run: fmt.Sprint("late", n), Kind: build, Declared: declared, Percent: percent, StartedAt: now - 2*time.Second, Group: "late", Gang: true, Members: 4})
 	}
-	m.ObserveProgress(now+2*time.Second, "m0", Progress{Run: "late0", Kind: build, Declared: declared, Percent: 8, StartedAt: now - 2*time.Second, Gang: "late", Members: 4})
+	m.ObserveProgress(now+2*time.Second, "m0", Progress{Run: "late0", Kind: build, Declared: declared, Percent: 8, StartedAt: now - 2*time.Second, Group: "late", Gang: true, Members: 4})
 	assert.Assert(t, m.Slowdown(now+2*time.Second, "m0") > 2*m.LastingSlowdown("m0"), "%.2f", m.Slowdown(now, "m0"))
 	near(t, m.Slowdown(now+2*time.Second, "m3"), m.LastingSlowdown("m3"), 0.2)
 }
--- a/internal/core/estimate/progress.go
+++ b/internal/core/estimate/progress.go
@@ -19,15 +19,17 @@
 	// StartedAt is when its work began at zero percent. It is negative if that is not known, as for a run
 	// that resumed from a checkpoint.
 	StartedAt time.Duration
-	// Gang names the gang of which the run is a member, and Members is the number of its runs; empty and
-	// zero for other runs. Each member makes progress as fast as its own machine.
-	Gang    string
+	// Group names the step of the run, whose runs have like work; empty if there is no other. Gang is set
+	// if it is a gang's run, of which each member makes progress as fast as its own machine, and Members
+	// is their number.
+	Group   string
+	Gang    bool
 	Members int
 }
 
 // recentProgress is the newest progress of a run on a machine.
 type recentProgress struct {
-	run string
+	run, group string
 	// from and percent are when the interval that is being observed began, and the progress then. begun
 	// is false until that is known.
 	from    time.Duration
@@ -44,6 +46,9 @@
 	// octaves is the base-2 logarithm of the time that the newest interval took, relative to the usual
 	// time on this machine, and spread the standard deviation of its error.
 	octaves, spread float64
+	// compared is set if it was compared with other runs of its group. Otherwise the runs of a group share
+	// the error of their declared time.
+	compared bool
 }
 
 const (
@@ -79,7 +84,7 @@
 	percents := r.observe(now, p)
 	usual, spread := m.usualPercent(p, mc)
 	r.compare(usual, spread, percents)
-	if p.Gang != "" {
+	if p.Group != "" {
 		m.observeMember(now, machine, p, r)
 	}
 }
@@ -92,22 +97,23 @@
 	return math.Log2(float64(declared) / 100 * median * mc.lasting), spread
 }
 
-// observeMember adds the progress of a member of a gang, and compares it with the other members.
+// observeMember adds the progress of a run of a group, and compares it with the others.
 func (m *Model) observeMember(now time.Duration, machine string, p Progress, r *recentProgress) {
-	g := m.gangs[p.Gang]
-	if g == nil {
-		g = &gang{}
-		m.gangs[p.Gang] = g
-	}
+	g := m.groupNamed(p.Group)
 	percents := max(0.5, float64(p.Percent-r.firstPercent))
-	whole := math.Log2(float64(now-r.first) / percents)
-	i := g.observe(p.Run, machine, whole, r.perPercent, 1/percents)
-	mc := m.fleet.known(machine)
-	if median, spread, ok := m.reference(g, i, func(m member) float64 { return m.recent }); ok && spread < r.spread {
-		r.octaves, r.spread = r.perPercent-median-math.Log2(mc.lasting), math.Hypot(minSpread, spread)
+	declared, _ := orNominal(p.Declared)
+	base := math.Log2(float64(declared))
+	whole := math.Log2(float64(now-r.first)/percents) - base
+	i, ok := g.observe(member{run: p.Run, machine: machine, whole: whole, recent: r.perPercent - base, rounding: 1 / percents})
+	if !ok {
+		return
 	}
-	if len(g.members) == p.Members && percents >= minWhole {
-		m.compareMembers(now, p.Gang)
+	recent := func(m member) float64 { return m.recent }
+	if ref := m.referenceFor(g, i, recent, p.Gang); ref.known && ref.spread < r.spread {
+		r.octaves, r.spread, r.compared = r.perPercent-base-ref.octaves-math.Log2(m.fleet.lasting(machine)), math.Hypot(minSpread, ref.spread), true
+	}
+	if p.Gang && len(g.members) == p.Members && percents >= minWhole {
+		m.compareMembers(now, p.Group)
 	}
 }
 
@@ -115,7 +121,7 @@
 func (m *machine) progressOf(p Progress) *recentProgress {
 	i := slices.IndexFunc(m.recent, func(r recentProgress) bool { return r.run == p.Run })
 	if i < 0 {
-		m.recent = append(m.recent, recentProgress{run: p.Run, at: -1, first: p.StartedAt, from: p.StartedAt, begun: p.StartedAt >= 0})
+		m.recent = append(m.recent, recentProgress{run: p.Run, group: p.Group, at: -1, first: p.StartedAt, from: p.StartedAt, begun: p.StartedAt >= 0})
 		i = len(m.recent) - 1
 	}
 	return &m.recent[i]
@@ -144,9 +150,9 @@
 // of the run if that is much, and otherwise than others of its kind.
 func (r *recentProgress) compare(usual, spread, percents float64) {
 	rounding := 1 / percents
-	r.octaves, r.spread = r.perPercent-usual, math.Hypot(spread, rounding)
+	r.octaves, r.spread, r.compared = r.perPercent-usual, math.Hypot(spread, rounding), false
 	if own := r.perPercent - r.fastest; r.fastest > 0 && own >= ownSlowdown {
-		r.octaves, r.spread = own, math.Hypot(minSpread, rounding)
+		r.octaves, r.spread, r.compared = own, math.Hypot(minSpread, rounding), true
 	}
 	if r.fastest == 0 || r.perPercent < r.fastest {
 		r.fastest = r.perPercent
@@ -165,7 +171,7 @@
 	observed := false
 	for i := range m.recent {
 		r := &m.recent[i]
-		if age := now - r.at; r.at >= 0 && age < forgottenProgress {
+		if age := now - r.at; r.at >= 0 && age < forgottenProgress && !m.sharesError(i) {
 			r.addEvidence(&evidence, math.Exp(-age.Seconds()/progressMemory.Seconds()))
 			observed = true
 		}
@@ -183,6 +189,15 @@
 	return max(1, mean/sum/slowPriorMean)
 }
 
+// sharesError reports whether the newest progress of run i has the same error as that of an earlier one in
+// the list: that of the declared time of their step.
+func (m *machine) sharesError(i int) bool {
+	r := &m.recent[i]
+	return r.group != "" && !r.compared && slices.ContainsFunc(m.recent[:i], func(o recentProgress) bool {
+		return o.group == r.group && !o.compared && o.at >= 0
+	})
+}
+
 // addEvidence adds the logarithm of the likelihood of r for each factor, multiplied by weight.
 func (r *recentProgress) addEvidence(evidence *weights, weight float64) {
 	likelihood := likelihoodOf(r.octaves, r.spread)
