The simulation has slow spells, two speeds and gangs that wait for their slowest member

Cause: a simulated gang ended with its fastest member, a third of the workers was faster where at the sites it takes longer, and no worker changed its speed. Change: gang members make progress at the pace of their workers and end together when all are done; a third of the workers takes 1.3 times as long; Faults.Slow slows workers five times for six seconds.

--- a/internal/sim/load.go
+++ b/internal/sim/load.go
@@ -274,14 +274,14 @@
 }
 
 // Fleet returns n workers in racks of six, as at the operators' first site. Every third worker
-// is 1.3 times as fast as the others.
+// takes 1.3 times as long as the others.
 func Fleet(n int, capacity job.Resources) []*Worker {
 	var workers []*Worker
 	for i := range n {
 		rack := fmt.Sprintf("r%d", i/6)
 		factor := 1.0
 		if i%3 == 2 {
-			factor = 1 / 1.3
+			factor = 1.3
 		}
 		workers = append(workers, &Worker{RunTimeFactor: factor, Info: dispatch.WorkerInfo{
 			ID: fmt.Sprintf("w%02d", i), Address: fmt.Sprintf("192.0.2.%d:1", i), Service: "service", Rack: rack,
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -30,7 +30,8 @@
 		"takeovers":  {Takeover: 4 * time.Second},
 		"crashes":    {Crash: 3 * time.Second},
 		"partitions": {Partition: 3 * time.Second},
-		"all":        {LostAnswer: 0.05, Late: 0.04, Takeover: 6 * time.Second, Crash: 5 * time.Second, Partition: 5 * time.Second},
+		"slow":       {Slow: time.Second},
+		"all":        {LostAnswer: 0.05, Late: 0.04, Takeover: 6 * time.Second, Crash: 5 * time.Second, Partition: 5 * time.Second, Slow: 3 * time.Second},
 	}
 	for name, f := range faults {
 		for seed := uint64(1); seed <= 6; seed++ {
--- a/internal/sim/simulation.go
+++ b/internal/sim/simulation.go
@@ -26,6 +26,8 @@
 	Takeover time.Duration
 	// Crash is the mean time between crashes of workers; zero means never.
 	Crash time.Duration
+	// Slow is the mean time between spells in which a worker is several times slower; zero means never.
+	Slow time.Duration
 	// Partition is the mean time between partitions of workers; zero means never.
 	Partition time.Duration
 }
@@ -41,6 +43,8 @@
 	maxLateness        = 10 * time.Second
 	restartDelay       = 2 * time.Second
 	partitionDuration  = 6 * time.Second
+	slowDuration       = 6 * time.Second
+	slowFactor         = 5.0
 )
 
 // Simulation is the state of one simulation.
@@ -173,6 +177,9 @@
 	if sim.Faults.Crash > 0 {
 		sim.repeat(sim.Faults.Crash, sim.crash)
 	}
+	if sim.Faults.Slow > 0 {
+		sim.repeat(sim.Faults.Slow, sim.slow)
+	}
 	if sim.Faults.Partition > 0 {
 		sim.repeat(sim.Faults.Partition, sim.partition)
 	}
@@ -395,6 +402,12 @@
 	sim.schedule(partitionDuration, func() { w.Partitioned = false })
 }
 
+func (sim *Simulation) slow() {
+	w := sim.Workers[sim.rand.IntN(len(sim.Workers))]
+	sim.setSlowness(w, slowFactor)
+	sim.schedule(slowDuration, func() { sim.setSlowness(w, 0) })
+}
+
 // sortedRuns returns the runs in a fixed order, so that a seed always gives the same simulation.
 func sortedRuns(runs map[runKey]*execution) []*execution {
 	list := make([]*execution, 0, len(runs))
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -16,24 +16,38 @@
 	run  int
 }
 
-// execution is the state of a run on a worker. doneAt is the time at which the run completes;
-// it is zero while a gang member waits for the others and on a hanging worker. stopAt is the
-// time at which a stop order ends the run; it is zero until one arrives.
+// execution is the state of a run on a worker. stopAt is the time at which a stop order ends the run; it
+// is zero until one arrives.
 type execution struct {
 	key       runKey
 	id        job.TaskID
 	need      job.Resources
 	startedAt time.Duration
-	doneAt    time.Duration
 	stopAt    time.Duration
 	gang      bool
+	// runTime is how long the whole run takes at its worker's present speed. It is zero while a gang
+	// member waits for the others to start and on a hanging worker. share is the share of the work that
+	// was done at the time at.
+	runTime time.Duration
+	share   float64
+	at      time.Duration
+	// finish ends the run once all of its work is done, and finished is set then: a gang member waits for
+	// the others.
+	finish   func()
+	finished bool
+}
+
+// doneAt is the time at which the work of a run that makes progress is done.
+func (e *execution) doneAt() time.Duration {
+	return e.at + time.Duration((1-e.share)*float64(e.runTime))
 }
 
 // Worker is a simulated worker.
 type Worker struct {
 	Info dispatch.WorkerInfo
-	// RunTimeFactor multiplies run times; it is below 1 for fast workers.
-	RunTimeFactor float64
+	// RunTimeFactor multiplies run times; it is below 1 for fast workers. slowness multiplies them too, for
+	// a time; it is zero if the worker has its usual speed.
+	RunTimeFactor, slowness float64
 	// Fails makes every run on the worker fail. Hangs keeps runs from making progress.
 	Fails, Hangs bool
 	// Calls to Partitioned workers fail; their tasks keep running until the lease expires.
@@ -119,8 +133,8 @@
 }
 
 func (e *execution) percent(now time.Duration, w *Worker) int {
-	if w.Hangs || e.doneAt == 0 || e.doneAt <= e.startedAt {
+	if w.Hangs || e.runTime == 0 {
 		return 0
 	}
-	return int(100 * float64(now-e.startedAt) / float64(e.doneAt-e.startedAt))
+	return min(100, int(100*(e.share+float64(now-e.at)/float64(e.runTime))))
 }
--- a/internal/sim/workercalls.go
+++ b/internal/sim/workercalls.go
@@ -67,20 +67,58 @@
 	if spread {
 		runTime = time.Duration(float64(runTime) * sim.Settings.SpreadFactor)
 	}
-	runTime = time.Duration(float64(runTime) * w.RunTimeFactor)
-	e.doneAt = sim.now + runTime
+	e.runTime, e.at = time.Duration(float64(runTime)*w.factor()), sim.now
 	startedAt := w.startedAt
-	sim.schedule(runTime, func() {
-		if w.runs[e.key] != e || w.startedAt != startedAt || e.stopAt > 0 {
+	e.finish = func() {
+		if e.finished || w.runs[e.key] != e || w.startedAt != startedAt || e.stopAt > 0 || sim.now < e.doneAt() {
 			return
 		}
 		end := job.EndDone
 		if w.Fails || sj.alwaysFails || sj.flaky[e.key.task] && e.key.run == 1 {
 			end = job.EndFailed
 		}
+		e.finished = true
+		if end == job.EndDone && !sim.gangFinished(e) {
+			return
+		}
 		sim.endGang(e, w, end)
 		w.endRun(e, end, "")
-	})
+	}
+	sim.schedule(e.runTime, e.finish)
+}
+
+// gangFinished reports whether all members of the gang of e have done their work. A run that is not part
+// of one has.
+func (sim *Simulation) gangFinished(e *execution) bool {
+	g := sim.gangs[gangKey(e.id, e.key.run)]
+	if !e.gang || g == nil {
+		return true
+	}
+	for i, w := range g.members {
+		id := e.id
+		id.Index = i
+		if x := w.runs[runKey{id.String(), e.key.run}]; x != nil && !x.finished {
+			return false
+		}
+	}
+	return true
+}
+
+// factor is by how much longer runs take on w now.
+func (w *Worker) factor() float64 { return w.RunTimeFactor * max(1, w.slowness) }
+
+// setSlowness changes by how much longer runs take on w for a time; its runs go on at the new speed.
+func (sim *Simulation) setSlowness(w *Worker, slowness float64) {
+	before := w.factor()
+	w.slowness = slowness
+	for _, e := range sortedRuns(w.runs) {
+		if e.runTime == 0 || e.finished {
+			continue
+		}
+		e.share += float64(sim.now-e.at) / float64(e.runTime)
+		e.runTime, e.at = time.Duration(float64(e.runTime)*w.factor()/before), sim.now
+		sim.schedule(max(0, e.doneAt()-sim.now), e.finish)
+	}
 }
 
 // gangKey identifies one run of a gang. It is the same for all members: the task ID with the run
@@ -146,7 +184,7 @@
 // countWaste adds the work of an interrupted run to Wasted. With checkpoints, at most the last
 // 500 ms are lost. A gang member that was waiting for the other members wastes nothing.
 func (sim *Simulation) countWaste(e *execution) {
-	if e.doneAt == 0 && e.gang {
+	if e.runTime == 0 && e.gang {
 		return
 	}
 	lost := sim.now - e.startedAt
