--- a/internal/core/dispatch/observe.go
+++ b/internal/core/dispatch/observe.go
@@ -161,3 +161,12 @@
 		c.note(Note{Kind: "worker recovered", Worker: w.ID, Why: speedInputs(slowdown)})
 	}
 }
+
+// keepSpeeds makes what is known of the speeds of machines known under the names of their newest workers.
+func (c *Core) keepSpeeds(list []Machine) {
+	for _, m := range list {
+		if old := c.machines[m.ID].Worker; old != "" && m.Worker != "" {
+			c.estimates.Continue(old, m.Worker)
+		}
+	}
+}
--- a/internal/core/dispatch/upkeep.go
+++ b/internal/core/dispatch/upkeep.go
@@ -162,6 +162,7 @@
 // SetMachines updates the machine list. askedAt is when the list was requested: a list that was
 // requested before an upkeep started can't show that it is over.
 func (c *Core) SetMachines(now Now, askedAt time.Duration, list []Machine) {
+	c.keepSpeeds(list)
 	c.machines = make(map[string]Machine, len(list))
 	for _, m := range list {
 		c.machines[m.ID] = m
