--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -49,6 +49,8 @@
 	meanUrgentWork float64
 	// estimates is what has been learned of run times and of the speeds of workers.
 	estimates *estimate.Model
+	// runTimesNotedAt is when the learned run times were last noted.
+	runTimesNotedAt time.Duration
 	// cycle caches what the current scheduling cycle has computed.
 	cycle *cycle
 	// zoneSuspectedAt is when the workers of each zone were last suspected to be unreachable
--- a/internal/core/dispatch/observe.go
+++ b/internal/core/dispatch/observe.go
@@ -126,7 +126,7 @@
 	c.estimates.ObserveProgress(now.Mono, r.worker.ID, p)
 	c.extendOutlived(now, r)
 	r.worker.speedAt = now.Mono - speedRefresh
-	c.noteSpeed(now, r.worker)
+	c.refreshSpeed(now, r.worker)
 }
 
 // extendOutlived raises the expected run time of a run that has reported no progress and has run for
@@ -150,15 +150,14 @@
 )
 
 // noteSpeed notes when w turns slow and when it has recovered.
-func (c *Core) noteSpeed(now Now, w *worker) {
-	slowdown := c.slowdown(now, w)
+func (c *Core) noteSpeed(w *worker) {
 	switch {
-	case !w.slow && slowdown >= slowFrom:
+	case !w.slow && w.slowdown >= slowFrom:
 		w.slow = true
-		c.note(Note{Kind: "worker slow", Worker: w.ID, Why: speedInputs(slowdown)})
-	case w.slow && slowdown < slowUntil:
+		c.note(Note{Kind: "worker slow", Worker: w.ID, Why: speedInputs(w.slowdown)})
+	case w.slow && w.slowdown < slowUntil:
 		w.slow = false
-		c.note(Note{Kind: "worker recovered", Worker: w.ID, Why: speedInputs(slowdown)})
+		c.note(Note{Kind: "worker recovered", Worker: w.ID, Why: speedInputs(w.slowdown)})
 	}
 }
 
@@ -170,3 +169,18 @@
 		}
 	}
 }
+
+// runTimesInterval is the interval at which the learned run times are noted.
+const runTimesInterval = time.Minute
+
+// noteRunTimes notes from time to time what has been learned of the run times of each organisation and
+// queue.
+func (c *Core) noteRunTimes(now Now) {
+	if now.Mono < c.runTimesNotedAt+runTimesInterval {
+		return
+	}
+	c.runTimesNotedAt = now.Mono
+	for _, l := range c.estimates.Learned() {
+		c.note(Note{Kind: "run times learned", Why: learnedInputs(l)})
+	}
+}
--- a/internal/core/dispatch/outcome.go
+++ b/internal/core/dispatch/outcome.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"fmt"
 	"slices"
+
+	"agatewinch/internal/core/estimate"
 )
 
 // outcomeNames are the outcomes as they appear in log lines, in the order of the constants.
@@ -23,6 +25,11 @@
 	return fmt.Sprintf("runs take %.2f times as long", slowdown)
 }
 
+// learnedInputs describes the learned run times of a kind, for its log line.
+func learnedInputs(l estimate.Learned) string {
+	return fmt.Sprintf("organisation %q, queue %q, image %q: median %.2f, nine tenths %.2f of the declared time, %d runs", l.Org, l.Queue, l.Image, l.Median, l.High, l.Runs)
+}
+
 // sortRuns orders runs by task and number.
 func sortRuns(runs []*run) {
 	slices.SortFunc(runs, func(a, b *run) int {
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -297,4 +297,5 @@
 	c.stopStalledRuns(now)
 	c.evacuate(now)
 	c.advanceWaves(now)
+	c.noteRunTimes(now)
 }
--- a/internal/core/dispatch/speed.go
+++ b/internal/core/dispatch/speed.go
@@ -22,13 +22,14 @@
 	return math.Exp2(float64(class-usualClass) / classesPerOctave)
 }
 
-// refreshSpeed updates the slowdown and the speed class of w if that is due.
+// refreshSpeed updates the slowdown and the speed class of w if that is due, and notes what it shows.
 func (c *Core) refreshSpeed(now Now, w *worker) {
 	if w.slowdown > 0 && now.Mono < w.speedAt+speedRefresh {
 		return
 	}
 	w.slowdown, w.speedAt = c.estimates.Slowdown(now.Mono, w.ID), now.Mono
 	w.speedClass = min(max(usualClass+int(math.Round(classesPerOctave*math.Log2(w.slowdown))), 0), speedClasses-1)
+	c.noteSpeed(w)
 }
 
 // slowdown returns by which factor runs on w take longer now than on a worker of usual speed.
--- a/internal/core/dispatch/speed_test.go
+++ b/internal/core/dispatch/speed_test.go
@@ -195,6 +195,12 @@
 	}
 }
 
+func TestLearnedRunTimesAreNotedFromTimeToTime(t *testing.T) {
+	h := speedHarness(t, func(int) bool { return false })
+	h.advance(2*runTimesInterval + time.Second)
+	assert.Equal(t, h.countNotes("run times learned"), 2)
+}
+
 func TestSpeedOfAMachineIsKeptAcrossItsUpkeep(t *testing.T) {
 	h := speedHarness(t, everyThird)
 	before := h.core.estimates.LastingSlowdown("w3")
