Work that would wait for workers that are not slow uses those that are free

Cause: a task or gang that could only start on a worker several times slower, or preferred it for its time to spare, waited although other workers were free, and went on waiting on a quiet fleet. Change: the choice is repeated among workers that are not slow, and on a quiet fleet nothing waits.

--- a/internal/core/dispatch/gang.go
+++ b/internal/core/dispatch/gang.go
@@ -30,9 +30,6 @@
 		}
 		return
 	}
-	if c.worthWaiting(now, s, slowestClass(workers), len(workers)) {
-		return
-	}
 	c.startGang(now, s, workers)
 }
 
@@ -70,7 +67,11 @@
 	if s.failures > 0 && (!c.avoidsFailedWorkers(now, s, s.failures, s.lastFailedAt()) || transientSlots(s, filter(p.usable, eligible)) < len(s.tasks)) {
 		eligible = func(w *worker) bool { return c.mayPlaceOn(now, s, w) }
 	}
-	return c.findGangAmong(now, s, sl, eligible)
+	workers := c.findGangAmong(now, s, sl, eligible)
+	if workers != nil && c.worthWaiting(now, s, slowestClass(workers), len(workers)) {
+		return c.findGangAmong(now, s, sl, func(w *worker) bool { return !w.isSlow() && eligible(w) })
+	}
+	return workers
 }
 
 // filter returns the eligible workers of a group.
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -115,6 +115,8 @@
 // as s allows.
 func (c *Core) bestWorker(now Now, s *step, t *task) (best *worker, atLimit bool) {
 	var bestScore float64
+	var fast *worker // the best that is not slow
+	var fastScore float64
 	need := s.spec.Charge()
 	anyRack := s.spec.DataRack == ""
 	if !anyRack {
@@ -147,9 +149,12 @@
 		if best == nil || score < bestScore {
 			best, bestScore = w, score
 		}
+		if !w.isSlow() && (fast == nil || score < fastScore) {
+			fast, fastScore = w, score
+		}
 	}
-	if best != nil && c.worthWaiting(now, s, best.speedClass, 1) {
-		return nil, atLimit
+	if best != fast && c.worthWaiting(now, s, best.speedClass, 1) {
+		return fast, atLimit
 	}
 	return best, atLimit
 }
--- a/internal/core/dispatch/speed.go
+++ b/internal/core/dispatch/speed.go
@@ -170,10 +170,14 @@
 	return class
 }
 
+// isSlow reports whether runs on w take several times longer than usual.
+func (w *worker) isSlow() bool { return slowdownOf(w.speedClass) >= slowFrom }
+
 // worthWaiting reports whether tasks of s that could start now, the slowest on a worker of the given
-// class, are expected to end sooner if they wait for workers that are not slow.
+// class, are expected to end sooner on workers that are not slow, though these may first have to come free.
+// On a quiet fleet nothing waits.
 func (c *Core) worthWaiting(now Now, s *step, class, tasks int) bool {
-	if s.speeds == nil || slowdownOf(class) < slowFrom {
+	if s.speeds == nil || slowdownOf(class) < slowFrom || c.quiet(now) {
 		return false
 	}
 	at := c.soonestFree(now, s, tasks)
@@ -190,7 +194,7 @@
 func (c *Core) soonestFree(now Now, s *step, tasks int) time.Duration {
 	var ends []time.Duration
 	for _, w := range c.poolOf(now, s).usable {
-		if slowdownOf(w.speedClass) < slowFrom {
+		if !w.isSlow() {
 			for _, slot := range w.freeSlots(now, s) {
 				ends = append(ends, slot.at)
 			}
