A new leader learns speeds from the runs that it adopts

Change: the progress of adopted runs counts from their second report on; their ends do not. Tests of the package pass.

--- a/internal/core/dispatch/observe.go
+++ b/internal/core/dispatch/observe.go
@@ -12,7 +12,7 @@
 // best-effort task depends on its pace, and a long-running task never ends.
 func (r *run) observable() bool {
 	s := r.task.step.spec
-	return !s.LongRunning && !s.BestEffort && !r.inherited && r.confirmed
+	return !s.LongRunning && !s.BestEffort && r.confirmed
 }
 
 // resumed reports whether r began with the progress that a checkpoint had saved.
--- a/internal/core/dispatch/speed_test.go
+++ b/internal/core/dispatch/speed_test.go
@@ -209,3 +209,25 @@
 	assert.Assert(t, before > 1.4)
 	assert.Equal(t, h.core.estimates.LastingSlowdown("next"), before)
 }
+
+// A new leader knows nothing of speeds. It learns them from the runs that it adopts.
+func TestNewLeaderLearnsSpeedsFromAdoptedRuns(t *testing.T) {
+	h := newHarness(t)
+	h.core.SetWorkers(h.clock(), h.fleet(4, whole))
+	j := gang("j", 1, 4, whole)
+	records := map[string]job.TaskRecord{}
+	for i := range 4 {
+		id := job.TaskID{Job: "j", Index: i}
+		records[id.String()] = job.TaskRecord{Run: 1, Worker: fmt.Sprintf("w%d", i), Incarnation: 1, Active: true, Started: true}
+	}
+	h.core.AddJob(h.clock(), j, records)
+	h.flush()
+	for percent := 20; percent <= 60; percent += 20 {
+		h.now += 2 * time.Second
+		h.report("w0", percent/2)
+		for i := 1; i < 4; i++ {
+			h.report(fmt.Sprintf("w%d", i), percent)
+		}
+	}
+	assert.Assert(t, h.core.estimates.LastingSlowdown("w0") > 1.2*h.core.estimates.LastingSlowdown("w1"))
+}
