The model's memory of progress follows from the interval of reports

Change: NewModel takes the interval at which workers report, and the least observed interval and the time after which progress is forgotten are multiples of it; with the platform's two seconds they are as before.

--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -76,7 +76,7 @@
 // New returns a core without jobs and workers. This process becomes the leader at now: leases
 // of former leaders are assumed to last for up to Settings.inheritedLease from then on.
 func New(now Now, set Settings) *Core {
-	c := &Core{settings: set, inheritedUntil: now.Mono + set.inheritedLease(), jobs: map[string]*trackedJob{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, zoneSuspectedAt: map[string]time.Duration{}, cycle: newCycle(), estimates: estimate.NewModel()}
+	c := &Core{settings: set, inheritedUntil: now.Mono + set.inheritedLease(), jobs: map[string]*trackedJob{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, zoneSuspectedAt: map[string]time.Duration{}, cycle: newCycle(), estimates: estimate.NewModel(set.ProbeWait)}
 	c.openBatch()
 	return c
 }
--- a/internal/core/estimate/model.go
+++ b/internal/core/estimate/model.go
@@ -48,16 +48,18 @@
 
 // Model is what has been observed of run times and speeds. It is not safe for concurrent use.
 type Model struct {
-	distributions map[key]*distribution
-	scratch       *hdrhistogram.Histogram
-	fleet         *fleet
+	reportInterval time.Duration
+	distributions  map[key]*distribution
+	scratch        *hdrhistogram.Histogram
+	fleet          *fleet
 	// groups holds the progress of the groups that run, by name.
 	groups map[string]*group
 }
 
-// NewModel returns a model without observations.
-func NewModel() *Model {
-	return &Model{distributions: map[key]*distribution{}, scratch: hdrhistogram.New(1, maxRecorded, ratioDigits), fleet: newFleet(), groups: map[string]*group{}}
+// NewModel returns a model without observations. Workers report the progress of their runs about once in
+// reportInterval.
+func NewModel(reportInterval time.Duration) *Model {
+	return &Model{reportInterval: reportInterval, distributions: map[key]*distribution{}, scratch: hdrhistogram.New(1, maxRecorded, ratioDigits), fleet: newFleet(), groups: map[string]*group{}}
 }
 
 // End is the end of a run that is done.
--- a/internal/core/estimate/model_test.go
+++ b/internal/core/estimate/model_test.go
@@ -24,7 +24,7 @@
 }
 
 func TestDeclaredTimeHoldsWhileNothingIsKnown(t *testing.T) {
-	m := NewModel()
+	m := NewModel(2 * time.Second)
 	assert.Equal(t, m.RunTime(build, declared, 0.5), declared)
 	assert.Equal(t, m.RunTime(build, 0, 0.9), time.Duration(0))
 	assert.Equal(t, m.Slowdown(0, "m"), 1.0)
@@ -34,7 +34,7 @@
 
 // One site's tail is three in a hundred runs at seven times the usual time.
 func TestTailOfRunTimesIsKnownBesideTheMedian(t *testing.T) {
-	m := NewModel()
+	m := NewModel(2 * time.Second)
 	for i := range 400 {
 		ran := declared / 2
 		if i%33 == 0 {
@@ -53,7 +53,7 @@
 }
 
 func TestKindOfFewRunsSharesTheDistributionOfACoarserOne(t *testing.T) {
-	m := NewModel()
+	m := NewModel(2 * time.Second)
 	other := build
 	other.Org = "other"
 	for i := range 100 {
@@ -115,7 +115,7 @@
 }
 
 func TestLastingSpeedsAreLearnedFromEnds(t *testing.T) {
-	m := NewModel()
+	m := NewModel(2 * time.Second)
 	play(m, 600)
 	slow, other := meanSlowdowns(m)
 	near(t, slow/other, 1.6, 0.1)
@@ -124,7 +124,7 @@
 // The members of a gang have the same work, so that their progress tells the speeds of their machines
 // even where the declared times say little.
 func TestLastingSpeedsAreLearnedFromTheMembersOfGangs(t *testing.T) {
-	m := NewModel()
+	m := NewModel(2 * time.Second)
 	playGangs(m, 100)
 	slow, other := meanSlowdowns(m)
 	near(t, slow/other, 1.6, 0.1)
@@ -133,7 +133,7 @@
 
 // The tasks of a step share the error of their declared time, which must not count once for each of them.
 func TestStepWithAnErrorInItsDeclaredTimeDoesNotBrandMachines(t *testing.T) {
-	m := NewModel()
+	m := NewModel(2 * time.Second)
 	play(m, 600)
 	for n := range 12 {
 		for i := range 3 {
@@ -147,7 +147,7 @@
 }
 
 func TestOneLongRunDoesNotBrandAMachine(t *testing.T) {
-	m := NewModel()
+	m := NewModel(2 * time.Second)
 	play(m, 600)
 	m.ObserveEnd(6*time.Second, build, "m1", declared, 7*declared)
 	assert.Assert(t, m.Slowdown(6*time.Second, "m1") < 1.2, "%.2f", m.Slowdown(6*time.Second, "m1"))
@@ -165,7 +165,7 @@
 }
 
 func TestSlowMachineIsFoundAndForgotten(t *testing.T) {
-	m := NewModel()
+	m := NewModel(2 * time.Second)
 	play(m, 600)
 	p := report(m, "a", 0, 0, 4*time.Second, 0, 1)
 	near(t, m.Slowdown(4*time.Second, "m"), 1, 0.25)
@@ -179,7 +179,7 @@
 
 // A member that falls behind the others of its gang shows that its machine is slow, and theirs are not.
 func TestSlowMemberOfAGangIsFoundByItsReports(t *testing.T) {
-	m := NewModel()
+	m := NewModel(2 * time.Second)
 	playGangs(m, 100)
 	now := 10 * time.Second
 	for n, percent := range []int{4, 20, 21, 20} {
@@ -191,7 +191,7 @@
 }
 
 func TestSpeedOfAMachineIsKnownUnderItsNextWorker(t *testing.T) {
-	m := NewModel()
+	m := NewModel(2 * time.Second)
 	play(m, 600)
 	before := m.LastingSlowdown("m3")
 	m.Continue("m3", "n3")
@@ -200,7 +200,7 @@
 }
 
 func TestMemoryIsBounded(t *testing.T) {
-	m := NewModel()
+	m := NewModel(2 * time.Second)
 	for i := range maxMachines + 100 {
 		m.ObserveEnd(time.Duration(i), Kind{Org: fmt.Sprint(i)}, fmt.Sprint("m", i), declared, declared)
 	}
--- a/internal/core/estimate/progress.go
+++ b/internal/core/estimate/progress.go
@@ -52,16 +52,16 @@
 }
 
 const (
-	// minProgressTime is the least length of an interval: progress is reported in whole percents.
-	minProgressTime = time.Second
+	// minInterval is the least length of an observed interval, in report intervals: progress is reported in
+	// whole percents.
+	minInterval = 0.5
 	// ownSlowdown is by how many octaves a percent must take longer than an earlier one of the same run
 	// for their comparison to say more than one with other runs of the kind.
 	ownSlowdown = 1.0
-	// progressMemory is the time after which observed progress counts for 1/e: workers report about every
-	// two seconds, and an interval between two reports decides until the next one.
-	progressMemory = 4 * time.Second
-	// forgottenProgress is the age from which observed progress does not count at all.
-	forgottenProgress = 3 * progressMemory
+	// progressMemory is the time, in report intervals, after which observed progress counts for 1/e: an
+	// interval decides until the next report. From forgottenProgress on it does not count at all.
+	progressMemory    = 2.0
+	forgottenProgress = 6.0
 	// complete is the progress of a run that is done or waits for the rest of its gang: it has taken an
 	// unknown part of the time.
 	complete = 100
@@ -76,9 +76,9 @@
 		return
 	}
 	mc := m.fleet.see(now, machine)
-	mc.dropOldProgress(now)
+	mc.dropOldProgress(now, m.intervals(forgottenProgress))
 	r := mc.progressOf(p)
-	if !r.begin(now, p) || now-r.from < minProgressTime {
+	if !r.begin(now, p) || now-r.from < m.intervals(minInterval) {
 		return
 	}
 	percents := r.observe(now, p)
@@ -89,6 +89,11 @@
 	}
 }
 
+// intervals returns the length of a number of report intervals.
+func (m *Model) intervals(n float64) time.Duration {
+	return time.Duration(n * float64(m.reportInterval))
+}
+
 // usualPercent returns the base-2 logarithm of the time in nanoseconds that a percent of a run usually
 // takes on a machine, and its standard deviation.
 func (m *Model) usualPercent(p Progress, mc *machine) (octaves, spread float64) {
@@ -156,20 +161,21 @@
 	}
 }
 
-// dropOldProgress drops the runs that have not been reported for forgottenProgress.
-func (m *machine) dropOldProgress(now time.Duration) {
-	m.recent = slices.DeleteFunc(m.recent, func(r recentProgress) bool { return now-max(r.at, r.from) > forgottenProgress })
+// dropOldProgress drops the runs that have not been reported for the given time.
+func (m *machine) dropOldProgress(now, age time.Duration) {
+	m.recent = slices.DeleteFunc(m.recent, func(r recentProgress) bool { return now-max(r.at, r.from) > age })
 }
 
 // present returns by which factor a machine is slower now than it lastingly is, at least one: the mean
-// over all factors, each weighted by its probability given the newest progress of each run.
-func (m *machine) present(now time.Duration) float64 {
+// over all factors, each weighted by its probability given the newest progress of each run, which fades with
+// memory.
+func (m *machine) present(now, memory time.Duration) float64 {
 	var evidence weights
 	observed := false
 	for i := range m.recent {
 		r := &m.recent[i]
-		if age := now - r.at; r.at >= 0 && age < forgottenProgress && !m.sharesError(i) {
-			r.addEvidence(&evidence, math.Exp(-age.Seconds()/progressMemory.Seconds()))
+		if age := now - r.at; r.at >= 0 && age < memory*forgottenProgress/progressMemory && !m.sharesError(i) {
+			r.addEvidence(&evidence, math.Exp(-age.Seconds()/memory.Seconds()))
 			observed = true
 		}
 	}
@@ -236,7 +242,7 @@
 	if mc == nil {
 		return 1
 	}
-	return mc.lasting * mc.present(now)
+	return mc.lasting * mc.present(now, m.intervals(progressMemory))
 }
 
 // LastingSlowdown is Slowdown without slowness that may pass.
