--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -23,7 +23,7 @@
 		c.setRackPositions()
 	}
 	c.racksIndexed = false
-	c.evacuate(now)
+	c.stopLeaving(now)
 	for _, w := range c.sortedWorkers {
 		if w.listed && !present[w.ID] {
 			w.listed = false
@@ -66,6 +66,7 @@
 	w.ClockMs, w.clockAt = clockMs, clockAt
 	w.listed, w.entryRead = true, true
 	w.setLeaveTime(now)
+	w.setCold(now)
 	clear(w.labels)
 	for _, l := range info.Labels {
 		w.labels[l] = true
@@ -295,7 +296,7 @@
 		}
 	}
 	c.stopStalledRuns(now)
-	c.evacuate(now)
+	c.stopLeaving(now)
 	c.advanceWaves(now)
 	c.noteRunTimes(now)
 }
