The risk of being late weighs as much in a score as it does in preemption

Cause: a place where the job is certainly late counted like one off the rack with the data, for any work. A tenth of that risk outweighed the separation of urgent work from work that loses its progress. Change: the score of lateness is the loss that preemption accepts to avoid it (urgentLoss for urgent work, half of a task's work otherwise), converted at the rate at which packing is weighed in both.

--- a/internal/core/dispatch/preempt.go
+++ b/internal/core/dispatch/preempt.go
@@ -90,7 +90,6 @@
 		return false
 	}
 	s.nextPreemptAt = nextPreemption(now.Mono)
-	c.rateSpeeds(now, s)
 	p := c.poolOf(now, s)
 	if len(p.usable) == 0 {
 		return false
@@ -245,7 +244,7 @@
 	for i := range search.candidates {
 		k := &search.candidates[i]
 		search.index[k.worker] = i
-		k.packing, k.left = packingLoss*k.worker.nonUrgentShare(need)+s.speedLoss(k.worker), leftover(k.worker, need)
+		k.packing, k.left = packingLoss*k.worker.nonUrgentShare(need), leftover(k.worker, need)
 		if s.spec.MaxPerWorker > 0 {
 			k.placed = s.countOnWorker(k.worker)
 		}
--- a/internal/core/dispatch/speed.go
+++ b/internal/core/dispatch/speed.go
@@ -45,6 +45,8 @@
 	// risk is the probability that a task which starts now makes its job miss the latency objective, and
 	// spare, for work that is not urgent, the part of the time allowed for it that it would not need.
 	risk, spare [speedClasses]float64
+	// lateScore is the score of a place where the task makes its job late for certain.
+	lateScore float64
 }
 
 // rateSpeeds determines, once in a cycle, how the slowdowns of workers affect s. While nothing is known
@@ -63,7 +65,7 @@
 	}
 	expected := times.Median()
 	allowed := c.slack(now, s) + expected
-	sp := &speeds{expected: expected}
+	sp := &speeds{expected: expected, lateScore: scoreOfLoss * c.lateLoss(now, s)}
 	for _, class := range c.cycle.speedClasses {
 		slowdown := slowdownOf(class)
 		sp.risk[class] = times.Risk(time.Duration(float64(allowed) / slowdown))
@@ -74,8 +76,17 @@
 	s.speeds = sp
 }
 
-// lateScore is added for a task that makes its job late for certain: no place is worse.
-const lateScore = offRackScore
+// lateLoss is what is accepted as a loss to others, in core-seconds, to keep a task of s from being late.
+func (c *Core) lateLoss(now Now, s *step) float64 {
+	if s.job.spec.Priority == urgentPriority {
+		return urgentLoss
+	}
+	return maxLossWhenLate * s.spec.Need.Cores() * c.expectedRunTime(now, s, nil).Seconds()
+}
+
+// scoreOfLoss is the score of a loss of one core-second: that at which packing urgent work is weighed
+// against the loss of runs.
+const scoreOfLoss = packWeight / packingLoss
 
 // speedScore is the part of the score of w that follows from its slowdown: the risk of being late and,
 // as in best fit, the time to spare, so that slow workers get the work that can wait.
@@ -86,15 +97,7 @@
 	return s.speeds.score(w.speedClass)
 }
 
-func (sp *speeds) score(class int) float64 { return lateScore*sp.risk[class] + sp.spare[class] }
-
-// speedLoss is what a task of s loses on w, in core-seconds, if it is urgent and then late.
-func (s *step) speedLoss(w *worker) float64 {
-	if s.speeds == nil || s.job.spec.Priority != urgentPriority {
-		return 0
-	}
-	return urgentLoss * s.speeds.risk[w.speedClass]
-}
+func (sp *speeds) score(class int) float64 { return sp.lateScore*sp.risk[class] + sp.spare[class] }
 
 // refreshSpeeds updates the speed classes of all workers at the beginning of a cycle.
 func (c *Core) refreshSpeeds(now Now) {
