--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"agatewinch/internal/core/estimate"
 	"agatewinch/internal/core/job"
 )
 
@@ -52,6 +53,10 @@
 	lastArrival time.Duration
 	// meanUrgentWork is the moving average of the work of urgent jobs, in core-seconds.
 	meanUrgentWork float64
+	// estimates is what has been learned of run times and of the speeds of workers.
+	estimates *estimate.Model
+	// runTimesNotedAt is when the learned run times were last noted.
+	runTimesNotedAt time.Duration
 	// cycle caches what the current scheduling cycle has computed.
 	cycle *cycle
 	// evacuation says where nothing may start.
@@ -79,7 +84,7 @@
 // New returns a core without jobs and workers. This process becomes the leader at now: leases
 // of former leaders are assumed to last for up to Settings.inheritedLease from then on.
 func New(now Now, set Settings) *Core {
-	c := &Core{settings: set, inheritedUntil: now.Mono + set.inheritedLease(), knownLeasesUntil: now.Mono + set.FormerLeaseTime + leaseExpiryMargin, leasesUntil: math.MaxInt64, jobs: map[string]*trackedJob{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, zoneSuspectedAt: map[string]time.Duration{}, cycle: newCycle()}
+	c := &Core{settings: set, inheritedUntil: now.Mono + set.inheritedLease(), knownLeasesUntil: now.Mono + set.FormerLeaseTime + leaseExpiryMargin, leasesUntil: math.MaxInt64, jobs: map[string]*trackedJob{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, zoneSuspectedAt: map[string]time.Duration{}, cycle: newCycle(), estimates: estimate.NewModel(set.ProbeWait)}
 	c.openBatch()
 	return c
 }
@@ -348,6 +353,7 @@
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			c.dropPlan(s)
+			c.estimates.ForgetGroup(s.name())
 			for _, t := range s.tasks {
 				delete(c.tasks, t.id.String())
 				for _, p := range slices.Clone(t.presumed) {
