Expected run times are kept for a second

Cause: with 2,000 waiting steps a refresh every 250 ms looked up 2,000 distributions, some 0.1 ms for a cycle.

--- a/internal/core/dispatch/estimate.go
+++ b/internal/core/dispatch/estimate.go
@@ -8,7 +8,7 @@
 
 // expectedRefresh is how long the expected run time of a step is kept: it changes little in that time, and
 // there may be thousands of steps.
-const expectedRefresh = 250 * time.Millisecond
+const expectedRefresh = time.Second
 
 // kind returns what the tasks of s have in common with others whose run times tell about theirs.
 func (s *step) kind() estimate.Kind {
