--- a/internal/core/dispatch/gang.go
+++ b/internal/core/dispatch/gang.go
@@ -61,12 +61,17 @@
 	if s.spec.SameRack && s.spec.DataRack == "" && sl.rackFree < len(s.tasks) && sl.rackCapacity >= len(s.tasks) && c.waitsForRack(now, s) {
 		return nil
 	}
+	c.rateSpeeds(now, s)
 	p := c.poolOf(now, s)
 	eligible := func(w *worker) bool { return c.mayPlaceOn(now, s, w) && !s.hasFailedOn(w) }
 	if s.failures > 0 && (!c.avoidsFailedWorkers(now, s, s.failures, s.lastFailedAt()) || transientSlots(s, filter(p.usable, eligible)) < len(s.tasks)) {
 		eligible = func(w *worker) bool { return c.mayPlaceOn(now, s, w) }
 	}
-	return c.findGangAmong(now, s, sl, eligible)
+	workers := c.findGangAmong(now, s, sl, eligible)
+	if workers != nil && c.worthWaiting(now, s, slowestClass(workers), len(workers)) {
+		return c.findGangAmong(now, s, sl, func(w *worker) bool { return !w.isSlow() && eligible(w) })
+	}
+	return workers
 }
 
 // filter returns the eligible workers of a group.
@@ -125,6 +130,9 @@
 		for _, w := range group {
 			total += s.score(w, job.Resources{})
 		}
+		if s.speeds != nil {
+			total += float64(len(group)) * s.speeds.score(slowestClass(workers))
+		}
 		if best == nil || total < bestTotal {
 			best, bestTotal = workers, total
 		}
@@ -140,7 +148,7 @@
 
 // waitsForRack reports whether a gang should keep waiting for a rack that could hold all of it.
 func (c *Core) waitsForRack(now Now, s *step) bool {
-	until := s.readySince + c.rackWait(now, c.spreadWait(s))
+	until := s.readySince + c.rackWait(now, c.spreadWait(now, s))
 	if now.Mono >= until {
 		return false
 	}
@@ -162,11 +170,11 @@
 // spreadWait is how long a gang waits for one rack before it runs on several, where it takes
 // SpreadFactor times as long: the time that it would lose there, up to maxSpreadWait. An urgent
 // gang waits for urgentSpreadWait.
-func (c *Core) spreadWait(s *step) time.Duration {
+func (c *Core) spreadWait(now Now, s *step) time.Duration {
 	if s.job.spec.Priority == urgentPriority {
 		return urgentSpreadWait
 	}
-	return min(time.Duration(float64(s.spec.Estimate)*(c.settings.SpreadFactor-1)), maxSpreadWait)
+	return min(time.Duration(float64(c.expectedRunTime(now, s, nil))*(c.settings.SpreadFactor-1)), maxSpreadWait)
 }
 
 const (
@@ -230,8 +238,12 @@
 	if capacity < len(s.tasks) {
 		return nil
 	}
+	order := s.byScore(group)
+	if s.speeds != nil {
+		return s.assignAtLikeSpeed(order, s.speedsIn.speedClasses)
+	}
 	var workers []*worker
-	for _, o := range s.byScore(group) {
+	for _, o := range order {
 		for range timesFit(o.worker.free(), need, s.spec.MaxPerWorker) {
 			workers = append(workers, o.worker)
 			if len(workers) == len(s.tasks) {
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -175,12 +175,14 @@
 	switch end {
 	case job.EndDone:
 		r.worker.health.recordSuccess()
+		c.observeDone(now, r)
 		c.markDone(now, t)
 	case job.EndFailed:
 		c.recordFailure(now, t, r.worker, r.number)
 	case job.EndLeaseExpired, job.EndGangTimeout:
 		t.notBefore = now.Mono + placementDelay
 	}
+	c.forgetProgress(r)
 	if s.spec.Gang && end != job.EndDone && !t.done {
 		s.gangEnds.record(r.number, end)
 		c.breakGang(now, s, r.number)
@@ -295,4 +297,5 @@
 	c.stopStalledRuns(now)
 	c.evacuate(now)
 	c.advanceWaves(now)
+	c.noteRunTimes(now)
 }
