Ends of runs that may be on a worker's next incarnation are waited for; leases expire between ticks

Cause: the end of a gang's member on a silent worker is presumed. When the worker's next incarnation began, the presumed end was dropped, though a start that the previous one has not listed may have reached the next one, which then lists a failure: it was acknowledged without being counted (BUDGET). Runs of lost workers ended only at the tick after their leases had expired.

Change: such a presumed end is kept until the next incarnation answers or its lease expires, also after a takeover (the record says whether the run was listed). Leases on workers that do not answer wake the core when they expire.

Copies: a task of a step with speculative gets a second run, on another rack and from capacity that nobody waits for, when its run takes far longer than its kind, or its worker is slow, silent or leaving; the first end counts and the other run is stopped. The task's record names both runs; an older version reads the first. Other tasks with checkpoints are moved from slow workers where that gains.

--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -19,7 +19,9 @@
 	knownLeasesUntil time.Duration
 	// leasesUntil is the latest time to which leases may last; see LimitLeases.
 	leasesUntil time.Duration
-	jobs        map[string]*trackedJob
+	// nextExpiry is when the next leases expire on workers that do not answer; zero if there are none.
+	nextExpiry time.Duration
+	jobs       map[string]*trackedJob
 	// seq is the number of jobs added so far.
 	seq     int
 	workers map[string]*worker
@@ -53,6 +55,14 @@
 	lastArrival time.Duration
 	// meanUrgentWork is the moving average of the work of urgent jobs, in core-seconds.
 	meanUrgentWork float64
+	// copyResults counts how copies ended, by the reason for which they were placed.
+	copyResults map[stragglerReason]copyResults
+	// copies is the number of copies that run. stragglersDue is set if the next full cycle has to consider
+	// stragglers.
+	copies        int
+	stragglersDue bool
+	// workWaits is set if steps still waited for capacity after the last full cycle.
+	workWaits bool
 	// estimates is what has been learned of run times and of the speeds of workers.
 	estimates *estimate.Model
 	// runTimesNotedAt is when the learned run times were last noted.
@@ -82,7 +92,7 @@
 // New returns a core without jobs and workers. This process becomes the leader at now: leases
 // of former leaders are assumed to last for up to Settings.inheritedLease from then on.
 func New(now Now, set Settings) *Core {
-	c := &Core{settings: set, inheritedUntil: now.Mono + set.inheritedLease(), knownLeasesUntil: now.Mono + set.FormerLeaseTime + leaseExpiryMargin, leasesUntil: math.MaxInt64, jobs: map[string]*trackedJob{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, zoneSuspectedAt: map[string]time.Duration{}, cycle: newCycle(), estimates: estimate.NewModel()}
+	c := &Core{settings: set, inheritedUntil: now.Mono + set.inheritedLease(), knownLeasesUntil: now.Mono + set.FormerLeaseTime + leaseExpiryMargin, leasesUntil: math.MaxInt64, jobs: map[string]*trackedJob{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, zoneSuspectedAt: map[string]time.Duration{}, cycle: newCycle(), copyResults: map[stragglerReason]copyResults{}, estimates: estimate.NewModel()}
 	c.openBatch()
 	return c
 }
@@ -147,7 +157,7 @@
 	if !ok {
 		return
 	}
-	t.latestRun, t.failures, t.checkpoint, t.started = r.Run, r.Failures, r.Checkpoint, r.Started
+	t.failures, t.checkpoint, t.started = r.Failures, r.Checkpoint, r.Started
 	if t.step.spec.Gang {
 		t.step.latestRun = max(t.step.latestRun, r.Run)
 		t.step.failures = max(t.step.failures, r.Failures)
@@ -162,15 +172,7 @@
 		t.step.done++
 	}
 	c.restorePresumed(now, t, r.Presumed)
-	if r.Active {
-		w, ended := c.workerFor(now, r.Worker, r.Incarnation)
-		active := &run{task: t, number: r.Run, worker: w, phase: adopted, inherited: true, need: t.step.spec.Charge(), placedAt: now.Mono, percentAt: now.Mono, checkpoint: r.Checkpoint, pacing: pacing{percent: unknownPace}}
-		c.addRun(active)
-		c.inheritLease(active, r.LeaseLimited, ended)
-		if ended {
-			c.stop(now, active, "worker restarted")
-		}
-	}
+	c.restoreRuns(now, t, r)
 }
 
 // AddEndedJob adds a job that has ended, if some of its runs have not.
@@ -223,7 +225,9 @@
 
 func (c *Core) addRun(r *run) {
 	c.hazard.advance(r.placedAt)
-	r.task.current = r
+	if r.task.attach(r) {
+		c.copies++
+	}
 	r.worker.runs[r] = true
 	r.worker.adjustRunCounts(r.task.step, 1)
 	r.worker.used = r.worker.used.Plus(r.need)
@@ -257,8 +261,8 @@
 	r.task.step.activeRuns--
 	c.countExposed(r.task.step, -1)
 	r.worker.runsByEnd, r.worker.runsByTask = nil, nil
-	if r.task.current == r {
-		r.task.current = nil
+	if r.task.detach(r) {
+		c.copies--
 	}
 	c.inputsChanged = true
 	c.urgentMayStart = c.urgentMayStart || r.phase == stopping // urgent work may be waiting for these resources
@@ -280,8 +284,8 @@
 		for _, s := range o.steps {
 			c.dropPlan(s)
 			for _, t := range s.tasks {
-				if t.current != nil && !t.done {
-					c.stop(now, t.current, why)
+				if !t.done {
+					c.stopRuns(now, t, why)
 				}
 			}
 		}
@@ -394,9 +398,7 @@
 	if t.step.spec.Gang {
 		r.Failures, r.FailedRuns = t.step.failures, slices.Clone(t.step.failedRuns)
 	}
-	if t.current != nil {
-		r.Active, r.Worker, r.Incarnation, r.LeaseLimited = true, t.current.worker.ID, t.current.worker.Incarnation, t.current.leaseLimited
-	}
+	t.recordRuns(&r)
 	return r
 }
 
@@ -454,6 +456,7 @@
 
 // TakeActions runs a scheduling cycle if one is due, and returns the calls to send.
 func (c *Core) TakeActions(now Now) Actions {
+	c.expireLeasesIfDue(now)
 	kind := c.cycleDue(now)
 	if kind != noCycle {
 		c.urgentMayStart, c.lastCycleAt = false, now.Mono
--- a/internal/core/dispatch/evacuate.go
+++ b/internal/core/dispatch/evacuate.go
@@ -11,7 +11,7 @@
 			continue
 		}
 		for _, r := range c.runsOf(w) {
-			if !r.endsBefore(w.leavesAt) && r.phase == running && !r.task.done {
+			if !r.endsBefore(w.leavesAt) && r.phase == running && !r.task.done && !c.waitForCopy(now, r) {
 				c.stop(now, r, "worker leaves")
 				if r.task.step.spec.Gang {
 					c.breakGang(now, r.task.step, r.number)
--- a/internal/core/dispatch/gangend.go
+++ b/internal/core/dispatch/gangend.go
@@ -48,7 +48,7 @@
 		return
 	}
 	c.note(Note{Kind: "end inferred", Task: r.task.id.String(), Run: r.number, Worker: r.worker.ID, Why: "all other members of the gang ended as broken"})
-	r.task.addPresumed(now, r.worker, r.number)
+	r.task.addPresumed(now, r.worker, r.number, r.listed || r.leaseLimited)
 	c.endRun(now, r, job.EndLost, r.checkpoint)
 }
 
--- a/internal/core/dispatch/gangend_test.go
+++ b/internal/core/dispatch/gangend_test.go
@@ -273,3 +273,27 @@
 	assert.Equal(t, s.failures, 2)
 	assert.DeepEqual(t, s.tasks[1].record().FailedRuns, []int{2, 1})
 }
+
+// Guards against a run too many: the start of a run that its worker has not listed may have reached the
+// worker's next incarnation, which lists how the run ended there.
+func TestFailureInTheNextIncarnationCountsIfTheEndWasPresumed(t *testing.T) {
+	h := newHarness(t)
+	list := h.fleet(4, whole)
+	h.core.SetWorkers(h.clock(), list)
+	h.add(gang("g", 1, 3, whole))
+	starts := h.accept()
+	missing := starts[2]
+	h.probeUnanswered(missing.Worker)
+	h.endRun(starts[0], job.EndBroken)
+	h.endRun(starts[1], job.EndBroken)
+	for i := range list {
+		if list[i].ID == missing.Worker {
+			list[i].Incarnation = 2
+		}
+	}
+	h.core.SetWorkers(h.clock(), list)
+	h.flush()
+	h.advance(probeRetry)
+	h.answerProbe(missing.Worker, WorkerReport{Incarnation: 2, ClockMs: 5, Ended: []EndedRun{{Number: 1, Task: missing.Task.String(), Run: 1, End: job.EndFailed}}})
+	assert.Equal(t, h.core.jobs["g"].occurrences[0].steps[0].failures, 1)
+}
--- a/internal/core/dispatch/incarnation.go
+++ b/internal/core/dispatch/incarnation.go
@@ -48,7 +48,7 @@
 	w.appliedEnd, w.recordedEnd, w.ackedEnd = 0, 0, 0
 	w.answered, w.epochAccepted, w.unansweredCalls = false, false, 0
 	c.inputsChanged = true
-	c.resolveAll(w)
+	c.resolveListed(w)
 	for _, r := range c.runsOf(w) {
 		unsent := r.phase == recording || r.phase == stopping && !r.stopSent
 		if r.listed || r.leaseLimited || unsent {
--- a/internal/core/dispatch/lease.go
+++ b/internal/core/dispatch/lease.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"agatewinch/internal/core/job"
+)
 
 // probesPerLease is how many probes that wait as long as they may fit into the rest of a lease, so that it is
 // extended in time after one that was not answered.
@@ -54,3 +58,36 @@
 	r.leaseLimited = true
 	c.record(r.task)
 }
+
+// leasesExpireAt returns when every lease that may cover r has certainly expired.
+func (r *run) leasesExpireAt() time.Duration { return max(r.worker.leasesExpireAt(), r.inheritedUntil) }
+
+// expireLeases ends the runs whose leases have expired, and notes when the next ones do on workers that do
+// not answer.
+func (c *Core) expireLeases(now Now) {
+	c.nextExpiry = 0
+	for _, w := range c.sortedWorkers {
+		if len(w.presumed) > 0 && (w.leaseUntilMs > 0 || w.inheritedUntil > 0) && now.Mono > w.leasesExpireAt() {
+			c.resolveAll(w) // ends that a worker lists after its lease has expired do not count
+		}
+		for _, r := range c.runsOf(w) {
+			switch at := r.leasesExpireAt(); {
+			case r.phase == recording:
+			case now.Mono > at:
+				c.endRun(now, r, job.EndLost, r.checkpoint)
+			case w.unreachable() && (c.nextExpiry == 0 || at < c.nextExpiry):
+				c.nextExpiry = at
+			}
+		}
+	}
+	if c.nextExpiry > 0 {
+		c.wakeAt(now, c.nextExpiry+time.Millisecond)
+	}
+}
+
+// expireLeasesIfDue does so when the first leases expire, between two ticks.
+func (c *Core) expireLeasesIfDue(now Now) {
+	if c.nextExpiry > 0 && now.Mono > c.nextExpiry {
+		c.expireLeases(now)
+	}
+}
--- a/internal/core/dispatch/presumed.go
+++ b/internal/core/dispatch/presumed.go
@@ -16,23 +16,26 @@
 	task   *task
 	run    int
 	worker *worker
+	// listed is set if the incarnation on which the run was placed is known to have had it. Otherwise its start
+	// may have reached the next one, which then lists the end.
+	listed bool
 	// at is when the end was inferred or, after a takeover, when it was read from the log.
 	at time.Duration
 }
 
-// addPresumed adds the presumed end of a run on the current incarnation of w.
-func (t *task) addPresumed(now Now, w *worker, number int) {
-	p := &presumedEnd{task: t, run: number, worker: w, at: now.Mono}
+// addPresumed adds the presumed end of a run on w.
+func (t *task) addPresumed(now Now, w *worker, number int, listed bool) {
+	p := &presumedEnd{task: t, run: number, worker: w, listed: listed, at: now.Mono}
 	t.presumed = append(t.presumed, p)
 	w.presumed = append(w.presumed, p)
 }
 
-// restorePresumed adds the presumed ends that the record of t lists, except those of incarnations
-// that are over: nobody lists these any more.
+// restorePresumed adds the presumed ends that the record of t lists, except those of runs that were on
+// incarnations that are over: nobody lists these any more.
 func (c *Core) restorePresumed(now Now, t *task, ends []job.PresumedEnd) {
 	for _, e := range ends {
-		if w, ended := c.workerFor(now, e.Worker, e.Incarnation); !ended {
-			t.addPresumed(now, w, e.Run)
+		if w, ended := c.workerFor(now, e.Worker, e.Incarnation); !ended || !e.Listed {
+			t.addPresumed(now, w, e.Run, e.Listed)
 		}
 	}
 }
@@ -41,7 +44,7 @@
 func (t *task) presumedRecords() []job.PresumedEnd {
 	var out []job.PresumedEnd
 	for _, p := range t.presumed {
-		out = append(out, job.PresumedEnd{Run: p.run, Worker: p.worker.ID, Incarnation: p.worker.Incarnation})
+		out = append(out, job.PresumedEnd{Run: p.run, Worker: p.worker.ID, Incarnation: p.worker.Incarnation, Listed: p.listed})
 	}
 	return out
 }
@@ -54,7 +57,16 @@
 	c.inputsChanged = true // its step may have waited for the outcome
 }
 
-// resolveAll resolves the presumed ends on w: its lease has expired, or a new incarnation has begun.
+// resolveListed resolves the presumed ends of runs that the previous incarnation of w is known to have had.
+func (c *Core) resolveListed(w *worker) {
+	for _, p := range slices.Clone(w.presumed) {
+		if p.listed {
+			c.resolve(p)
+		}
+	}
+}
+
+// resolveAll resolves the presumed ends on w: its lease has expired.
 func (c *Core) resolveAll(w *worker) {
 	for _, p := range slices.Clone(w.presumed) {
 		c.resolve(p)
--- a/internal/core/dispatch/probe.go
+++ b/internal/core/dispatch/probe.go
@@ -72,8 +72,8 @@
 		if t == nil {
 			continue
 		}
-		if t.current != nil && t.current.number == e.Run && t.current.worker == w {
-			c.endRun(now, t.current, e.End, e.Checkpoint)
+		if r := t.runOn(w, e.Run); r != nil {
+			c.endRun(now, r, e.End, e.Checkpoint)
 			continue
 		}
 		c.applyLateEnd(now, t, w, e)
@@ -89,9 +89,7 @@
 		return
 	}
 	if e.End == job.EndDone && !t.done && !t.step.spec.Gang && !t.step.job.cancelledOrEnded() {
-		if t.current != nil {
-			c.stop(now, t.current, "done by another run")
-		}
+		c.stopRuns(now, t, "done by another run")
 		c.markDone(now, t)
 		c.record(t) // the batch that acknowledges the end has to contain the result
 		c.checkDone(now, t.step.job)
@@ -104,11 +102,14 @@
 	listed := make(map[*run]bool, len(rows))
 	for _, row := range rows {
 		t := c.tasks[row.Task]
-		if t == nil || t.current == nil || t.current.number != row.Run || t.current.worker != w {
+		var r *run
+		if t != nil {
+			r = t.runOn(w, row.Run)
+		}
+		if r == nil {
 			c.stopOrphan(now, w, row)
 			continue
 		}
-		r := t.current
 		if !r.listed {
 			r.firstPercent, r.firstPercentAt = row.Percent, now.Mono
 		}
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -168,15 +168,17 @@
 	if r.startPending && !r.listed {
 		r.worker.addLateStart(now, r)
 	}
-	if checkpoint != "" {
+	if checkpoint != "" && (t.current == nil || t.current.percent <= r.percent) {
 		t.checkpoint = checkpoint
 	}
 	c.note(Note{Kind: "run ended", Task: t.id.String(), Run: r.number, Worker: r.worker.ID, Why: string(end)})
+	c.countCopy(r, end)
 	switch end {
 	case job.EndDone:
 		r.worker.health.recordSuccess()
 		c.observeDone(now, r)
 		c.markDone(now, t)
+		c.stopSuperseded(now, t)
 	case job.EndFailed:
 		c.recordFailure(now, t, r.worker, r.number)
 	case job.EndLeaseExpired, job.EndGangTimeout:
@@ -277,24 +279,16 @@
 // Tick handles what becomes due without an event: expired leases, stops to repeat, stalled runs
 // and upkeep waves.
 func (c *Core) Tick(now Now) {
+	c.expireLeases(now)
 	for _, w := range c.sortedWorkers {
-		if len(w.runs) == 0 && len(w.presumed) == 0 {
-			continue
-		}
-		expired := (w.leaseUntilMs > 0 || w.inheritedUntil > 0) && now.Mono > w.leasesExpireAt()
-		if expired {
-			c.resolveAll(w) // ends that a worker lists after its lease has expired do not count
-		}
-		for _, r := range c.runsOf(w) {
-			switch {
-			case now.Mono > max(w.leasesExpireAt(), r.inheritedUntil) && r.phase != recording:
-				c.endRun(now, r, job.EndLost, r.checkpoint)
-			case r.phase == stopping && r.stopSent && !r.stopAcked && now.Mono >= r.nextStopAt:
+		for _, r := range w.orderedRuns() {
+			if r.phase == stopping && r.stopSent && !r.stopAcked && now.Mono >= r.nextStopAt {
 				c.sendStop(now, r)
 			}
 		}
 	}
 	c.stopStalledRuns(now)
+	c.lookForStragglers(now)
 	c.evacuate(now)
 	c.advanceWaves(now)
 	c.noteRunTimes(now)
--- a/internal/core/dispatch/schedule.go
+++ b/internal/core/dispatch/schedule.go
@@ -112,6 +112,9 @@
 			c.placeTasks(now, s, full)
 		}
 	}
+	if kind == fullCycle {
+		c.reviewStragglers(now, steps)
+	}
 }
 
 // wakeForWorkers schedules a cycle for when a paused or quarantined worker becomes usable
@@ -182,7 +185,7 @@
 
 // hasWaiting reports whether s has a task that is not done and has no run.
 func (s *step) hasWaiting() bool {
-	if s.done+s.activeRuns >= len(s.tasks) {
+	if s.done+s.activeRuns-s.copies >= len(s.tasks) {
 		return false // a run of a task that is already done ends soon and triggers another cycle
 	}
 	for _, t := range s.tasks {
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -149,6 +149,11 @@
 	// others.
 	inheritedUntil time.Duration
 	need           job.Resources
+	// reason is why the run was placed as a copy; empty for others.
+	reason stragglerReason
+	// leaveSeenAt is when the run was first found to end too late for its worker, which leaves; zero if it
+	// has not been.
+	leaveSeenAt time.Duration
 	// placedAt is when the run was placed or adopted.
 	placedAt time.Duration
 	// checkpoint is the newest known checkpoint.
@@ -197,6 +202,10 @@
 	failures   int
 	checkpoint string
 	current    *run
+	// copy is the second run, of a task that may have several; nil if there is none.
+	copy *run
+	// moves counts the moves from slow workers.
+	moves int
 	// notBefore is the earliest time of the next placement.
 	notBefore time.Duration
 	// failedOn lists the IDs of workers on which the task failed or stalled, and failedAt is when it
@@ -219,6 +228,8 @@
 	done       int
 	// activeRuns counts the runs of the step's tasks that have not ended.
 	activeRuns int
+	// copies counts those of them that are the second run of their task.
+	copies int
 	// latestRun is the number of the gang's newest run, and failures the count of its failed runs.
 	latestRun int
 	failures  int
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -194,6 +194,22 @@
 	// lease of that incarnation ends within the lease limit of the leaders that granted it (see
 	// ledger.Role).
 	LeaseLimited bool `cbor:"11,keyasint,omitempty"`
+	// Copy is the second active run of a task that may have several at the same time; nil if there is none.
+	// Older versions ignore it, and LatestRun.
+	Copy *CopyRecord `cbor:"12,keyasint,omitempty"`
+	// LatestRun is the number of the latest run, if that is not Run: then Run is the number of the first
+	// active run.
+	LatestRun int `cbor:"13,keyasint,omitempty"`
+}
+
+// CopyRecord is an active run as a task's record holds the second one.
+type CopyRecord struct {
+	// Run is the number of the run.
+	Run int `cbor:"1,keyasint"`
+	// Worker, Incarnation and LeaseLimited are those of the run, as in TaskRecord.
+	Worker       string `cbor:"2,keyasint"`
+	Incarnation  int64  `cbor:"3,keyasint,omitempty"`
+	LeaseLimited bool   `cbor:"4,keyasint,omitempty"`
 }
 
 // PresumedEnd is a run whose end was inferred and not listed by its worker.
@@ -203,6 +219,8 @@
 	// Worker and Incarnation identify the worker incarnation that may still list the end.
 	Worker      string `cbor:"2,keyasint"`
 	Incarnation int64  `cbor:"3,keyasint,omitempty"`
+	// Listed is set if that incarnation is known to have had the run. Otherwise the next one may have it.
+	Listed bool `cbor:"4,keyasint,omitempty"`
 }
 
 // State is the state of a job as callers see it.
