--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -69,6 +69,8 @@
 	runTimesNotedAt time.Duration
 	// cycle caches what the current scheduling cycle has computed.
 	cycle *cycle
+	// evacuation says where nothing may start.
+	evacuation evacuation
 	// zoneSuspectedAt is when the workers of each zone were last suspected to be unreachable
 	// because some of them did not answer.
 	zoneSuspectedAt map[string]time.Duration
@@ -92,7 +94,7 @@
 // New returns a core without jobs and workers. This process becomes the leader at now: leases
 // of former leaders are assumed to last for up to Settings.inheritedLease from then on.
 func New(now Now, set Settings) *Core {
-	c := &Core{settings: set, inheritedUntil: now.Mono + set.inheritedLease(), knownLeasesUntil: now.Mono + set.FormerLeaseTime + leaseExpiryMargin, leasesUntil: math.MaxInt64, jobs: map[string]*trackedJob{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, zoneSuspectedAt: map[string]time.Duration{}, cycle: newCycle(), copyResults: map[stragglerReason]copyResults{}, estimates: estimate.NewModel()}
+	c := &Core{settings: set, inheritedUntil: now.Mono + set.inheritedLease(), knownLeasesUntil: now.Mono + set.FormerLeaseTime + leaseExpiryMargin, leasesUntil: math.MaxInt64, jobs: map[string]*trackedJob{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, zoneSuspectedAt: map[string]time.Duration{}, cycle: newCycle(), copyResults: map[stragglerReason]copyResults{}, estimates: estimate.NewModel(set.ProbeWait)}
 	c.openBatch()
 	return c
 }
@@ -431,14 +433,14 @@
 }
 
 // sendStart sends a start, unless the conditions of its placement no longer hold: the run is
-// stopping, its job has ended, its worker is draining or unlisted, or its ticket has expired. Such
-// a run ends as EndNotStarted.
+// stopping, its job has ended, its worker is draining or unlisted, it or a member of its gang is in an
+// evacuated zone, or its ticket has expired. Such a run ends as EndNotStarted.
 func (c *Core) sendStart(now Now, r *run) {
 	if !r.worker.runs[r] {
 		return
 	}
 	w := r.worker
-	if r.phase == stopping || r.task.step.job.cancelledOrEnded() || !w.listed || w.Draining {
+	if r.phase == stopping || r.task.step.job.cancelledOrEnded() || !w.listed || w.Draining || c.startClosed(r) {
 		c.endRun(now, r, job.EndNotStarted, r.task.checkpoint)
 		return
 	}
@@ -449,7 +451,7 @@
 	}
 	r.phase, r.startPending = starting, true
 	c.pendingActions.Starts = append(c.pendingActions.Starts, Start{
-		Target: w.target(), Task: r.task.id, Run: r.number, Payload: r.task.step.job.spec.Payload,
+		Target: w.target(), Zone: w.Zone, Task: r.task.id, Run: r.number, Payload: r.task.step.job.spec.Payload,
 		Checkpoint: r.checkpoint, Ticket: ticket, LeaseUntilMs: c.extendLease(now, w, startLeaseTTL), run: r,
 	})
 }
--- a/internal/core/dispatch/schedule.go
+++ b/internal/core/dispatch/schedule.go
@@ -115,6 +115,7 @@
 	if kind == fullCycle {
 		c.reviewStragglers(now, steps)
 	}
+	c.explainEvacuation(steps)
 }
 
 // wakeForWorkers schedules a cycle for when a paused or quarantined worker becomes usable
