Lease limits of runs are recorded with other records

Cause: each answer of a worker that listed a run for the first time made a batch of its own, so that the leader appended to the log up to once more for each run.

Change: they wait for other records, or for the next tick. A worker without any lease has no expiry: a run on it has not been started.

--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -19,6 +19,9 @@
 	knownLeasesUntil time.Duration
 	// leasesUntil is the latest time to which leases may last; see LimitLeases.
 	leasesUntil time.Duration
+	// unrecorded are the tasks of runs that were found to be subject to the leaders' lease limit since the
+	// last batch.
+	unrecorded []*task
 	// nextExpiry is when the next leases expire on workers that do not answer; zero if there are none.
 	nextExpiry time.Duration
 	jobs       map[string]*trackedJob
@@ -409,6 +412,7 @@
 	if c.batch.empty() {
 		return nil
 	}
+	c.recordLeaseLimits()
 	b := c.batch
 	c.openBatch()
 	return b
--- a/internal/core/dispatch/lease.go
+++ b/internal/core/dispatch/lease.go
@@ -56,11 +56,27 @@
 		return
 	}
 	r.leaseLimited = true
-	c.record(r.task)
+	c.unrecorded = append(c.unrecorded, r.task)
+}
+
+// recordLeaseLimits adds the tasks whose runs were found to be subject to the limit to the open batch. They
+// wait for a tick or for other records, since an append for each would multiply the calls at the log.
+func (c *Core) recordLeaseLimits() {
+	for _, t := range c.unrecorded {
+		if t.current != nil {
+			c.record(t)
+		}
+	}
+	c.unrecorded = nil
 }
 
 // leasesExpireAt returns when every lease that may cover r has certainly expired.
-func (r *run) leasesExpireAt() time.Duration { return max(r.worker.leasesExpireAt(), r.inheritedUntil) }
+func (r *run) leasesExpireAt() time.Duration {
+	if r.worker.leaseUntilMs == 0 && r.worker.inheritedUntil == 0 {
+		return never // its start has not been sent
+	}
+	return max(r.worker.leasesExpireAt(), r.inheritedUntil)
+}
 
 // expireLeases ends the runs whose leases have expired, and notes when the next ones do on workers that do
 // not answer.
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -280,6 +280,7 @@
 // Tick handles what becomes due without an event: expired leases, stops to repeat, stalled runs
 // and upkeep waves.
 func (c *Core) Tick(now Now) {
+	c.recordLeaseLimits()
 	c.expireLeases(now)
 	for _, w := range c.sortedWorkers {
 		for _, r := range w.orderedRuns() {
