--- a/internal/core/dispatch/lease.go
+++ b/internal/core/dispatch/lease.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"agatewinch/internal/core/job"
+)
 
 // probesPerLease is how many probes that wait as long as they may fit into the rest of a lease, so that it is
 // extended in time after one that was not answered.
@@ -52,5 +56,54 @@
 		return
 	}
 	r.leaseLimited = true
-	c.record(r.task)
+	c.unrecorded = append(c.unrecorded, r.task)
+}
+
+// recordLeaseLimits adds the tasks whose runs were found to be subject to the limit to the open batch. They
+// wait for a tick or for other records, since an append for each would multiply the calls at the log.
+func (c *Core) recordLeaseLimits() {
+	for _, t := range c.unrecorded {
+		if t.current != nil {
+			c.record(t)
+		}
+	}
+	c.unrecorded = nil
+}
+
+// leasesExpireAt returns when every lease that may cover r has certainly expired.
+func (r *run) leasesExpireAt() time.Duration {
+	if r.worker.leaseUntilMs == 0 && r.worker.inheritedUntil == 0 {
+		return never // its start has not been sent
+	}
+	return max(r.worker.leasesExpireAt(), r.inheritedUntil)
+}
+
+// expireLeases ends the runs whose leases have expired, and notes when the next ones do on workers that do
+// not answer.
+func (c *Core) expireLeases(now Now) {
+	c.nextExpiry = 0
+	for _, w := range c.sortedWorkers {
+		if len(w.presumed) > 0 && (w.leaseUntilMs > 0 || w.inheritedUntil > 0) && now.Mono > w.leasesExpireAt() {
+			c.resolveAll(w) // ends that a worker lists after its lease has expired do not count
+		}
+		for _, r := range c.runsOf(w) {
+			switch at := r.leasesExpireAt(); {
+			case r.phase == recording:
+			case now.Mono > at:
+				c.endRun(now, r, job.EndLost, r.checkpoint)
+			case w.unreachable() && (c.nextExpiry == 0 || at < c.nextExpiry):
+				c.nextExpiry = at
+			}
+		}
+	}
+	if c.nextExpiry > 0 {
+		c.wakeAt(now, c.nextExpiry+time.Millisecond)
+	}
+}
+
+// expireLeasesIfDue does so when the first leases expire, between two ticks.
+func (c *Core) expireLeasesIfDue(now Now) {
+	if c.nextExpiry > 0 && now.Mono > c.nextExpiry {
+		c.expireLeases(now)
+	}
 }
