Lost work is counted by cause, and interruptions by task

Change: each run that ends before its task is done is reported with why it was stopped, or how it ended, and its work in core-seconds less what a checkpoint has saved; each task of a finished job with how often its runs were interrupted. In the simulation a run resumes from its checkpoint.

Ruled out: counters in the core, which would be lost with the role.

Measured: nothing yet; no decision changes.

--- a/internal/core/dispatch/actions.go
+++ b/internal/core/dispatch/actions.go
@@ -73,6 +73,10 @@
 	Upkeeps     []Upkeep
 	WaveReports []WaveReport
 	Notes       []Note
+	// Losses is the work lost with the runs that have ended, and Interruptions the number of
+	// interrupted runs of each task of the jobs that are finished.
+	Losses        []Loss
+	Interruptions []int
 }
 
 // TaskChange is a task record to be written.
--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -284,7 +284,7 @@
 		return
 	}
 	unsent := r.phase == recording
-	r.phase = stopping
+	r.phase, r.stopCause = stopping, why
 	r.worker.runsByEnd = nil
 	c.note(Note{Kind: "stop", Task: r.task.id.String(), Run: r.number, Worker: r.worker.ID, Why: why})
 	if unsent {
@@ -340,6 +340,7 @@
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			c.dropPlan(s)
+			c.countInterruptions(s)
 			for _, t := range s.tasks {
 				delete(c.tasks, t.id.String())
 				for _, p := range slices.Clone(t.presumed) {
--- a/internal/core/dispatch/harness_test.go
+++ b/internal/core/dispatch/harness_test.go
@@ -24,6 +24,9 @@
 	upkeeps []Upkeep
 	reports []WaveReport
 	notes   []Note
+	// losses and interruptions are what the core has reported of interrupted runs.
+	losses        []Loss
+	interruptions []int
 	// waves is the recorded progress of the waves.
 	waves map[int64]WaveProgress
 	// endCounts holds the number of ended runs of each worker.
@@ -62,6 +65,8 @@
 		h.paces = append(h.paces, a.Paces...)
 		h.adviceRequests = append(h.adviceRequests, a.AdviceRequests...)
 		h.notes = append(h.notes, a.Notes...)
+		h.losses = append(h.losses, a.Losses...)
+		h.interruptions = append(h.interruptions, a.Interruptions...)
 		batch := h.core.TakeBatch()
 		if batch == nil {
 			return
--- a/internal/core/dispatch/probe.go
+++ b/internal/core/dispatch/probe.go
@@ -113,9 +113,7 @@
 			r.firstPercent, r.firstPercentAt = row.Percent, now.Mono
 		}
 		listed[r], r.listed = true, true
-		if row.Checkpoint != "" {
-			r.checkpoint = row.Checkpoint
-		}
+		r.applyCheckpoint(now.Mono, row.Checkpoint)
 		if row.Percent != r.percent {
 			r.percent, r.percentAt = row.Percent, now.Mono
 		}
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -164,6 +164,7 @@
 // records the result.
 func (c *Core) endRun(now Now, r *run, end job.End, checkpoint string) {
 	t, s, j := r.task, r.task.step, r.task.step.job
+	c.countLoss(now, r, end, checkpoint)
 	c.removeRun(r)
 	if r.startPending && !r.listed {
 		r.worker.addLateStart(now, r)
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -40,6 +40,12 @@
 	MaxStopTime time.Duration
 	// RestoreTime is the time that a run takes to resume from a checkpoint.
 	RestoreTime time.Duration
+	// CheckpointInterval is the work time after which a run with checkpoints saves another one; zero
+	// if it is not known.
+	CheckpointInterval time.Duration
+	// ReclaimTime is the time within which urgent work within its organisation's guarantee has to run;
+	// zero if it is not known.
+	ReclaimTime time.Duration
 	// HeartbeatInterval is the interval of a worker's heartbeats, each of which rewrites its entry.
 	HeartbeatInterval time.Duration
 	// UpkeepTime is the duration of a machine's upkeep.
@@ -138,7 +144,11 @@
 	placedAt time.Duration
 	// checkpoint is the newest known checkpoint.
 	checkpoint string
-	percent    int
+	// savedAt is when the worker first listed that checkpoint; zero if it is that of an earlier run.
+	savedAt time.Duration
+	// stopCause is why the run was ordered to stop; empty if it was not.
+	stopCause string
+	percent   int
 	// load is the tail latency of a serving task in milliseconds, or the number of
 	// processor cores that another task uses.
 	load   float64
@@ -177,6 +187,8 @@
 	failures   int
 	checkpoint string
 	current    *run
+	// interruptions counts the runs that ended before the task was done, under this leader.
+	interruptions int
 	// notBefore is the earliest time of the next placement.
 	notBefore time.Duration
 	// failedOn lists the IDs of workers on which the task failed or stalled, and failedAt is when it
--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -28,6 +28,12 @@
 	for _, n := range actions.Notes {
 		event.Info(l.host.logger, event.Decision, "what", n.Kind, "job", n.Job, "task", n.Task, "run", n.Run, "worker", n.Worker, "why", n.Why, "epoch", l.epoch)
 	}
+	for _, loss := range actions.Losses {
+		l.host.metrics.Lose(loss.Cause, loss.CoreSeconds)
+	}
+	for _, runs := range actions.Interruptions {
+		l.host.metrics.Interrupted(runs)
+	}
 	for _, s := range actions.Starts {
 		l.observeStartLatency(s)
 		go func() {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"expvar"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -60,11 +61,15 @@
 	source string
 	now    func() time.Time
 
-	mu           sync.Mutex
-	series       map[seriesKey]*series
-	errors       map[errkind.Kind]uint64
-	pairs        map[orgClass]bool
-	lastRotation time.Time
+	mu     sync.Mutex
+	series map[seriesKey]*series
+	errors map[errkind.Kind]uint64
+	pairs  map[orgClass]bool
+	// lost is the lost work by cause, and interruptions the number of tasks by how many of their
+	// runs were interrupted.
+	lost          map[string]LostWork
+	interruptions map[int]uint64
+	lastRotation  time.Time
 }
 
 type orgClass struct{ org, class string }
@@ -83,7 +88,7 @@
 func New(source string) *Registry { return newAt(source, time.Now) }
 
 func newAt(source string, now func() time.Time) *Registry {
-	return &Registry{source: source, now: now, series: map[seriesKey]*series{}, errors: map[errkind.Kind]uint64{}, pairs: map[orgClass]bool{}, lastRotation: now()}
+	return &Registry{source: source, now: now, series: map[seriesKey]*series{}, errors: map[errkind.Kind]uint64{}, pairs: map[orgClass]bool{}, lost: map[string]LostWork{}, interruptions: map[int]uint64{}, lastRotation: now()}
 }
 
 // Publish publishes the registry's snapshot through expvar under the given name. A name may
@@ -147,6 +152,10 @@
 type Snapshot struct {
 	Series []Row                   `json:"series"`
 	Errors map[errkind.Kind]uint64 `json:"errors"`
+	// LostWork is the work lost under this process as the leader, by cause.
+	LostWork map[string]LostWork `json:"lost_work,omitempty"`
+	// Interruptions is the number of tasks by how many of their runs were interrupted.
+	Interruptions map[int]uint64 `json:"interruptions,omitempty"`
 }
 
 // Row is one histogram.
@@ -176,7 +185,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.rotate()
-	out := Snapshot{Series: []Row{}, Errors: map[errkind.Kind]uint64{}}
+	out := Snapshot{Series: []Row{}, Errors: map[errkind.Kind]uint64{}, LostWork: maps.Clone(r.lost), Interruptions: maps.Clone(r.interruptions)}
 	for kind, n := range r.errors {
 		out.Errors[kind] = n
 	}
--- a/internal/sim/load.go
+++ b/internal/sim/load.go
@@ -54,6 +54,10 @@
 // guaranteed, the largest first.
 var guaranteedAccelerators = []int64{120, 48, 32, 16}
 
+// guaranteedOf is the number of workers for which guaranteedAccelerators holds; on larger fleets they
+// grow with the fleet.
+const guaranteedOf = 48
+
 func organisation(i int) string { return fmt.Sprintf("org-%d", i) }
 
 // Burst multiplies the arrival rate of a class by Factor from At for Duration. At counts from
@@ -275,16 +279,19 @@
 
 // Fleet returns n workers in racks of six, as at the operators' first site. Every third worker
 // is 1.3 times as fast as the others.
-func Fleet(n int, capacity job.Resources) []*Worker {
+func Fleet(n int, capacity job.Resources) []*Worker { return FleetInRacks(n, 6, capacity) }
+
+// FleetInRacks returns the same in racks of the given size.
+func FleetInRacks(n, perRack int, capacity job.Resources) []*Worker {
 	var workers []*Worker
 	for i := range n {
-		rack := fmt.Sprintf("r%d", i/6)
+		rack := fmt.Sprintf("r%d", i/perRack)
 		factor := 1.0
 		if i%3 == 2 {
 			factor = 1 / 1.3
 		}
 		workers = append(workers, &Worker{RunTimeFactor: factor, Info: dispatch.WorkerInfo{
-			ID: fmt.Sprintf("w%02d", i), Address: fmt.Sprintf("192.0.2.%d:1", i), Service: "service", Rack: rack,
+			ID: fmt.Sprintf("w%02d", i), Address: fmt.Sprintf("192.0.2.%d:%d", i%256, 1+i/256), Service: "service", Rack: rack,
 			Labels: []string{"a", rack}, Capacity: capacity,
 		}})
 	}
--- a/internal/sim/simulation.go
+++ b/internal/sim/simulation.go
@@ -218,7 +218,7 @@
 func (sim *Simulation) guarantees() map[string]int64 {
 	g := map[string]int64{}
 	for i, n := range guaranteedAccelerators {
-		g[organisation(i)] = n
+		g[organisation(i)] = n * int64(max(guaranteedOf, len(sim.Workers))) / guaranteedOf
 	}
 	return g
 }
--- a/internal/sim/sites.go
+++ b/internal/sim/sites.go
@@ -83,3 +83,29 @@
 func settings(stop time.Duration) dispatch.Settings {
 	return dispatch.Settings{LeaseTTL: 8 * time.Second, ProbeWait: 2 * time.Second, FormerRenewalTime: 5 * time.Second, SpreadFactor: 3, MaxStopTime: stop}
 }
+
+// Loggers returns the logger analytics site: wide gangs that need whole workers, frequent urgent gangs,
+// and wide batches. A late job earns less than a third of its value.
+func Loggers() Site {
+	set := settings(900 * time.Millisecond)
+	set.RestoreTime = 600 * time.Millisecond
+	return Site{Settings: set, Capacity: job.Resources{CPU: 32000, MemMB: 131072, Accelerators: 8}, Classes: []Class{
+		{
+			Name: "transient-sweep", Priority: 1, Attempts: 3, Stretch: 3, Objective: time.Second, Value: 3, LateValue: 0.9,
+			Rate: 0.76, RunTime: 8500 * time.Millisecond, RunTimeSpread: 0.3, MaxRunTime: 11 * time.Second, Width: 13, WidthSpread: 0.8, MaxWidth: 78,
+			Steps: 1, CPU: 13000, MemMB: 53000, Accelerators: []int64{1, 2, 4, 8, 8}, Gang: true, SameRack: 0.6, Checkpoints: 0.45,
+			AlwaysFails: 0.01, Flaky: 0.005, Cancel: 0.05, EstimateError: 0.5, Prefilled: 4,
+		},
+		{
+			Name: "leak-scan", Priority: 0, Attempts: 4, Stretch: 1.5, Objective: 300 * time.Millisecond, Value: 4, LateValue: 0.8,
+			Rate: 3.25, RunTime: 2500 * time.Millisecond, RunTimeSpread: 0.5, MaxRunTime: 8 * time.Second, Width: 5.4, WidthSpread: 0.8, MaxWidth: 32,
+			Steps: 1, CPU: 3700, MemMB: 15000, Accelerators: []int64{1, 2, 4, 8, 8}, Gang: true, SameRack: 0.8, Flaky: 0.005, EstimateError: 0.2,
+		},
+		{
+			Name: "compliance-batch", Priority: 2, Attempts: 2, Stretch: 3, Objective: 3 * time.Second, Value: 1, LateValue: 0.3,
+			Rate: 0.60, RunTime: 9500 * time.Millisecond, RunTimeSpread: 0.3, MaxRunTime: 11 * time.Second, Width: 39, WidthSpread: 0.8, MaxWidth: 230,
+			Steps: 1.3, CPU: 2800, MemMB: 15000, Accelerators: []int64{1}, Checkpoints: 0.45, AlwaysFails: 0.01, Flaky: 0.05, Cancel: 0.15,
+			EstimateError: 0.2, Prefilled: 5,
+		},
+	}}
+}
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -27,6 +27,10 @@
 	doneAt    time.Duration
 	stopAt    time.Duration
 	gang      bool
+	// saved is the part of the work that was done before the run, from 0 to 1: what the checkpoint
+	// that it resumed from has saved. checkpoints is set if the run saves its own progress.
+	saved       float64
+	checkpoints bool
 }
 
 // Worker is a simulated worker.
@@ -108,7 +112,7 @@
 func (w *Worker) report(now time.Duration) dispatch.WorkerReport {
 	r := dispatch.WorkerReport{Incarnation: w.Info.Incarnation, ClockMs: w.clockMs(now)}
 	for _, e := range sortedRuns(w.runs) {
-		r.Running = append(r.Running, dispatch.RunInProgress{Task: e.key.task, Run: e.key.run, Percent: e.percent(now, w)})
+		r.Running = append(r.Running, dispatch.RunInProgress{Task: e.key.task, Run: e.key.run, Percent: e.percent(now, w), Checkpoint: e.checkpoint(now)})
 	}
 	for _, e := range w.ended {
 		if e.Number > w.ackedEnd {
@@ -122,5 +126,5 @@
 	if w.Hangs || e.doneAt == 0 || e.doneAt <= e.startedAt {
 		return 0
 	}
-	return int(100 * float64(now-e.startedAt) / float64(e.doneAt-e.startedAt))
+	return int(100 * e.progress(now))
 }
--- a/internal/sim/workercalls.go
+++ b/internal/sim/workercalls.go
@@ -27,7 +27,7 @@
 	}
 	sj := sim.jobs[s.Task.Job]
 	step := &sj.job.Steps[s.Task.Step]
-	e := &execution{key: key, id: s.Task, need: step.Charge(), startedAt: sim.now, gang: step.Gang}
+	e := &execution{key: key, id: s.Task, need: step.Charge(), startedAt: sim.now, gang: step.Gang, checkpoints: step.Checkpoints, saved: decodeCheckpoint(s.Checkpoint)}
 	sim.checkStart(w, sj, e)
 	sim.Runs++
 	w.runs[key] = e
@@ -67,7 +67,11 @@
 	if spread {
 		runTime = time.Duration(float64(runTime) * sim.Settings.SpreadFactor)
 	}
-	runTime = time.Duration(float64(runTime) * w.RunTimeFactor)
+	runTime = time.Duration(float64(runTime) * w.RunTimeFactor * (1 - e.saved))
+	if e.saved > 0 {
+		runTime += sim.Settings.RestoreTime
+	}
+	e.startedAt = sim.now // a gang works from the time when all its members are present
 	e.doneAt = sim.now + runTime
 	startedAt := w.startedAt
 	sim.schedule(runTime, func() {
@@ -136,22 +140,22 @@
 			if end == job.EndBroken {
 				sim.countWaste(x)
 			}
-			m.endRun(x, end, "")
+			m.endRun(x, end, x.checkpoint(sim.now))
 		}
 	}
 }
 
 func (sim *Simulation) memberLost(w *Worker, e *execution) { sim.endGang(e, w, job.EndBroken) }
 
-// countWaste adds the work of an interrupted run to Wasted. With checkpoints, at most the last
-// 500 ms are lost. A gang member that was waiting for the other members wastes nothing.
+// countWaste adds the work of an interrupted run to Wasted. With checkpoints, at most the work since the
+// last one is lost. A gang member that was waiting for the other members wastes nothing.
 func (sim *Simulation) countWaste(e *execution) {
 	if e.doneAt == 0 && e.gang {
 		return
 	}
 	lost := sim.now - e.startedAt
 	if sj := sim.jobs[e.id.Job]; sj.job.Steps[e.id.Step].Checkpoints {
-		lost = min(lost, 500*time.Millisecond)
+		lost = min(lost, checkpointInterval)
 	}
 	sim.Wasted += lost.Seconds() * e.need.Cores()
 }
@@ -178,7 +182,7 @@
 		}
 		sim.countWaste(e)
 		sim.endGang(e, w, job.EndStopped)
-		w.endRun(e, job.EndStopped, "")
+		w.endRun(e, job.EndStopped, e.lastCheckpoint(sim.now))
 	})
 	return dispatch.Accepted
 }
