What broke a gang is the cause of its members' lost work

Cause: most of the lost work was listed as "gang broken", which says nothing.

Change: the first stop or end of a member of a gang's run that does not follow another member's is recorded, and the members' losses name it. The settings checkpoint_s and reclaim_ms are not read after all: a stop saves a checkpoint by the platform's contract, and nothing else here depends on them.

--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -297,6 +297,7 @@
 }
 
 func (c *Core) sendStop(now Now, r *run) {
+	r.task.step.noteBreak(r.number, why)
 	r.stopSent = true
 	r.nextStopAt = now.Mono + c.settings.MaxStopTime + time.Second
 	c.pendingActions.Stops = append(c.pendingActions.Stops, Stop{Target: r.worker.target(), Task: r.task.id, Run: r.number, run: r})
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -268,7 +268,7 @@
 	for _, m := range s.tasks {
 		m.notBefore = max(m.notBefore, now.Mono)
 		if m.current != nil && m.current.number == number && !m.done {
-			c.stop(now, m.current, "gang broken")
+			c.stop(now, m.current, gangBroken)
 		}
 	}
 }
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -40,12 +40,6 @@
 	MaxStopTime time.Duration
 	// RestoreTime is the time that a run takes to resume from a checkpoint.
 	RestoreTime time.Duration
-	// CheckpointInterval is the work time after which a run with checkpoints saves another one; zero
-	// if it is not known.
-	CheckpointInterval time.Duration
-	// ReclaimTime is the time within which urgent work within its organisation's guarantee has to run;
-	// zero if it is not known.
-	ReclaimTime time.Duration
 	// HeartbeatInterval is the interval of a worker's heartbeats, each of which rewrites its entry.
 	HeartbeatInterval time.Duration
 	// UpkeepTime is the duration of a machine's upkeep.
@@ -215,6 +209,8 @@
 	latestRun int
 	failures  int
 	gangEnds  gangEnds
+	// gangBreak is why the newest broken run of the gang broke.
+	gangBreak gangBreak
 	// failedRuns are the numbers of the gang's runs whose failure has been counted, so that further
 	// failed members of them do not count.
 	failedRuns []int
--- a/internal/entry/dispatchloop.go
+++ b/internal/entry/dispatchloop.go
@@ -80,7 +80,7 @@
 		host: h, epoch: fence.Epoch, permission: newPermission(h.sinceBoot, claimedAt), sequence: fence.Sequence, events: make(chan func(dispatch.Now), maxEvents), startedAt: now, appendedAt: now, sweptAt: now, formerRenewalTime: formerRenewalTime,
 		core: dispatch.New(dispatch.Now{UnixMs: now.UnixMilli()}, dispatch.Settings{
 			LeaseTTL: min(workerLeaseTTL, h.settings.MaxLeaseTTL), MaxLeaseTTL: h.settings.MaxLeaseTTL, ProbeWait: probeWait,
-			FormerRenewalTime: formerRenewalTime, SpreadFactor: h.settings.SpreadFactor, MaxStopTime: h.settings.MaxStopTime, RestoreTime: h.settings.RestoreTime, CheckpointInterval: h.settings.CheckpointInterval, ReclaimTime: h.settings.ReclaimTime, HeartbeatInterval: h.settings.HeartbeatInterval, UpkeepTime: h.settings.UpkeepTime,
+			FormerRenewalTime: formerRenewalTime, SpreadFactor: h.settings.SpreadFactor, MaxStopTime: h.settings.MaxStopTime, RestoreTime: h.settings.RestoreTime, HeartbeatInterval: h.settings.HeartbeatInterval, UpkeepTime: h.settings.UpkeepTime,
 		}),
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -39,10 +39,6 @@
 	MaxStopTime time.Duration
 	// RestoreTime is how long a run takes to resume from a checkpoint.
 	RestoreTime time.Duration
-	// CheckpointInterval is the work time after which a run saves another checkpoint.
-	CheckpointInterval time.Duration
-	// ReclaimTime is the time within which urgent work within its organisation's guarantee has to run.
-	ReclaimTime time.Duration
 	// HeartbeatInterval is how often a worker rewrites its entry in the list of workers.
 	HeartbeatInterval time.Duration
 	// UpkeepTime is how long the upkeep of one machine takes.
--- a/internal/sim/simulation.go
+++ b/internal/sim/simulation.go
@@ -64,6 +64,8 @@
 	// Wasted is the lost work of interrupted runs in core-seconds, with accelerators counted as
 	// in job.Resources.Cores. It excludes the work of the runs that failed.
 	Wasted float64
+	// Lost is the lost work that the leader has counted, by cause.
+	Lost map[string]float64
 	// Probes counts the probes of workers, and Runs the runs that started.
 	Probes, Runs int
 }
@@ -131,7 +133,7 @@
 func New(seed uint64, set dispatch.Settings, workers []*Worker) *Simulation {
 	sim := &Simulation{
 		Settings: set, Workers: workers, rand: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
-		ledger: ledger.New(), jobs: map[string]*simJob{}, recordedDone: map[string]bool{}, gangs: map[string]*gangState{},
+		ledger: ledger.New(), jobs: map[string]*simJob{}, recordedDone: map[string]bool{}, Lost: map[string]float64{}, gangs: map[string]*gangState{},
 	}
 	for _, w := range workers {
 		w.startIncarnation(0)
@@ -259,6 +261,9 @@
 		}
 	}
 	actions := ldr.core.TakeActions(sim.clock())
+	for _, loss := range actions.Losses {
+		sim.Lost[loss.Cause] += loss.CoreSeconds
+	}
 	for _, s := range actions.Starts {
 		sim.send(ldr, s.Worker, s.Incarnation, func(w *Worker) dispatch.Outcome { return sim.startRun(w, s, ldr.epoch) },
 			func(o dispatch.Outcome) { ldr.core.StartAnswered(sim.clock(), s, o) })
