Jobs that could only end when they are of no use are refused at once

Cause: every submission was accepted, whatever the backlog; a caller learned only by waiting.

Change: while a service's priority waits for over a second, the leader appends a forecast to the state topic every half second at most: what waits, how fast it starts, and the free room. A host refuses a job that by it would end after three times its objective, if no free room can serve it, with a Retry-After of the excess, spread. Urgent, periodic and long-running jobs, those without an objective and those that the log holds already are never refused, and nothing is refused on a forecast that is older than two seconds, of another leader than the newest, or while the log does not answer. Retry delays are computed in one place for both cores.

Ruled out: a decision by the leader for each submission, a hop more for every caller; a forecast for each shape, which grows with the work.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -4,15 +4,14 @@
 	"fmt"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"agatewinch/internal/core/admission"
 	"agatewinch/internal/errkind"
 )
 
 // The parameters of the retry delay sent with a refusal.
 const (
-	retryAfterMin = time.Second
-	retryAfterMax = 5 * time.Minute
+	retryAfterMin = admission.MinRetryAfter
+	retryAfterMax = admission.MaxRetryAfter
 	// departureFraction is the fraction of the waiting jobs that should have left the queue before a
 	// refused caller retries.
 	departureFraction = 0.125
@@ -111,19 +110,12 @@
 }
 
 // retryAfter returns the time in which departureFraction of the waiting jobs leave the queue at
-// the measured rate, at least retryAfterMin and at most retryAfterMax. A jitter is then applied,
-// which keeps refused callers from retrying all at once.
+// the measured rate, within the bounds of admission.RetryAfter and with its jitter.
 func (n *classCount) retryAfter(now Instant, id JobID) time.Duration {
 	rate := n.departuresAt(now) / departureHalfLife.Seconds()
 	wait := retryAfterMax
 	if rate > 0 {
 		wait = time.Duration(min(float64(n.waiting)*departureFraction/rate, retryAfterMax.Seconds()) * float64(time.Second))
 	}
-	return time.Duration(float64(max(wait, retryAfterMin)) * jitter(id))
-}
-
-// jitter returns a factor between 0.75 and 1.25, derived from a hash of the job ID.
-func jitter(id JobID) float64 {
-	const steps = 1 << 16
-	return 0.75 + 0.5*float64(xxhash.Sum64String(string(id))%steps)/steps
+	return admission.RetryAfter(wait, string(id))
 }
--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -41,6 +41,8 @@
 	// false until one has.
 	lastUrgentArrival time.Duration
 	urgentArrived     bool
+	// traffic measures the work that arrives and that is done.
+	traffic traffic
 	// hazard estimates how often running work is preempted.
 	hazard hazard
 	// lastArrival is when the newest job of any priority arrived.
@@ -74,7 +76,7 @@
 // New returns a core without jobs and workers. This process becomes the leader at now: leases
 // of former leaders are assumed to last for up to Settings.inheritedLease from then on.
 func New(now Now, set Settings) *Core {
-	c := &Core{settings: set, inheritedUntil: now.Mono + set.inheritedLease(), jobs: map[string]*trackedJob{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, zoneSuspectedAt: map[string]time.Duration{}, cycle: newCycle(), estimates: estimate.NewModel()}
+	c := &Core{settings: set, inheritedUntil: now.Mono + set.inheritedLease(), jobs: map[string]*trackedJob{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, zoneSuspectedAt: map[string]time.Duration{}, traffic: newTraffic(), cycle: newCycle(), estimates: estimate.NewModel()}
 	c.openBatch()
 	return c
 }
@@ -92,7 +94,11 @@
 	if c.jobs[spec.ID] != nil {
 		return
 	}
-	c.checkDone(now, c.newJob(now, spec, tasks))
+	j := c.newJob(now, spec, tasks)
+	if len(tasks) == 0 {
+		c.countArrival(now, j)
+	}
+	c.checkDone(now, j)
 	c.inputsChanged = true
 	c.urgentMayStart = c.urgentMayStart || spec.Priority == urgentPriority
 }
@@ -288,6 +294,7 @@
 	}
 	unsent := r.phase == recording
 	r.phase, r.stopCause = stopping, why
+	r.task.step.noteBreak(r.number, why)
 	r.worker.runsByEnd = nil
 	c.note(Note{Kind: "stop", Task: r.task.id.String(), Run: r.number, Worker: r.worker.ID, Why: why})
 	if unsent {
@@ -297,7 +304,6 @@
 }
 
 func (c *Core) sendStop(now Now, r *run) {
-	r.task.step.noteBreak(r.number, why)
 	r.stopSent = true
 	r.nextStopAt = now.Mono + c.settings.MaxStopTime + time.Second
 	c.pendingActions.Stops = append(c.pendingActions.Stops, Stop{Target: r.worker.target(), Task: r.task.id, Run: r.number, run: r})
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -175,6 +175,7 @@
 	c.note(Note{Kind: "run ended", Task: t.id.String(), Run: r.number, Worker: r.worker.ID, Why: string(end)})
 	switch end {
 	case job.EndDone:
+		c.countDone(now, r)
 		r.worker.health.recordSuccess()
 		c.markDone(now, t)
 	case job.EndFailed:
--- a/internal/core/parameters.go
+++ b/internal/core/parameters.go
@@ -1,6 +1,10 @@
 package core
 
-import "time"
+import (
+	"time"
+
+	"agatewinch/internal/core/admission"
+)
 
 // Timeouts, intervals and time constants.
 const (
@@ -87,5 +91,5 @@
 	if tries < 6 {
 		d = min(minRetryDelay<<tries, maxRetryDelay)
 	}
-	return time.Duration(float64(d) * jitter(id))
+	return time.Duration(float64(d) * admission.Jitter(string(id)))
 }
--- a/internal/entry/dispatchloop.go
+++ b/internal/entry/dispatchloop.go
@@ -65,6 +65,10 @@
 	unreachableSince time.Time
 	// workersListed is set once the list of workers has been read.
 	workersListed bool
+	// forecastAt is when the leader last looked whether room is short, and forecastOpen set while its
+	// last forecast says so.
+	forecastAt   time.Time
+	forecastOpen bool
 	// wavesOpen is set while an upkeep wave is open, so that the machines have to be listed.
 	wavesOpen atomic.Bool
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -61,6 +61,11 @@
 	if q.Advice != nil {
 		j.Advised, j.TicketValidity = true, q.Advice.Validity
 	}
+	if known, err := h.admit(ctx, j); known {
+		return h.Submit(ctx, q, org, j)
+	} else if err != nil {
+		return err
+	}
 	j.AcceptedMs = time.Now().UnixMilli()
 	rec, err := ledger.JobRecord(j)
 	if err != nil {
--- a/internal/entry/statelog.go
+++ b/internal/entry/statelog.go
@@ -28,8 +28,8 @@
 	if l.appendInFlight || l.lossReason != "" {
 		return
 	}
-	batch := l.core.TakeBatch()
-	if batch == nil && len(l.expired) == 0 && l.permission.valid() && time.Since(l.appendedAt) < renewInterval {
+	batch, forecast := l.core.TakeBatch(), l.forecastRecords()
+	if batch == nil && len(l.expired) == 0 && len(forecast) == 0 && l.permission.valid() && time.Since(l.appendedAt) < renewInterval {
 		return
 	}
 	records := l.encodeBatch(batch)
@@ -37,6 +37,7 @@
 		records = append(records, ledger.EndTombstone(id))
 	}
 	l.expired = nil
+	records = append(records, forecast...)
 	if len(records) == 0 {
 		rec, err := l.roleRecord(false)
 		if err != nil {
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -16,4 +16,5 @@
 	WorkerAnswerUnreadable = Event{7107, "worker answer unreadable", "A worker's list of runs cannot be decoded; the call counts as unanswered."}
 	WaveRead               = Event{7108, "wave read", "The operators requested upkeep of machines; the leader drains them, a few at a time."}
 	DecisionFailed         = Event{7109, "decision failed", "An unexpected error ended this host's time as the leader; it goes on serving callers, and another host claims the role. The error and the place are shown."}
+	RoomShort              = Event{7110, "room is short", "The leader forecasts waits, with the number of services' priorities concerned, so that hosts refuse jobs that could only end when they are of no use any more; or, with 0, room is not short any more."}
 )
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -58,7 +58,7 @@
 		LogWriteError, JournalLoaded, JournalGap,
 		PeerLive, PeerSilent, PeerReplaced, PeerForgotten, PeerConfigFailed,
 		CircuitOpen, CircuitClosed, AnswerLost,
-		RequestTaken, RequestRefused, Decision, RequestRelayed, SuccessorAsked, LogLost, LogRegained, RecordUnreadable, WorkerEntryUnreadable, SettingsRead, LinesDropped, WorkerAnswerUnreadable, WaveRead, DecisionFailed,
+		RequestTaken, RequestRefused, Decision, RequestRelayed, SuccessorAsked, LogLost, LogRegained, RecordUnreadable, WorkerEntryUnreadable, SettingsRead, LinesDropped, WorkerAnswerUnreadable, WaveRead, DecisionFailed, RoomShort,
 	}
 }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -16,6 +16,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 
+	"agatewinch/internal/core/admission"
 	"agatewinch/internal/core/job"
 	"agatewinch/internal/sharedlog"
 )
@@ -40,6 +41,8 @@
 	keyRole   = "role"
 	keyHost   = "h/"
 	keyWave   = "w/"
+	// keyForecast is the key of the leader's forecast.
+	keyForecast = "forecast"
 )
 
 // Role is the record of the leader role.
@@ -102,6 +105,8 @@
 	// waves holds the records of the waves in progress, by their numbers in decimal.
 	waves map[string]Wave
 	role  Role
+	// forecast is the newest forecast of a leader; nil if there is none.
+	forecast *admission.Forecast
 	// stateRecords counts the records of the leader that were applied.
 	stateRecords uint64
 	// updated holds the IDs of jobs submitted or cancelled since the last TakeUpdated, while
@@ -190,6 +195,8 @@
 			l.role = role
 		}
 		l.stateRecords++
+	case r.Key == keyForecast:
+		return l.applyForecast(r.Value)
 	case strings.HasPrefix(r.Key, keyJob):
 		return l.applyJob(r.Key[len(keyJob):], r.Value, tombstone)
 	case strings.HasPrefix(r.Key, keyCancel):
