Waiting jobs go by fair queueing, and those of no more use last

Cause: within a priority jobs went by arrival: one organisation's crowd, or one large job, went before everything that arrived later, and jobs that could only end when they were of no use went first of all.

Change: within a priority, jobs that can only end after three times their objective go last; the others go by finish time as in fair queueing, by organisation and size. Urgent jobs keep the order of arrival, in which guarantees are given out. A new leader computes the same order from when jobs were accepted.

--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -41,6 +41,8 @@
 	// false until one has.
 	lastUrgentArrival time.Duration
 	urgentArrived     bool
+	// finishTimes holds the latest finish time of each organisation's jobs.
+	finishTimes map[flowKey]time.Duration
 	// traffic measures the work that arrives and that is done.
 	traffic traffic
 	// hazard estimates how often running work is preempted.
@@ -76,7 +78,7 @@
 // New returns a core without jobs and workers. This process becomes the leader at now: leases
 // of former leaders are assumed to last for up to Settings.inheritedLease from then on.
 func New(now Now, set Settings) *Core {
-	c := &Core{settings: set, inheritedUntil: now.Mono + set.inheritedLease(), jobs: map[string]*trackedJob{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, zoneSuspectedAt: map[string]time.Duration{}, traffic: newTraffic(), cycle: newCycle(), estimates: estimate.NewModel()}
+	c := &Core{settings: set, inheritedUntil: now.Mono + set.inheritedLease(), jobs: map[string]*trackedJob{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, zoneSuspectedAt: map[string]time.Duration{}, traffic: newTraffic(), finishTimes: map[flowKey]time.Duration{}, cycle: newCycle(), estimates: estimate.NewModel()}
 	c.openBatch()
 	return c
 }
@@ -128,6 +130,7 @@
 		}
 		j.occurrences = append(j.occurrences, o)
 	}
+	c.setFinishTime(now, j)
 	if spec.Priority == urgentPriority {
 		c.lastUrgentArrival, c.urgentArrived = now.Mono, true
 		if c.meanUrgentWork == 0 {
--- a/internal/core/dispatch/schedule.go
+++ b/internal/core/dispatch/schedule.go
@@ -245,13 +245,15 @@
 	return 1
 }
 
-// byPriority orders steps by priority, then by guarantee, then by the job's arrival. The steps of
-// a job are ordered by occurrence and index.
+// byPriority orders steps by priority, then by guarantee, then those last whose jobs are useless, then by
+// finish time and arrival of the job. The steps of a job are ordered by occurrence and index.
 func (c *Core) byPriority(now Now) func(a, b *step) int {
 	return func(a, b *step) int {
 		return cmp.Or(
 			cmp.Compare(a.job.spec.Priority, b.job.spec.Priority),
 			cmp.Compare(guaranteeRank(a), guaranteeRank(b)),
+			cmp.Compare(c.uselessRank(now, a), c.uselessRank(now, b)),
+			compareFinishTimes(a.job, b.job),
 			cmp.Compare(a.job.seq, b.job.seq),
 			cmp.Compare(a.occurrence.index, b.occurrence.index),
 			cmp.Compare(a.index, b.index))
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -226,6 +226,9 @@
 	// avoidsUrgentRacks caches Core.avoidsUrgentRacks for one scheduling cycle, avoidsIn.
 	avoidsUrgentRacks bool
 	avoidsIn          *cycle
+	// useless caches Core.uselessRank for one scheduling cycle, rankedIn.
+	useless  int
+	rankedIn *cycle
 }
 
 func (s *step) name() string { return job.StepName(s.job.spec.ID, s.occurrence.index, s.index) }
@@ -251,6 +254,8 @@
 	seq int
 	// withinGuarantee is set while the job is within its organisation's guarantee.
 	withinGuarantee bool
+	// finishTime is the job's finish time in the order of fair queueing.
+	finishTime time.Duration
 	// work is the estimated work of the job's first occurrence, in core-seconds.
 	work float64
 }
