Zones of an organisation take turns as well

Cause: the order looked at organisations and sizes, not at where jobs came from.

Change: a job's record names the zone of the host that accepted it, and the parts of fair queueing are those of an organisation's zones. Ruled out: a clock for zones beside that of organisations, the later of both counting; with one zone it is the order of arrival again.

--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -41,8 +41,8 @@
 	// false until one has.
 	lastUrgentArrival time.Duration
 	urgentArrived     bool
-	// finishTimes holds the latest finish time of each organisation's jobs.
-	finishTimes map[flowKey]time.Duration
+	// finishTimes holds the latest finish times of the jobs that each part of the workers is for.
+	finishTimes map[sharer]time.Duration
 	// traffic measures the work that arrives and that is done.
 	traffic traffic
 	// hazard estimates how often running work is preempted.
@@ -78,7 +78,7 @@
 // New returns a core without jobs and workers. This process becomes the leader at now: leases
 // of former leaders are assumed to last for up to Settings.inheritedLease from then on.
 func New(now Now, set Settings) *Core {
-	c := &Core{settings: set, inheritedUntil: now.Mono + set.inheritedLease(), jobs: map[string]*trackedJob{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, zoneSuspectedAt: map[string]time.Duration{}, traffic: newTraffic(), finishTimes: map[flowKey]time.Duration{}, cycle: newCycle(), estimates: estimate.NewModel()}
+	c := &Core{settings: set, inheritedUntil: now.Mono + set.inheritedLease(), jobs: map[string]*trackedJob{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, zoneSuspectedAt: map[string]time.Duration{}, traffic: newTraffic(), finishTimes: map[sharer]time.Duration{}, cycle: newCycle(), estimates: estimate.NewModel()}
 	c.openBatch()
 	return c
 }
--- a/internal/core/dispatch/fairqueue_test.go
+++ b/internal/core/dispatch/fairqueue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -131,3 +132,20 @@
 	s := h.core.readySteps(h.clock())[0]
 	assert.Equal(t, h.core.uselessRank(h.clock(), s), 0)
 }
+
+// Within an organisation, a zone whose callers submit little does not wait for all the work of one whose
+// callers submit much.
+func TestZonesOfAnOrganisationTakeTurns(t *testing.T) {
+	h := fullFleet(t)
+	in := func(zone, id string) {
+		j := single(id, 2, 2, whole)
+		j.Zone = zone
+		h.add(j)
+	}
+	for i := range 5 {
+		in("z1", fmt.Sprintf("many-%d", i))
+	}
+	in("z2", "few-0")
+	order := h.order()
+	assert.Assert(t, slices.Index(order, "few-0") <= 2, "%v", order)
+}
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -116,6 +116,8 @@
 	Advised bool `cbor:"15,keyasint,omitempty"`
 	// TicketValidity is how long the advisory service's tickets are valid.
 	TicketValidity time.Duration `cbor:"16,keyasint,omitempty"`
+	// Zone is the availability zone of the host that accepted the job, which is normally the caller's.
+	Zone string `cbor:"17,keyasint,omitempty"`
 }
 
 // Occurrences returns how many times the steps of the job run.
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -56,7 +56,7 @@
 	if h.logUnavailable() {
 		return retryableError(errkind.LogUnavailable, retryAfterSeconds, "the log does not answer this host")
 	}
-	j.Queue, j.Org, j.Service = q.Name, org, q.Service
+	j.Queue, j.Org, j.Service, j.Zone = q.Name, org, q.Service, h.settings.Zone
 	j.Priority, j.Attempts, j.Stretch, j.Objective = q.Priority, q.Attempts, q.Stretch, q.Objective
 	if q.Advice != nil {
 		j.Advised, j.TicketValidity = true, q.Advice.Validity
