Callers who return after a refusal keep their place

Cause: a job that was refused and came back counted as new, behind everything that had come meanwhile.

Change: the host that refuses a job for want of room writes when it did so first; the host that accepts it later puts that into the job's record, and order and objective count from there. The record is dropped with the job, or like early cancellations.

Ruled out: waiting for the write before answering, which would hold refusals up; memory of the refusing host, since retries reach other hosts.

--- a/internal/core/dispatch/fairqueue.go
+++ b/internal/core/dispatch/fairqueue.go
@@ -23,7 +23,7 @@
 func (c *Core) setFinishTime(now Now, j *trackedJob) {
 	key := sharer{lane{j.spec.Service, j.spec.Priority}, j.spec.Org, j.spec.Zone}
 	arrival := now.Mono
-	if waited := time.Duration(now.UnixMs-j.spec.AcceptedMs) * time.Millisecond; waited > 0 {
+	if waited := time.Duration(now.UnixMs-j.spec.ArrivedMs()) * time.Millisecond; waited > 0 {
 		arrival -= waited
 	}
 	j.finishTime = max(arrival, c.finishTimes[key])
--- a/internal/core/dispatch/fairqueue_test.go
+++ b/internal/core/dispatch/fairqueue_test.go
@@ -149,3 +149,14 @@
 	order := h.order()
 	assert.Assert(t, slices.Index(order, "few-0") <= 2, "%v", order)
 }
+
+// Who returns after a refusal does not queue behind those who came meanwhile.
+func TestJobThatWasRefusedBeforeKeepsItsPlace(t *testing.T) {
+	h := fullFleet(t)
+	h.now += 20 * time.Second
+	h.of("a", "newcomer", 2)
+	returns := single("returns", 2, 2, whole)
+	returns.Org, returns.FirstRefusedMs = "b", h.now.Milliseconds()-15_000
+	h.add(returns)
+	assert.DeepEqual(t, h.order(), []string{"returns", "newcomer"})
+}
--- a/internal/core/dispatch/schedule.go
+++ b/internal/core/dispatch/schedule.go
@@ -139,7 +139,7 @@
 			if !o.ready {
 				o.ready, o.readySince = true, now.Mono
 				if o.dueMs == 0 {
-					o.readySince -= time.Duration(now.UnixMs-j.spec.AcceptedMs) * time.Millisecond
+					o.readySince -= time.Duration(now.UnixMs-j.spec.ArrivedMs()) * time.Millisecond
 				}
 			}
 			for _, s := range o.steps {
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -118,6 +118,18 @@
 	TicketValidity time.Duration `cbor:"16,keyasint,omitempty"`
 	// Zone is the availability zone of the host that accepted the job, which is normally the caller's.
 	Zone string `cbor:"17,keyasint,omitempty"`
+	// FirstRefusedMs is when the job was first refused for want of room, in Unix milliseconds; zero if
+	// it was not.
+	FirstRefusedMs int64 `cbor:"18,keyasint,omitempty"`
+}
+
+// ArrivedMs returns since when the caller has waited, in Unix milliseconds: since the job was accepted or,
+// if it was refused before, first refused.
+func (j *Job) ArrivedMs() int64 {
+	if j.FirstRefusedMs > 0 && j.FirstRefusedMs < j.AcceptedMs {
+		return j.FirstRefusedMs
+	}
+	return j.AcceptedMs
 }
 
 // Occurrences returns how many times the steps of the job run.
--- a/internal/entry/forecast.go
+++ b/internal/entry/forecast.go
@@ -58,6 +58,7 @@
 	if !refused {
 		return false, nil
 	}
+	h.recordRefusal(j.ID)
 	return false, retryableError(errkind.QueueFull, admission.RetryAfter(excess, j.ID).Seconds(),
 		fmt.Sprintf("the job could only end %v after the time until which it is of use", excess.Round(time.Millisecond)))
 }
@@ -74,3 +75,18 @@
 	}
 	return f.Refused(j)
 }
+
+// recordRefusal writes to the log that a job is refused for the first time, so that its caller keeps its
+// place when it returns to any host. The answer does not wait for that, and nothing is written while other
+// records wait for the log: the caller then loses its place, not its job.
+func (h *Host) recordRefusal(id string) {
+	if h.ledger.RefusedMs(id) > 0 {
+		return
+	}
+	rec, err := ledger.RefusalRecord(id, time.Now().UnixMilli())
+	if err != nil {
+		event.Error(h.logger, err, event.LogWriteError)
+		return
+	}
+	h.writer.tryWrite(rec)
+}
--- a/internal/entry/forecast_test.go
+++ b/internal/entry/forecast_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -122,3 +123,29 @@
 	known, err := h.admit(t.Context(), j)
 	assert.Assert(t, !known && err == nil)
 }
+
+// A caller who returns after a refusal, to any host, has waited since it was first refused.
+func TestCallerKeepsItsPlaceAfterARefusal(t *testing.T) {
+	h, log := hostShortOfRoom(t, 0)
+	ctx, cancel := context.WithCancel(t.Context())
+	var wait sync.WaitGroup
+	wait.Go(func() { assert.Check(t, h.writer.run(ctx)) })
+	defer func() { cancel(); wait.Wait() }()
+	before := time.Now().UnixMilli()
+	err := h.Submit(ctx, &batchQueue, "org", submission("0000000000000001"))
+	assert.Assert(t, errkind.Is(err, errkind.QueueFull), "%v", err)
+	eventually(t, func() bool { return h.ledger.RefusedMs("0000000000000001") >= before })
+	refused := h.ledger.RefusedMs("0000000000000001")
+
+	other, _ := hostShortOfRoom(t, admission.MaxAge+time.Second)
+	other.log = log
+	wait.Go(func() { assert.Check(t, other.writer.run(ctx)) })
+	for _, reader := range other.jobReaders {
+		assert.NilError(t, reader.catchUp(ctx))
+	}
+	assert.NilError(t, other.Submit(ctx, &batchQueue, "org", submission("0000000000000001")))
+	accepted, ok := other.ledger.Find("0000000000000001")
+	assert.Assert(t, ok)
+	assert.Equal(t, accepted.Job.ArrivedMs(), refused)
+	assert.Assert(t, accepted.Job.AcceptedMs >= refused)
+}
--- a/internal/entry/jobwriter.go
+++ b/internal/entry/jobwriter.go
@@ -80,6 +80,17 @@
 	}
 }
 
+// tryWrite queues a record whose append nobody waits for, unless the queue is half full.
+func (w *jobWriter) tryWrite(r sharedlog.Record) {
+	if len(w.queue) >= maxPending/2 {
+		return
+	}
+	select {
+	case w.queue <- pendingRecord{record: r, done: make(chan error, 1)}:
+	default:
+	}
+}
+
 // run appends the queued records in batches until ctx ends.
 func (w *jobWriter) run(ctx context.Context) error {
 	var g errgroup.Group
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -66,7 +66,7 @@
 	} else if err != nil {
 		return err
 	}
-	j.AcceptedMs = time.Now().UnixMilli()
+	j.AcceptedMs, j.FirstRefusedMs = time.Now().UnixMilli(), h.ledger.RefusedMs(j.ID)
 	rec, err := ledger.JobRecord(j)
 	if err != nil {
 		return errkind.New(errkind.Internal, "cannot write the job to the log: %v", err)
--- a/internal/ledger/earlycancel.go
+++ b/internal/ledger/earlycancel.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 
@@ -66,7 +67,12 @@
 		return
 	}
 	delete(e.earlyCancels, org)
-	if e.Job == nil && e.Ended == nil && !e.Cancelled && len(e.Tasks) == 0 && len(e.earlyCancels) == 0 {
+	l.dropIfEmpty(id, e)
+}
+
+// dropIfEmpty drops an entry without any content.
+func (l *Ledger) dropIfEmpty(id string, e *Entry) {
+	if e.Job == nil && e.Ended == nil && !e.Cancelled && len(e.Tasks) == 0 && len(e.earlyCancels) == 0 && e.refusedMs == 0 {
 		delete(l.entries, id)
 	}
 }
@@ -81,21 +87,23 @@
 
 // JobTombstones returns the tombstones of a job's submission and cancellations.
 func (e *Entry) JobTombstones(id string) []sharedlog.Record {
-	return append([]sharedlog.Record{{Key: keyJob + id}, {Key: keyCancel + id}}, e.earlyTombstones(id)...)
+	records := append([]sharedlog.Record{{Key: keyJob + id}, {Key: keyCancel + id}}, e.earlyTombstones(id)...)
+	return append(records, e.expiredRefusal(id, math.MaxInt64)...)
 }
 
-// ExpiredCancels returns the tombstones of early cancellations if no job with the ID has become known
-// and all of them were made before the given time, in Unix milliseconds.
+// ExpiredCancels returns the tombstones of early cancellations and of a refusal if no job with the ID has
+// become known and all of them were made before the given time, in Unix milliseconds.
 func (e *Entry) ExpiredCancels(id string, beforeMs int64) []sharedlog.Record {
 	if e.Job != nil || e.Ended != nil {
 		return nil
 	}
+	refused := e.expiredRefusal(id, beforeMs)
 	for _, at := range e.earlyCancels {
 		if at >= beforeMs {
-			return nil
+			return refused
 		}
 	}
-	return e.earlyTombstones(id)
+	return append(e.earlyTombstones(id), refused...)
 }
 
 func (e *Entry) earlyTombstones(id string) []sharedlog.Record {
--- a/internal/ledger/forecast_test.go
+++ b/internal/ledger/forecast_test.go
@@ -34,3 +34,30 @@
 		assert.Assert(t, l.Forecast(1000) == nil, name)
 	}
 }
+
+func TestEarliestRefusalOfAJobCounts(t *testing.T) {
+	l := New()
+	for _, at := range []int64{500, 300, 400} {
+		rec, err := RefusalRecord("a", at)
+		assert.NilError(t, err)
+		assert.NilError(t, l.Apply([]sharedlog.Record{rec}))
+	}
+	assert.Equal(t, l.RefusedMs("a"), int64(300))
+	assert.Equal(t, l.RefusedMs("b"), int64(0))
+}
+
+// Guards against refusals that stay in the log for good.
+func TestRefusalsAreDroppedWhenTheyExpireOrTheirJobDoes(t *testing.T) {
+	l := New()
+	rec, err := RefusalRecord("a", 300)
+	assert.NilError(t, err)
+	assert.NilError(t, l.Apply([]sharedlog.Record{rec}))
+	e := l.entries["a"]
+	assert.Equal(t, len(e.ExpiredCancels("a", 300)), 0)
+	tombstones := e.ExpiredCancels("a", 301)
+	assert.DeepEqual(t, tombstones, []sharedlog.Record{{Key: keyRefusal + "a"}})
+	assert.DeepEqual(t, e.JobTombstones("a"), []sharedlog.Record{{Key: keyJob + "a"}, {Key: keyCancel + "a"}, {Key: keyRefusal + "a"}})
+	assert.NilError(t, l.Apply(tombstones))
+	_, known := l.Find("a")
+	assert.Assert(t, !known)
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -94,6 +94,9 @@
 	// earlyCancels holds the times of early cancellations, in Unix milliseconds, by the hash of the
 	// organisation.
 	earlyCancels map[uint64]int64
+	// refusedMs is when the job was first refused for want of room, in Unix milliseconds; zero if it was
+	// not.
+	refusedMs int64
 }
 
 // Ledger is the state of all jobs, of the leader role and of the hosts. It is safe for
@@ -207,6 +210,8 @@
 		}
 	case strings.HasPrefix(r.Key, keyEarlyCancel):
 		return l.applyEarlyCancel(r.Key[len(keyEarlyCancel):], r.Value, tombstone)
+	case strings.HasPrefix(r.Key, keyRefusal):
+		return l.applyRefusal(r.Key[len(keyRefusal):], r.Value)
 	case strings.HasPrefix(r.Key, keyHost):
 		var e HostEntry
 		if tombstone {
