Workers that fail what they start no longer use up whole jobs

Change: a worker is held for a second after a failure, longer after each further one without a run that is done, at most a quarter of a service's workers at a time, and not for a step that has failed on more workers than its job has attempts. Work with one attempt left waits for up to three seconds for a worker whose newest end was a run that was done.

Ruled out: an earlier quarantine, which lasts four seconds at least and would take sound workers from everybody for each job that fails by its own fault.

--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -124,6 +124,7 @@
 		}
 	}
 	avoid := c.hasAlternative(now, s, t)
+	proven := c.wantsProven(now, s, t.failures, t.failedAt)
 	for _, w := range c.poolOf(now, s).usable {
 		if !w.free().Fits(need) || !c.mayPlaceOn(now, s, w) {
 			continue
@@ -136,7 +137,7 @@
 			atLimit = true
 			continue
 		}
-		if avoid && t.hasFailedOn(w) {
+		if avoid && t.hasFailedOn(w) || proven && !w.trust.proven(now.Mono) {
 			continue
 		}
 		score := s.score(w, need)
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -176,6 +176,7 @@
 	switch end {
 	case job.EndDone:
 		c.countDone(now, r)
+		r.worker.trust.recordDone(now.Mono)
 		r.worker.health.recordSuccess()
 		c.markDone(now, t)
 	case job.EndFailed:
@@ -205,6 +206,7 @@
 		c.note(Note{Kind: "worker quarantined", Worker: w.ID})
 	}
 	c.countFailure(t.step, t, number)
+	c.doubt(now, t, w)
 }
 
 // failIfExhausted ends the job of t as failed if t, or its gang, has failed as often as the job
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -318,6 +318,7 @@
 	// pausedUntil is when a worker that refused a start may get new work again.
 	pausedUntil time.Duration
 	health      health
+	trust       trust
 	// lateStarts are unanswered starts that the worker may still execute.
 	lateStarts []lateStart
 	// presumed are the ends of runs on the current incarnation that were presumed and may still be
