--- a/internal/core/dispatch/probe.go
+++ b/internal/core/dispatch/probe.go
@@ -119,6 +119,7 @@
 		}
 		r.load = row.Load
 		c.markRunning(now, r)
+		c.markLeaseLimited(now, r)
 		switch {
 		case r.phase != running:
 		case t.step.job.cancelledOrEnded() && !t.done:
@@ -173,11 +174,12 @@
 			continue
 		}
 		w.probing = true
-		until := w.leaseUntilMs
-		if w.unansweredCalls == 0 || until == 0 {
+		until := int64(0)
+		if !w.unreachable() && !w.hasAdopted() {
 			// The lease of a worker that does not answer is not extended: it has to expire,
 			// so that its tasks can be started elsewhere.
 			until = c.extendLease(now, w, c.settings.LeaseTTL)
+			wait = min(wait, c.leaseLeft(now)/probesPerLease)
 		}
 		c.pendingActions.Probes = append(c.pendingActions.Probes, Probe{Target: w.target(), LeaseUntilMs: until, Ack: w.recordedEnd, MaxWait: wait, sentAt: now.Mono})
 	}
@@ -191,10 +193,11 @@
 }
 
 // probeNeed reports whether a worker needs a probe, and how long its answer may be delayed until
-// a run ends. A worker needs one while it is listed but unreachable and not draining, while it may
-// have runs whose start was sent and is no longer in flight, and to acknowledge recorded ends.
+// a run ends. A worker needs one while it is listed but unreachable and not draining, unless it is idle in
+// an evacuated zone, while it may have runs whose start was sent and is no longer in flight, and to
+// acknowledge recorded ends.
 func (c *Core) probeNeed(w *worker) (time.Duration, bool) {
-	if w.unreachable() && w.listed && !w.Draining {
+	if w.unreachable() && w.listed && !w.Draining && (!c.evacuated(w) || len(w.runs) > 0) {
 		return 0, true // it gets no new work until it answers a probe
 	}
 	if len(w.presumed) > 0 {
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -23,7 +23,7 @@
 		c.setRackPositions()
 	}
 	c.racksIndexed = false
-	c.evacuate(now)
+	c.stopLeaving(now)
 	for _, w := range c.sortedWorkers {
 		if w.listed && !present[w.ID] {
 			w.listed = false
@@ -66,6 +66,7 @@
 	w.ClockMs, w.clockAt = clockMs, clockAt
 	w.listed, w.entryRead = true, true
 	w.setLeaveTime(now)
+	w.setCold(now)
 	clear(w.labels)
 	for _, l := range info.Labels {
 		w.labels[l] = true
@@ -289,7 +290,7 @@
 		}
 		for _, r := range c.runsOf(w) {
 			switch {
-			case expired && r.phase != recording:
+			case now.Mono > max(w.leasesExpireAt(), r.inheritedUntil) && r.phase != recording:
 				c.endRun(now, r, job.EndLost, r.checkpoint)
 			case r.phase == stopping && r.stopSent && !r.stopAcked && now.Mono >= r.nextStopAt:
 				c.sendStop(now, r)
@@ -297,6 +298,6 @@
 		}
 	}
 	c.stopStalledRuns(now)
-	c.evacuate(now)
+	c.stopLeaving(now)
 	c.advanceWaves(now)
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -70,6 +70,8 @@
 	lost          map[string]LostWork
 	interruptions map[int]uint64
 	lastRotation  time.Time
+	// guaranteeShortfall is what SetGuaranteeShortfall has set.
+	guaranteeShortfall int64
 }
 
 type orgClass struct{ org, class string }
@@ -116,6 +118,14 @@
 	r.errors[kind]++
 }
 
+// SetGuaranteeShortfall sets by how many accelerators the guarantees of all organisations exceed the
+// capacity that may be used.
+func (r *Registry) SetGuaranteeShortfall(accelerators int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.guaranteeShortfall = accelerators
+}
+
 func (r *Registry) seriesFor(org, class string, measure Measure) *series {
 	p := orgClass{org, class}
 	if !r.pairs[p] && len(r.pairs) >= MaxPairs {
@@ -156,6 +166,9 @@
 	LostWork map[string]LostWork `json:"lost_work,omitempty"`
 	// Interruptions is the number of tasks by how many of their runs were interrupted.
 	Interruptions map[int]uint64 `json:"interruptions,omitempty"`
+	// GuaranteeShortfall is by how many accelerators the guarantees of all organisations exceed the
+	// capacity that may be used. It is zero on hosts without the leader role.
+	GuaranteeShortfall int64 `json:"guarantee_shortfall,omitempty"`
 }
 
 // Row is one histogram.
@@ -185,7 +198,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.rotate()
-	out := Snapshot{Series: []Row{}, Errors: map[errkind.Kind]uint64{}, LostWork: maps.Clone(r.lost), Interruptions: maps.Clone(r.interruptions)}
+	out := Snapshot{Series: []Row{}, Errors: map[errkind.Kind]uint64{}, LostWork: maps.Clone(r.lost), Interruptions: maps.Clone(r.interruptions), GuaranteeShortfall: r.guaranteeShortfall}
 	for kind, n := range r.errors {
 		out.Errors[kind] = n
 	}
