Workers are held after early failures only

Change: a failure speaks against the worker only if the run failed within a quarter of its expected time; work that is at fault itself mostly fails later. The same for the wait before a last attempt.

Ruled out: no holds on small fleets, where workers fail what they start as well.

--- a/internal/core/dispatch/gang.go
+++ b/internal/core/dispatch/gang.go
@@ -66,7 +66,7 @@
 	if s.failures > 0 && (!c.avoidsFailedWorkers(now, s, s.failures, s.lastFailedAt()) || transientSlots(s, filter(p.usable, eligible)) < len(s.tasks)) {
 		eligible = func(w *worker) bool { return c.mayPlaceOn(now, s, w) }
 	}
-	if c.wantsProven(now, s, s.failures, s.lastFailedAt()) {
+	if c.wantsProven(now, s, s.failedEarly(), s.failures, s.lastFailedAt()) {
 		unproven := eligible
 		eligible = func(w *worker) bool { return w.trust.proven(now.Mono) && unproven(w) }
 	}
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -124,7 +124,7 @@
 		}
 	}
 	avoid := c.hasAlternative(now, s, t)
-	proven := c.wantsProven(now, s, t.failures, t.failedAt)
+	proven := c.wantsProven(now, s, t.failedEarly, t.failures, t.failedAt)
 	for _, w := range c.poolOf(now, s).usable {
 		if !w.free().Fits(need) || !c.mayPlaceOn(now, s, w) {
 			continue
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -182,6 +182,7 @@
 		c.markDone(now, t)
 	case job.EndFailed:
 		c.recordFailure(now, t, r.worker, r.number)
+		c.doubt(now, r)
 	case job.EndLeaseExpired, job.EndGangTimeout:
 		t.notBefore = now.Mono + placementDelay
 	}
@@ -207,7 +208,6 @@
 		c.note(Note{Kind: "worker quarantined", Worker: w.ID})
 	}
 	c.countFailure(t.step, t, number)
-	c.doubt(now, t, w)
 }
 
 // failIfExhausted ends the job of t as failed if t, or its gang, has failed as often as the job
--- a/internal/core/dispatch/trust.go
+++ b/internal/core/dispatch/trust.go
@@ -6,9 +6,10 @@
 )
 
 // A worker that fails what it starts is free again at once and so attracts work: in the time that its
-// quarantine takes to begin, it can use up the attempts of many jobs. Two measures bound that. A worker is
-// held for a short time after each failure of work that may not be at fault itself, and work that has one
-// attempt left is tried only where work was done lately.
+// quarantine takes to begin, it can use up the attempts of many jobs. Two measures bound that, both for runs
+// that fail early: work that is at fault itself mostly fails when it has worked for a while. A worker is held
+// for a short time after such a failure, and work that has one attempt left is tried only where work was done
+// lately.
 
 // trust is what the ends of a worker's runs say about it.
 type trust struct {
@@ -40,11 +41,16 @@
 	return t.doneAt > t.failedAt && now < t.doneAt+provenFor
 }
 
-// doubt holds w after a run of t has failed there, unless t's step has failed on as many workers as its job
-// has attempts: then the work is the likelier cause, and would hold one worker after another.
-func (c *Core) doubt(now Now, t *task, w *worker) {
+// earlyFailure is the part of its expected run time within which a run fails early.
+const earlyFailure = 0.25
+
+// doubt holds the worker of r, which has failed there, if it failed early; unless its step has failed on more
+// workers than its job has attempts: then the work is the likelier cause, and would hold one after another.
+func (c *Core) doubt(now Now, r *run) {
+	t, w := r.task, r.worker
 	w.trust.failedAt = now.Mono
-	if t.step.spec.LongRunning || t.step.workersFailedOn() > t.step.job.attempts() || c.heldShare(now, w) > maxHeldShare {
+	t.failedEarly = float64(now.Mono-r.confirmedAt) < earlyFailure*float64(c.expectedRunTime(now, t.step, nil))
+	if !t.failedEarly || t.step.spec.LongRunning || t.step.workersFailedOn() > t.step.job.attempts() || c.heldShare(now, w) > maxHeldShare {
 		return
 	}
 	w.trust.hold = min(max(2*w.trust.hold, minHold), minQuarantine)
@@ -79,9 +85,9 @@
 }
 
 // wantsProven reports whether work of s that has failed so often, last at failedAt, waits for workers that
-// are proven. It schedules a wake-up for when it does not any more.
-func (c *Core) wantsProven(now Now, s *step, failures int, failedAt time.Duration) bool {
-	if s.spec.LongRunning || failures == 0 || failures < s.job.attempts()-1 {
+// are proven. early says whether it failed early. It schedules a wake-up for when it does not wait any more.
+func (c *Core) wantsProven(now Now, s *step, early bool, failures int, failedAt time.Duration) bool {
+	if !early || s.spec.LongRunning || failures == 0 || failures < s.job.attempts()-1 {
 		return false
 	}
 	until := failedAt + lastAttemptWait
@@ -91,3 +97,8 @@
 	c.wakeAt(now, until)
 	return true
 }
+
+// failedEarly reports whether a task of s failed early when it last failed.
+func (s *step) failedEarly() bool {
+	return slices.ContainsFunc(s.tasks, func(t *task) bool { return t.failedEarly })
+}
--- a/internal/core/dispatch/trust_test.go
+++ b/internal/core/dispatch/trust_test.go
@@ -31,7 +31,7 @@
 	for i, want := range []time.Duration{minHold, 2 * minHold, minQuarantine, minQuarantine} {
 		j := single(fmt.Sprint(i), 1, 1, one)
 		h.add(j)
-		h.core.doubt(h.clock(), h.core.jobs[j.ID].occurrences[0].steps[0].tasks[0], w)
+		h.core.doubt(h.clock(), &run{task: h.core.jobs[j.ID].occurrences[0].steps[0].tasks[0], worker: w, confirmedAt: h.now})
 		assert.Equal(t, w.trust.hold, want)
 		h.now = w.pausedUntil
 	}
@@ -113,3 +113,16 @@
 	h.advance(lastAttemptWait + 250*time.Millisecond)
 	assert.Equal(t, len(h.starts), 1)
 }
+
+// Work that fails by its own fault does so when it has worked for a while; that speaks for no hold.
+func TestWorkerIsNotHeldAfterAFailureThatCameLate(t *testing.T) {
+	h := newHarness(t)
+	h.core.SetWorkers(h.clock(), h.fleet(8, whole))
+	h.add(single("first", 1, 8, whole))
+	failed := h.accept()[0]
+	h.add(single("next", 1, 1, whole))
+	h.now += 2 * time.Second // the estimate is five seconds
+	h.endRun(failed, job.EndFailed)
+	assert.Equal(t, len(h.starts), 1)
+	assert.Equal(t, h.starts[0].Worker, failed.Worker)
+}
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -199,6 +199,8 @@
 	failures   int
 	checkpoint string
 	current    *run
+	// failedEarly is set if the task's last run that failed did so long before it could have been done.
+	failedEarly bool
 	// interruptions counts the runs that ended before the task was done, under this leader.
 	interruptions int
 	// notBefore is the earliest time of the next placement.
