Expected run times are kept for a second in the order of waiting steps

Change: the run time that the order asks for every waiting step in every cycle is computed once a second.

--- a/internal/core/dispatch/roomforecast.go
+++ b/internal/core/dispatch/roomforecast.go
@@ -131,7 +131,7 @@
 			}
 			for _, s := range o.steps {
 				n := float64(len(s.tasks) - s.done - s.activeRuns)
-				waiting[lane{j.spec.Service, j.spec.Priority}] += max(0, n) * s.spec.Need.Cores() * c.expectedRunTime(now, s, nil).Seconds()
+				waiting[lane{j.spec.Service, j.spec.Priority}] += max(0, n) * s.spec.Need.Cores() * c.usualRunTime(now, s).Seconds()
 			}
 		}
 	}
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -249,6 +249,9 @@
 	// useless caches Core.uselessRank for one scheduling cycle, rankedIn.
 	useless  int
 	rankedIn *cycle
+	// usualRunTime and usualRunTimeAt cache Core.usualRunTime.
+	usualRunTime   time.Duration
+	usualRunTimeAt time.Duration
 	// evacuationNoted is the change of the evacuated zones for which a note says that the step waits.
 	evacuationNoted int
 }
--- a/internal/core/dispatch/usefulness.go
+++ b/internal/core/dispatch/usefulness.go
@@ -10,7 +10,7 @@
 // Steps count as running one after the other.
 func (c *Core) chain(now Now, o *occurrence) (total, remaining time.Duration) {
 	for _, s := range o.steps {
-		d := c.expectedRunTime(now, s, nil)
+		d := c.usualRunTime(now, s)
 		total += d
 		if s.done < len(s.tasks) {
 			remaining += d
@@ -19,6 +19,18 @@
 	return total, remaining
 }
 
+// runTimeKept is how long the expected run time of a step is kept for the order of waiting steps.
+const runTimeKept = time.Second
+
+// usualRunTime is expectedRunTime on a worker of usual speed, computed once in runTimeKept: it is asked for
+// every waiting step in every cycle.
+func (c *Core) usualRunTime(now Now, s *step) time.Duration {
+	if s.usualRunTime == 0 || now.Mono >= s.usualRunTimeAt+runTimeKept {
+		s.usualRunTime, s.usualRunTimeAt = c.expectedRunTime(now, s, nil), now.Mono
+	}
+	return s.usualRunTime
+}
+
 // objective returns within what time an occurrence of j should end whose steps take total.
 func (j *trackedJob) objective(total time.Duration) time.Duration {
 	return time.Duration(j.spec.Stretch*float64(total)) + j.spec.Objective
