--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -59,6 +59,8 @@
 	meanUrgentWork float64
 	// estimates is what has been learned of run times and of the speeds of workers.
 	estimates *estimate.Model
+	// runTimesNotedAt is when the learned run times were last noted.
+	runTimesNotedAt time.Duration
 	// cycle caches what the current scheduling cycle has computed.
 	cycle *cycle
 	// evacuation says where nothing may start.
@@ -86,7 +88,7 @@
 // New returns a core without jobs and workers. This process becomes the leader at now: leases
 // of former leaders are assumed to last for up to Settings.inheritedLease from then on.
 func New(now Now, set Settings) *Core {
-	c := &Core{settings: set, inheritedUntil: now.Mono + set.inheritedLease(), knownLeasesUntil: now.Mono + set.FormerLeaseTime + leaseExpiryMargin, leasesUntil: math.MaxInt64, jobs: map[string]*trackedJob{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, zoneSuspectedAt: map[string]time.Duration{}, traffic: newTraffic(), finishTimes: map[sharer]time.Duration{}, cycle: newCycle(), estimates: estimate.NewModel()}
+	c := &Core{settings: set, inheritedUntil: now.Mono + set.inheritedLease(), knownLeasesUntil: now.Mono + set.FormerLeaseTime + leaseExpiryMargin, leasesUntil: math.MaxInt64, jobs: map[string]*trackedJob{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, zoneSuspectedAt: map[string]time.Duration{}, traffic: newTraffic(), finishTimes: map[sharer]time.Duration{}, cycle: newCycle(), estimates: estimate.NewModel(set.ProbeWait)}
 	c.openBatch()
 	return c
 }
@@ -362,6 +364,7 @@
 		for _, s := range o.steps {
 			c.dropPlan(s)
 			c.countInterruptions(s)
+			c.estimates.ForgetGroup(s.name())
 			for _, t := range s.tasks {
 				delete(c.tasks, t.id.String())
 				for _, p := range slices.Clone(t.presumed) {
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -179,6 +179,7 @@
 		c.countDone(now, r)
 		r.worker.trust.recordDone(now.Mono)
 		r.worker.health.recordSuccess()
+		c.observeDone(now, r)
 		c.markDone(now, t)
 	case job.EndFailed:
 		c.recordFailure(now, t, r.worker, r.number)
@@ -186,6 +187,7 @@
 	case job.EndLeaseExpired, job.EndGangTimeout:
 		t.notBefore = now.Mono + placementDelay
 	}
+	c.forgetProgress(r)
 	if s.spec.Gang && end != job.EndDone && !t.done {
 		s.gangEnds.record(r.number, end)
 		c.breakGang(now, s, r.number)
@@ -300,4 +302,5 @@
 	c.stopStalledRuns(now)
 	c.stopLeaving(now)
 	c.advanceWaves(now)
+	c.noteRunTimes(now)
 }
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -160,7 +160,12 @@
 	savedAt time.Duration
 	// stopCause is why the run was ordered to stop; empty if it was not.
 	stopCause string
-	percent   int
+	// resumedFrom is the checkpoint with which the run was started.
+	resumedFrom string
+	// expected is the run time that was expected on the worker at the placement; zero for runs that
+	// this leader has not placed.
+	expected time.Duration
+	percent  int
 	// load is the tail latency of a serving task in milliseconds, or the number of
 	// processor cores that another task uses.
 	load   float64
@@ -243,6 +248,14 @@
 	readySince time.Duration
 	ready      bool
 	advice     advice
+	// expected is the expected run time of a task on a worker of usual speed as of expectedAt, once
+	// expectedKnown is set.
+	expected      time.Duration
+	expectedAt    time.Duration
+	expectedKnown bool
+	// speeds says how slowdowns affect the step in the scheduling cycle speedsIn; nil if they do not.
+	speeds   *speeds
+	speedsIn *cycle
 	// avoidsUrgentRacks caches Core.avoidsUrgentRacks for one scheduling cycle, avoidsIn.
 	avoidsUrgentRacks bool
 	avoidsIn          *cycle
@@ -346,6 +359,13 @@
 	pausedUntil time.Duration
 	health      health
 	trust       trust
+	// slow is set while the worker is reported as slow.
+	slow bool
+	// slowdown is by which factor runs on the worker take longer than on one of usual speed, as of
+	// speedAt, and speedClass its class. It is zero before it has been computed.
+	slowdown   float64
+	speedClass int
+	speedAt    time.Duration
 	// lateStarts are unanswered starts that the worker may still execute.
 	lateStarts []lateStart
 	// presumed are the ends of runs on the current incarnation that were presumed and may still be
