--- a/internal/core/dispatch/core.go
+++ b/internal/core/dispatch/core.go
@@ -52,6 +52,10 @@
 	// false until one has.
 	lastUrgentArrival time.Duration
 	urgentArrived     bool
+	// finishTimes holds the latest finish times of the jobs that each part of the workers is for.
+	finishTimes map[sharer]time.Duration
+	// traffic measures the work that arrives and that is done.
+	traffic traffic
 	// hazard estimates how often running work is preempted.
 	hazard hazard
 	// lastArrival is when the newest job of any priority arrived.
@@ -97,7 +101,11 @@
 // New returns a core without jobs and workers. This process becomes the leader at now: leases
 // of former leaders are assumed to last for up to Settings.inheritedLease from then on.
 func New(now Now, set Settings) *Core {
-	c := &Core{settings: set, inheritedUntil: now.Mono + set.inheritedLease(), knownLeasesUntil: now.Mono + set.FormerLeaseTime + leaseExpiryMargin, leasesUntil: math.MaxInt64, jobs: map[string]*trackedJob{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, zoneSuspectedAt: map[string]time.Duration{}, cycle: newCycle(), copyResults: map[stragglerReason]copyResults{}, estimates: estimate.NewModel(set.ProbeWait)}
+	c := &Core{
+		settings: set, inheritedUntil: now.Mono + set.inheritedLease(), knownLeasesUntil: now.Mono + set.FormerLeaseTime + leaseExpiryMargin, leasesUntil: math.MaxInt64,
+		jobs: map[string]*trackedJob{}, workers: map[string]*worker{}, tasks: map[string]*task{}, guaranteed: map[string]int64{}, zoneSuspectedAt: map[string]time.Duration{},
+		traffic: newTraffic(), finishTimes: map[sharer]time.Duration{}, cycle: newCycle(), copyResults: map[stragglerReason]copyResults{}, estimates: estimate.NewModel(set.ProbeWait),
+	}
 	c.openBatch()
 	return c
 }
@@ -115,7 +123,11 @@
 	if c.jobs[spec.ID] != nil {
 		return
 	}
-	c.checkDone(now, c.newJob(now, spec, tasks))
+	j := c.newJob(now, spec, tasks)
+	if len(tasks) == 0 {
+		c.countArrival(now, j)
+	}
+	c.checkDone(now, j)
 	c.inputsChanged = true
 	c.urgentMayStart = c.urgentMayStart || spec.Priority == urgentPriority
 }
@@ -145,6 +157,7 @@
 		}
 		j.occurrences = append(j.occurrences, o)
 	}
+	c.setFinishTime(now, j)
 	if spec.Priority == urgentPriority {
 		c.lastUrgentArrival, c.urgentArrived = now.Mono, true
 		if c.meanUrgentWork == 0 {
@@ -304,7 +317,8 @@
 		return
 	}
 	unsent := r.phase == recording
-	r.phase = stopping
+	r.phase, r.stopCause = stopping, why
+	r.task.step.noteBreak(r.number, why)
 	r.worker.runsByEnd = nil
 	c.note(Note{Kind: "stop", Task: r.task.id.String(), Run: r.number, Worker: r.worker.ID, Why: why})
 	if unsent {
@@ -360,6 +374,7 @@
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			c.dropPlan(s)
+			c.countInterruptions(s)
 			c.estimates.ForgetGroup(s.name())
 			for _, t := range s.tasks {
 				delete(c.tasks, t.id.String())
--- a/internal/core/dispatch/gang.go
+++ b/internal/core/dispatch/gang.go
@@ -67,6 +67,10 @@
 	if s.failures > 0 && (!c.avoidsFailedWorkers(now, s, s.failures, s.lastFailedAt()) || transientSlots(s, filter(p.usable, eligible)) < len(s.tasks)) {
 		eligible = func(w *worker) bool { return c.mayPlaceOn(now, s, w) }
 	}
+	if c.wantsProven(now, s, s.failedEarly(), s.failures, s.lastFailedAt()) {
+		unproven := eligible
+		eligible = func(w *worker) bool { return w.trust.proven(now.Mono) && unproven(w) }
+	}
 	workers := c.findGangAmong(now, s, sl, eligible)
 	if workers != nil && c.worthWaiting(now, s, slowestClass(workers), len(workers)) {
 		return c.findGangAmong(now, s, sl, func(w *worker) bool { return !w.isSlow() && eligible(w) })
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -127,6 +127,7 @@
 	}
 	c.rateSpeeds(now, s)
 	avoid := c.hasAlternative(now, s, t)
+	proven := c.wantsProven(now, s, t.failedEarly, t.failures, t.failedAt)
 	for _, w := range c.poolOf(now, s).usable {
 		if !w.free().Fits(need) || !c.mayPlaceOn(now, s, w) {
 			continue
@@ -139,7 +140,7 @@
 			atLimit = true
 			continue
 		}
-		if avoid && t.hasFailedOn(w) {
+		if avoid && t.hasFailedOn(w) || proven && !w.trust.proven(now.Mono) {
 			continue
 		}
 		score := s.score(w, need) + s.speedScore(w)
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -165,6 +165,7 @@
 // records the result.
 func (c *Core) endRun(now Now, r *run, end job.End, checkpoint string) {
 	t, s, j := r.task, r.task.step, r.task.step.job
+	c.countLoss(now, r, end, checkpoint)
 	c.removeRun(r)
 	if r.startPending && !r.listed {
 		r.worker.addLateStart(now, r)
@@ -176,12 +177,15 @@
 	c.countCopy(r, end)
 	switch end {
 	case job.EndDone:
+		c.countDone(now, r)
+		r.worker.trust.recordDone(now.Mono)
 		r.worker.health.recordSuccess()
 		c.observeDone(now, r)
 		c.markDone(now, t)
 		c.stopSuperseded(now, t)
 	case job.EndFailed:
 		c.recordFailure(now, t, r.worker, r.number)
+		c.doubt(now, r)
 	case job.EndLeaseExpired, job.EndGangTimeout:
 		t.notBefore = now.Mono + placementDelay
 	}
@@ -272,7 +276,7 @@
 	for _, m := range s.tasks {
 		m.notBefore = max(m.notBefore, now.Mono)
 		if m.current != nil && m.current.number == number && !m.done {
-			c.stop(now, m.current, "gang broken")
+			c.stop(now, m.current, gangBroken)
 		}
 	}
 }
--- a/internal/core/dispatch/types.go
+++ b/internal/core/dispatch/types.go
@@ -161,6 +161,10 @@
 	placedAt time.Duration
 	// checkpoint is the newest known checkpoint.
 	checkpoint string
+	// savedAt is when the worker first listed that checkpoint; zero if it is that of an earlier run.
+	savedAt time.Duration
+	// stopCause is why the run was ordered to stop; empty if it was not.
+	stopCause string
 	// resumedFrom is the checkpoint with which the run was started.
 	resumedFrom string
 	// expected is the run time that was expected on the worker at the placement; zero for runs that
@@ -209,6 +213,10 @@
 	copy *run
 	// moves counts the moves from slow workers.
 	moves int
+	// failedEarly is set if the task's last run that failed did so long before it could have been done.
+	failedEarly bool
+	// interruptions counts the runs that ended before the task was done, under this leader.
+	interruptions int
 	// notBefore is the earliest time of the next placement.
 	notBefore time.Duration
 	// failedOn lists the IDs of workers on which the task failed or stalled, and failedAt is when it
@@ -237,6 +245,8 @@
 	latestRun int
 	failures  int
 	gangEnds  gangEnds
+	// gangBreak is why the newest broken run of the gang broke.
+	gangBreak gangBreak
 	// failedRuns are the numbers of the gang's runs whose failure has been counted, so that further
 	// failed members of them do not count.
 	failedRuns []int
@@ -260,6 +270,12 @@
 	// avoidsUrgentRacks caches Core.avoidsUrgentRacks for one scheduling cycle, avoidsIn.
 	avoidsUrgentRacks bool
 	avoidsIn          *cycle
+	// useless caches Core.uselessRank for one scheduling cycle, rankedIn.
+	useless  int
+	rankedIn *cycle
+	// usualRunTime and usualRunTimeAt cache Core.usualRunTime.
+	usualRunTime   time.Duration
+	usualRunTimeAt time.Duration
 	// evacuationNoted is the change of the evacuated zones for which a note says that the step waits.
 	evacuationNoted int
 }
@@ -287,6 +303,8 @@
 	seq int
 	// withinGuarantee is set while the job is within its organisation's guarantee.
 	withinGuarantee bool
+	// finishTime is the job's finish time in the order of fair queueing.
+	finishTime time.Duration
 	// work is the estimated work of the job's first occurrence, in core-seconds.
 	work float64
 }
@@ -351,6 +369,7 @@
 	// pausedUntil is when a worker that refused a start may get new work again.
 	pausedUntil time.Duration
 	health      health
+	trust       trust
 	// slow is set while the worker is reported as slow.
 	slow bool
 	// slowdown is by which factor runs on the worker take longer than on one of usual speed, as of
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -16,6 +16,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 
+	"agatewinch/internal/core/admission"
 	"agatewinch/internal/core/job"
 	"agatewinch/internal/sharedlog"
 )
@@ -40,6 +41,8 @@
 	keyRole   = "role"
 	keyHost   = "h/"
 	keyWave   = "w/"
+	// keyForecast is the key of the leader's forecast.
+	keyForecast = "forecast"
 )
 
 // Role is the record of the leader role.
@@ -94,6 +97,9 @@
 	// earlyCancels holds the times of early cancellations, in Unix milliseconds, by the hash of the
 	// organisation.
 	earlyCancels map[uint64]int64
+	// refusedMs is when the job was first refused for want of room, in Unix milliseconds; zero if it was
+	// not.
+	refusedMs int64
 }
 
 // Ledger is the state of all jobs, of the leader role and of the hosts. It is safe for
@@ -105,6 +111,8 @@
 	// waves holds the records of the waves in progress, by their numbers in decimal.
 	waves map[string]Wave
 	role  Role
+	// forecast is the newest forecast of a leader; nil if there is none.
+	forecast *admission.Forecast
 	// stateRecords counts the records of the leader that were applied.
 	stateRecords uint64
 	// updated holds the IDs of jobs submitted or cancelled since the last TakeUpdated, while
@@ -193,6 +201,8 @@
 			l.role = role
 		}
 		l.stateRecords++
+	case r.Key == keyForecast:
+		return l.applyForecast(r.Value)
 	case strings.HasPrefix(r.Key, keyJob):
 		return l.applyJob(r.Key[len(keyJob):], r.Value, tombstone)
 	case strings.HasPrefix(r.Key, keyCancel):
@@ -203,6 +213,8 @@
 		}
 	case strings.HasPrefix(r.Key, keyEarlyCancel):
 		return l.applyEarlyCancel(r.Key[len(keyEarlyCancel):], r.Value, tombstone)
+	case strings.HasPrefix(r.Key, keyRefusal):
+		return l.applyRefusal(r.Key[len(keyRefusal):], r.Value)
 	case strings.HasPrefix(r.Key, keyHost):
 		var e HostEntry
 		if tombstone {
--- a/internal/sim/simulation.go
+++ b/internal/sim/simulation.go
@@ -72,6 +72,8 @@
 	// Wasted is the lost work of interrupted runs in core-seconds, with accelerators counted as
 	// in job.Resources.Cores. It excludes the work of the runs that failed.
 	Wasted float64
+	// Lost is the lost work that the leader has counted, by cause.
+	Lost map[string]float64
 	// Probes counts the probes of workers, and Runs the runs that started.
 	Probes, Runs int
 }
@@ -139,7 +141,7 @@
 func New(seed uint64, set dispatch.Settings, workers []*Worker) *Simulation {
 	sim := &Simulation{
 		Settings: set, Workers: workers, rand: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
-		ledger: ledger.New(), jobs: map[string]*simJob{}, recordedDone: map[string]bool{}, gangs: map[string]*gangState{}, evacuated: map[string]int{},
+		ledger: ledger.New(), jobs: map[string]*simJob{}, recordedDone: map[string]bool{}, Lost: map[string]float64{}, gangs: map[string]*gangState{}, evacuated: map[string]int{},
 	}
 	for _, w := range workers {
 		w.startIncarnation(0)
@@ -236,7 +238,7 @@
 func (sim *Simulation) guarantees() map[string]int64 {
 	g := map[string]int64{}
 	for i, n := range guaranteedAccelerators {
-		g[organisation(i)] = n
+		g[organisation(i)] = n * int64(max(guaranteedOf, len(sim.Workers))) / guaranteedOf
 	}
 	return g
 }
@@ -277,6 +279,9 @@
 		}
 	}
 	actions := ldr.core.TakeActions(sim.clock())
+	for _, loss := range actions.Losses {
+		sim.Lost[loss.Cause] += loss.CoreSeconds
+	}
 	for _, s := range actions.Starts {
 		sim.checkZone(s)
 		sim.send(ldr, s.Worker, s.Incarnation, func(w *Worker) dispatch.Outcome { return sim.startRun(w, s, ldr.epoch) },
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -25,6 +25,10 @@
 	startedAt time.Duration
 	stopAt    time.Duration
 	gang      bool
+	// saved is the part of the work that was done before the run, from 0 to 1: what the checkpoint
+	// that it resumed from has saved. checkpoints is set if the run saves its own progress.
+	saved       float64
+	checkpoints bool
 	// runTime is how long the whole run takes at its worker's present speed. It is zero while a gang
 	// member waits for the others to start and on a hanging worker. share is the share of the work that
 	// was done at the time at.
@@ -122,7 +126,7 @@
 func (w *Worker) report(now time.Duration) dispatch.WorkerReport {
 	r := dispatch.WorkerReport{Incarnation: w.Info.Incarnation, ClockMs: w.clockMs(now)}
 	for _, e := range sortedRuns(w.runs) {
-		r.Running = append(r.Running, dispatch.RunInProgress{Task: e.key.task, Run: e.key.run, Percent: e.percent(now, w)})
+		r.Running = append(r.Running, dispatch.RunInProgress{Task: e.key.task, Run: e.key.run, Percent: e.percent(now, w), Checkpoint: e.checkpoint(now)})
 	}
 	for _, e := range w.ended {
 		if e.Number > w.ackedEnd {
@@ -136,5 +140,5 @@
 	if w.Hangs || e.runTime == 0 {
 		return 0
 	}
-	return min(100, int(100*(e.share+float64(now-e.at)/float64(e.runTime))))
+	return int(100 * e.progress(now))
 }
--- a/internal/sim/workercalls.go
+++ b/internal/sim/workercalls.go
@@ -27,7 +27,7 @@
 	}
 	sj := sim.jobs[s.Task.Job]
 	step := &sj.job.Steps[s.Task.Step]
-	e := &execution{key: key, id: s.Task, need: step.Charge(), startedAt: sim.now, gang: step.Gang}
+	e := &execution{key: key, id: s.Task, need: step.Charge(), startedAt: sim.now, gang: step.Gang, checkpoints: step.Checkpoints, saved: decodeCheckpoint(s.Checkpoint)}
 	sim.checkStart(w, sj, e)
 	sim.Runs++
 	w.runs[key] = e
@@ -67,7 +67,10 @@
 	if spread {
 		runTime = time.Duration(float64(runTime) * sim.Settings.SpreadFactor)
 	}
-	e.runTime, e.at = time.Duration(float64(runTime)*w.factor()), sim.now
+	e.runTime, e.share, e.at = time.Duration(float64(runTime)*w.factor()), e.saved, sim.now
+	if e.saved > 0 {
+		e.at += sim.Settings.RestoreTime
+	}
 	startedAt := w.startedAt
 	e.finish = func() {
 		if e.finished || w.runs[e.key] != e || w.startedAt != startedAt || e.stopAt > 0 || sim.now < e.doneAt() {
@@ -174,22 +177,22 @@
 			if end == job.EndBroken {
 				sim.countWaste(x)
 			}
-			m.endRun(x, end, "")
+			m.endRun(x, end, x.checkpoint(sim.now))
 		}
 	}
 }
 
 func (sim *Simulation) memberLost(w *Worker, e *execution) { sim.endGang(e, w, job.EndBroken) }
 
-// countWaste adds the work of an interrupted run to Wasted. With checkpoints, at most the last
-// 500 ms are lost. A gang member that was waiting for the other members wastes nothing.
+// countWaste adds the work of an interrupted run to Wasted. With checkpoints, at most the work since the
+// last one is lost. A gang member that was waiting for the other members wastes nothing.
 func (sim *Simulation) countWaste(e *execution) {
 	if e.runTime == 0 && e.gang {
 		return
 	}
 	lost := sim.now - e.startedAt
 	if sj := sim.jobs[e.id.Job]; sj.job.Steps[e.id.Step].Checkpoints {
-		lost = min(lost, 500*time.Millisecond)
+		lost = min(lost, checkpointInterval)
 	}
 	sim.Wasted += lost.Seconds() * e.need.Cores()
 }
@@ -216,7 +219,7 @@
 		}
 		sim.countWaste(e)
 		sim.endGang(e, w, job.EndStopped)
-		w.endRun(e, job.EndStopped, "")
+		w.endRun(e, job.EndStopped, e.lastCheckpoint(sim.now))
 	})
 	return dispatch.Accepted
 }
