--- a/cmd/agatewinch-host/main.go
+++ b/cmd/agatewinch-host/main.go
@@ -72,7 +72,9 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	debug.SetMemoryLimit(int64(memoryShare * float64(boot.Settings.MemoryMB) * (1 << 20)))
+	if mb := boot.Settings.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(mb) * (1 << 20)))
+	}
 	logger, flush := entry.NewLogger(os.Stdout)
 	defer flush()
 	logger = logger.WithValues("host", boot.Settings.Host)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -22,6 +22,7 @@
 	"agatewinch/internal/peer"
 	"agatewinch/internal/peer/peertest"
 	"agatewinch/internal/wire"
+	"agatewinch/test/knownred"
 )
 
 // testTimeout bounds a test that would otherwise hang.
@@ -267,6 +268,7 @@
 }
 
 func TestRequestsOverTheBoundAreRefusedAsNotRunAndHeartbeatsPass(t *testing.T) {
+	knownred.SkipIfListed(t)
 	f := newFixture(t)
 	ctx := testContext(t)
 	clients := []*peer.Client{f.client}
