Decisions are counted by kind

Cause: copies, moves, slow workers and waits for evacuated zones could be seen in log lines only, of which a host drops those beyond its limits. Change: the expvar map agatewinch_decisions counts the leader's notes by kind. Ruled out: a counter for each new part; the notes already name all of them. Tests of internal/entry for it pass.

--- a/internal/entry/actions.go
+++ b/internal/entry/actions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"time"
 
 	"agatewinch/internal/core/dispatch"
@@ -9,6 +10,9 @@
 	"agatewinch/internal/metrics"
 )
 
+// decisions counts what the leader decided and observed, by kind, as in the lines of event.Decision.
+var decisions = expvar.NewMap("agatewinch_decisions")
+
 // dispatchActions logs the core's notes, sends its calls and starts the next append to the log.
 // Each outgoing call runs in a goroutine of its own, which posts the result to the core. While the
 // leader's permission to send orders has run out, it makes no decisions and only renews leases.
@@ -27,6 +31,7 @@
 		actions = l.core.TakeProbes(now)
 	}
 	for _, n := range actions.Notes {
+		decisions.Add(n.Kind, 1)
 		event.Info(l.host.logger, event.Decision, "what", n.Kind, "job", n.Job, "task", n.Task, "run", n.Run, "worker", n.Worker, "why", n.Why, "epoch", l.epoch)
 	}
 	for _, loss := range actions.Losses {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -38,6 +38,12 @@
 // Callers query as soon as their job's last task has ended, which is before the job's end is in
 // the log, and query again only some time later. If the first query were answered at once, they
 // would learn of the end only from the next one.
+func TestDecisionsAreCountedByKind(t *testing.T) {
+	hosts, _ := run(t, memlog.New(), 1)
+	assert.NilError(t, hosts[0].Submit(context.Background(), &queue, "org", submission("0000000000000001")))
+	eventually(t, func() bool { return decisions.Get("placed") != nil && decisions.Get("run ended") != nil })
+}
+
 func TestQueryShortlyBeforeTheEndReturnsTheEndState(t *testing.T) {
 	for name, leading := range map[string]bool{"standby": false, "leader": true} {
 		t.Run(name, func(t *testing.T) {
