--- a/review/lab3/worker.go
+++ b/review/lab3/worker.go
@@ -42,7 +42,9 @@
 	// onStop, if set, is called instead of carrying out a stop; it returns true if the worker has crashed.
 	onStop func(task string, run int) bool
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// cut is until when the worker is cut off: nothing reaches it, and no answer leaves it.
+	cut       time.Time
 	kind      string
 	rack      string
 	gpu       int64
@@ -139,7 +141,7 @@
 func (w *worker) report() {
 	w.mu.Lock()
 	w.sequence++
-	up := w.up
+	up := w.up && !w.isCut()
 	entry := map[string]any{
 		"service": service, "address": w.address, "zone": "zone-a", "version": "1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
 		"sequence": w.sequence, "born": w.born, "clock_ms": w.clock(), "labels": []string{w.kind, w.rack},
@@ -151,6 +153,19 @@
 	}
 }
 
+// awaitReport returns just after the worker has written its entry.
+func (w *worker) awaitReport() {
+	w.mu.Lock()
+	before := w.sequence
+	w.mu.Unlock()
+	for now := before; now == before; time.Sleep(5 * time.Millisecond) {
+		w.mu.Lock()
+		now = w.sequence
+		w.mu.Unlock()
+	}
+	time.Sleep(20 * time.Millisecond)
+}
+
 func (w *worker) heartbeats() {
 	for {
 		time.Sleep(heartbeat)
@@ -175,6 +190,13 @@
 		answer(rw, http.StatusBadRequest, map[string]any{})
 		return
 	}
+	w.mu.Lock()
+	cut := w.isCut()
+	w.mu.Unlock()
+	if cut {
+		w.silence(r)
+		panic(http.ErrAbortHandler)
+	}
 	if id := r.Header.Get("Expect-Instance"); id != "" && id != w.id {
 		answer(rw, http.StatusMisdirectedRequest, map[string]any{})
 		return
@@ -212,9 +234,25 @@
 		http.NotFound(rw, r)
 		return
 	}
+	if w.isCut() {
+		w.mu.Unlock()
+		w.silence(r)
+		w.mu.Lock()
+		panic(http.ErrAbortHandler)
+	}
 	answer(rw, http.StatusOK, map[string]any{"clock_ms": w.clock(), "born": w.born})
 }
 
+func (w *worker) isCut() bool { return time.Now().Before(w.cut) }
+
+// silence leaves a call without an answer until its caller has given up.
+func (w *worker) silence(r *http.Request) {
+	select {
+	case <-r.Context().Done():
+	case <-time.After(6 * time.Second):
+	}
+}
+
 func (w *worker) extend(untilMs int64) {
 	untilMs = min(untilMs, w.clock()+maxHold.Milliseconds())
 	if untilMs <= w.leaseMs {
@@ -329,7 +367,7 @@
 		}
 		w.mu.Lock()
 	}
-	if !w.up || w.life != life {
+	if !w.up || w.life != life || w.isCut() {
 		panic(http.ErrAbortHandler)
 	}
 	list, finished := [][]any{}, [][]any{}
