--- a/review/lab3/case_advice.go
+++ b/review/lab3/case_advice.go
@@ -63,24 +63,29 @@
 	return time.Now().Before(a.tickets[ticketKey(o.Ticket, stepOf(o.Task), fmt.Sprintf("%s@%d", w.id, w.born))])
 }
 
-// adviceCase: a lasting step of two tasks, at most one a worker, on an advised queue. Two empty workers join.
-// Then one of the two busy workers crashes and starts again. Its task has to run again somewhere.
+// adviceCase: a lasting step of eight tasks, at most one a worker, runs on eight workers, on an advised queue. Two
+// empty workers join. Then one of the ten crashes and starts again. Its task has to run again somewhere.
 func adviceCase(l *lab) {
 	a := &advisor{lab: l, tickets: map[string]time.Time{}}
 	l.adviceAddress = l.serve(a)
 	l.checkTicket = a.valid
 	l.store.put("keyed.op", "config", manifest(1, []string{tenantKey}, map[string]any{"decision_ms": 10, "per_item_ms": 1, "validity_ms": ticketValidity.Milliseconds()}))
-	l.addWorker("w-1", "a", "r1", 8)
-	l.addWorker("w-2", "a", "r2", 8)
+	const count = 8
+	for i := range count {
+		l.addWorker(fmt.Sprintf("w-%d", i+1), "a", fmt.Sprintf("r%d", i+1), 8)
+	}
 	l.startHosts(3, func(string) string { return l.storeAddress })
 	const path = "/batch/5c0e7a21d94b36f8"
-	l.submit(path, map[string]any{"count": 2, "cpu": 4000, "mem_mb": 4096, "gpu": 1, "estimated_ms": 1000, "long_running": true, "anti_affinity": 1})
-	tasks := []string{"5c0e7a21d94b36f8.0.0.0", "5c0e7a21d94b36f8.0.0.1"}
+	l.submit(path, map[string]any{"count": count, "cpu": 4000, "mem_mb": 4096, "gpu": 1, "estimated_ms": 1000, "long_running": true, "anti_affinity": 1})
+	var tasks []string
+	for i := range count {
+		tasks = append(tasks, fmt.Sprintf("5c0e7a21d94b36f8.0.0.%d", i))
+	}
 	for _, t := range tasks {
 		l.until(5*time.Second, t+" runs", func() bool { w, _ := l.runsAt(t); return w != nil })
 	}
-	l.addWorker("w-3", "a", "r3", 8)
-	l.addWorker("w-4", "a", "r4", 8)
+	l.addWorker("w-9", "a", "r9", 8)
+	l.addWorker("w-10", "a", "r10", 8)
 	time.Sleep(3 * time.Second)
 	if l.trouble {
 		w, _ := l.runsAt(tasks[1])
