--- a/review/lab3/case_reserve.go
+++ b/review/lab3/case_reserve.go
@@ -8,12 +8,12 @@
 
 func init() { cases["reserve"] = reserveCase }
 
-// reserveCase: three workers are full, one runs a lasting task, one is idle. A gang of a
-// higher priority waits for two whole workers.
-// Then the worker with the lasting task crashes. That task has to run again: there is room for eight of it.
+// reserveCase: of ten workers eight are full, one runs a lasting task, one is idle. A gang of a higher priority
+// waits for two whole workers. Then the worker with the lasting task crashes and does not come back. That task has to
+// run again: there is room for eight of it.
 func reserveCase(l *lab) {
 	l.store.put("keyed.op", "config", manifest(1, []string{tenantKey}, nil))
-	for i := range 5 {
+	for i := range 10 {
 		l.addWorker(fmt.Sprintf("w-%d", i+1), "a", fmt.Sprintf("r%d", i+1), 8)
 	}
 	l.startHosts(3, func(string) string { return l.storeAddress })
@@ -24,7 +24,7 @@
 	}
 	l.submit("/batch/"+lasting, map[string]any{"count": 1, "cpu": 4000, "mem_mb": 4096, "gpu": 1, "estimated_ms": 300000, "long_running": true})
 	runs(lasting)
-	for i := range 3 {
+	for i := range 8 {
 		id := fmt.Sprintf("%016x", 0xf000+i)
 		l.submit("/batch/"+id, map[string]any{"count": 1, "cpu": 8000, "mem_mb": 8192, "gpu": 8, "estimated_ms": 100000})
 		runs(id)
