--- a/review/lab3/case_kind.go
+++ b/review/lab3/case_kind.go
@@ -9,13 +9,14 @@
 
 func init() { cases["kind"] = kindCase }
 
-// kindCase: an urgent job that requires the label "a" preempts a batch job on the only worker of that kind.
-// While that is being stopped, the worker crashes, and starts again as a worker of kind "b" under its id.
+// kindCase: an urgent job that requires the label "a" preempts a batch job on the only worker of that kind, one of
+// ten. While that is being stopped, the worker crashes, and starts again as a worker of kind "b" under its id.
 func kindCase(l *lab) {
 	l.store.put("keyed.op", "config", manifest(1, []string{tenantKey}, nil))
 	w := l.addWorker("w-1", "a", "r1", 8)
-	l.addWorker("w-2", "b", "r2", 8)
-	l.addWorker("w-3", "b", "r3", 8)
+	for i := 2; i <= 10; i++ {
+		l.addWorker(fmt.Sprintf("w-%d", i), "b", fmt.Sprintf("r%d", i), 8)
+	}
 	l.startHosts(3, func(string) string { return l.storeAddress })
 	var crashes atomic.Bool
 	l.onStart = func(at *worker, o order, _ *worker) {
