Advice requests, their answers and their absence are decisions in the log

Change: notes for a request (with what it was based on), its answer, and, once for each change of the reason, for tasks that wait without a request.

--- a/internal/core/dispatch/advice.go
+++ b/internal/core/dispatch/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 )
@@ -40,6 +41,8 @@
 	verdicts map[*worker]verdict
 	inFlight bool
 	retryAt  time.Duration
+	// withoutReason describes why no advice was requested when that was last noted.
+	withoutReason string
 }
 
 // verdict is the advisory service's answer for one worker. A worker's eligibility to run the step
@@ -78,10 +81,13 @@
 		c.wakeAt(now, s.advice.retryAt)
 		return
 	}
-	named := c.workersToAsk(now, s)
+	named, why := c.workersToAsk(now, s)
 	if len(named) == 0 {
+		c.noteNoAdvice(s, why)
 		return
 	}
+	s.advice.withoutReason = ""
+	c.note(Note{Kind: "advice requested", Job: s.job.spec.ID, Why: why})
 	req := AdviceRequest{Step: s.name(), step: s}
 	for _, w := range named {
 		req.Workers = append(req.Workers, w.ID)
@@ -94,9 +100,13 @@
 
 // workersToAsk returns the workers to ask about: those with free capacity or, if there are
 // none, those without. Workers without free capacity are named only while the total capacity
-// of the eligible workers is too small for the step; reservations and preemption use them.
-func (c *Core) workersToAsk(now Now, s *step) []*worker {
+// of the eligible workers is too small for the step; reservations and preemption use them. why describes
+// what the choice was based on; it is empty if no task waits.
+func (c *Core) workersToAsk(now Now, s *step) (named []*worker, why string) {
 	need, waiting := s.spec.Charge(), len(c.waiting(now, s))
+	if waiting == 0 {
+		return nil, ""
+	}
 	freeSlots, totalSlots := 0, 0
 	var free, full []*worker
 	for _, w := range c.sortedWorkers {
@@ -117,14 +127,23 @@
 			full = append(full, w)
 		}
 	}
-	if freeSlots >= waiting {
-		return nil
+	if freeSlots < waiting {
+		named = s.eligibleFirst(free)
+		if len(named) == 0 && totalSlots < waiting {
+			named = s.eligibleFirst(full)
+		}
+		named = named[:min(len(named), maxAdviceWorkers)]
 	}
-	named := s.eligibleFirst(free)
-	if len(named) == 0 && totalSlots < waiting {
-		named = s.eligibleFirst(full)
+	why = fmt.Sprintf("step %s: %d tasks wait, workers with a ticket have %d free slots of %d; without one: %d with free slots, %d without", s.name(), waiting, freeSlots, totalSlots, len(free), len(full))
+	return named, why
+}
+
+// noteNoAdvice notes that tasks of s wait and no advice is requested, once for each reason.
+func (c *Core) noteNoAdvice(s *step, why string) {
+	if why != "" && why != s.advice.withoutReason {
+		c.note(Note{Kind: "no advice requested", Job: s.job.spec.ID, Why: why})
 	}
-	return named[:min(len(named), maxAdviceWorkers)]
+	s.advice.withoutReason = why
 }
 
 // eligibleFirst orders workers by score, with those known to be eligible first.
@@ -170,6 +189,7 @@
 			s.advice.verdicts[w] = verdict{incarnation: a.incarnations[i], eligible: eligible, ticket: ticket, expiresAt: until}
 		}
 	}
+	c.note(Note{Kind: "advice received", Job: s.job.spec.ID, Why: fmt.Sprintf("step %s: %d of %d workers are eligible", a.Step, len(tickets), len(a.Workers))})
 	c.urgentMayStart = c.urgentMayStart || s.job.spec.Priority == urgentPriority
 }
 
