Advice: the tasks that a worker has count against the step's limit there

Cause: workersToAsk counted the free capacity of the workers with a ticket up to the step's limit per worker, but not the tasks of the step that run there. Workers at the limit counted as free, so that nobody was asked about others, and once their tickets had expired they were the first to be named in each request. Change: slots are counted within what is left of the limit. It works since a slot now counts only where bestWorker would accept the worker; the limit that long-running tasks hold does not come free by itself. Ruled out: an unnoticed loss, an unanswered or refused request.

--- a/internal/core/dispatch/advice.go
+++ b/internal/core/dispatch/advice.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"agatewinch/internal/core/job"
 )
 
 const (
@@ -103,23 +105,27 @@
 // of the eligible workers is too small for the step; reservations and preemption use them. why describes
 // what the choice was based on; it is empty if no task waits.
 func (c *Core) workersToAsk(now Now, s *step) (named []*worker, why string) {
-	need, waiting := s.spec.Charge(), len(c.waiting(now, s))
+	waiting := len(c.waiting(now, s))
 	if waiting == 0 {
 		return nil, ""
 	}
 	freeSlots, totalSlots := 0, 0
 	var free, full []*worker
 	for _, w := range c.sortedWorkers {
-		if !w.fits(s) || !c.takesWork(now, w) || !w.Capacity.Fits(need) {
+		if !w.fits(s) || !c.takesWork(now, w) {
+			continue
+		}
+		total := s.slotsLater(w)
+		if total == 0 {
 			continue
 		}
-		fit := timesFit(w.free(), need, s.spec.MaxPerWorker)
+		fit := s.slotsNow(w)
 		_, allowed := s.ticketFor(now, w)
 		v, known := s.verdictFor(w)
 		switch {
 		case allowed:
 			freeSlots += fit
-			totalSlots += timesFit(w.Capacity, need, s.spec.MaxPerWorker)
+			totalSlots += total
 		case known && !v.eligible:
 		case fit > 0:
 			free = append(free, w)
@@ -138,6 +144,30 @@
 	return named, why
 }
 
+// slotsNow returns how many more tasks of s w can take now.
+func (s *step) slotsNow(w *worker) int { return s.slotsWithin(w, w.free()) }
+
+// slotsLater returns how many more tasks of s w could take if nothing ran on it but the long-running tasks of
+// s, which keep counting against its limit per worker.
+func (s *step) slotsLater(w *worker) int {
+	if s.spec.LongRunning {
+		return s.slotsWithin(w, w.Capacity)
+	}
+	return timesFit(w.Capacity, s.spec.Charge(), s.spec.MaxPerWorker)
+}
+
+// slotsWithin returns how many more tasks of s fit into some of the capacity of w, within its limit per worker.
+// A gang starts only once no member of an earlier run is left, so that those do not count.
+func (s *step) slotsWithin(w *worker, capacity job.Resources) int {
+	limit := s.spec.MaxPerWorker
+	if limit > 0 && !s.spec.Gang {
+		if limit -= s.countOnWorker(w); limit <= 0 {
+			return 0
+		}
+	}
+	return timesFit(capacity, s.spec.Charge(), limit)
+}
+
 // noteNoAdvice notes that tasks of s wait and no advice is requested, once for each reason.
 func (c *Core) noteNoAdvice(s *step, why string) {
 	if why != "" && why != s.advice.withoutReason {
--- a/internal/core/dispatch/advice_test.go
+++ b/internal/core/dispatch/advice_test.go
@@ -145,3 +145,107 @@
 	assert.Equal(t, len(h.stops), 1)
 	assert.Equal(t, h.stops[0].Worker, "w4")
 }
+
+// everywhere answers the oldest open request: all workers that it names are eligible.
+func (h *harness) everywhere() AdviceRequest {
+	h.t.Helper()
+	assert.Assert(h.t, len(h.adviceRequests) > 0, "no advice request is open")
+	return h.answerAdvice(h.adviceRequests[0].Workers...)
+}
+
+// lastingAdvised returns an advised job of long-running tasks with a limit per worker, of which each is small
+// beside a worker. Its tickets outlive the test, unless it is about their end.
+func lastingAdvised(count, maxPerWorker int) *job.Job {
+	j := advised(single("lasting", 2, count, one))
+	j.TicketValidity = time.Hour
+	j.Steps[0].LongRunning, j.Steps[0].MaxPerWorker = true, maxPerWorker
+	return j
+}
+
+// answerProbes lets all workers that are listed list the runs that they have.
+func (h *harness) answerProbes() {
+	for _, p := range slices.Clone(h.probes) {
+		if !h.core.workers[p.Worker].listed {
+			continue
+		}
+		h.answerProbe(p.Worker, WorkerReport{Incarnation: h.core.workers[p.Worker].Incarnation, ClockMs: h.now.Milliseconds() + 1})
+	}
+}
+
+// Guards against a long-running task that never runs again after its worker has restarted: the workers with
+// tickets were at the step's limit, their free capacity counted all the same, and nobody was asked about others.
+func TestAdvisedTaskRunsAgainAfterItsWorkerRestarts(t *testing.T) {
+	for _, maxPerWorker := range []int{1, 2} {
+		h := newHarness(t)
+		h.core.SetWorkers(h.clock(), h.fleet(4, whole))
+		h.add(lastingAdvised(4*maxPerWorker, maxPerWorker))
+		h.everywhere()
+		assert.Equal(t, len(h.accept()), 4*maxPerWorker)
+		h.answerProbes()
+		list := h.fleet(6, whole)
+		list[1].Incarnation = 2
+		h.core.SetWorkers(h.clock(), list)
+		h.flush()
+		assert.Equal(t, len(h.everywhere().Workers), 3, "the restarted worker and the two new ones")
+		assert.Equal(t, len(h.starts), maxPerWorker)
+	}
+}
+
+// Guards against a long-running task whose worker has left for good, while new ones have joined that nobody was
+// asked about.
+func TestAdvisedTaskOfAWorkerThatHasLeftRunsElsewhere(t *testing.T) {
+	h := newHarness(t)
+	h.core.SetWorkers(h.clock(), h.fleet(4, whole))
+	h.add(lastingAdvised(4, 1))
+	h.everywhere()
+	lost := h.accept()[0]
+	h.answerProbes()
+	list := slices.DeleteFunc(h.fleet(6, whole), func(w WorkerInfo) bool { return w.ID == lost.Worker })
+	h.core.SetWorkers(h.clock(), list)
+	for i := 0; i < 60 && len(h.adviceRequests) == 0; i++ {
+		for _, p := range slices.Clone(h.probes) {
+			if p.Worker == lost.Worker {
+				h.failProbe(p, Unanswered)
+			}
+		}
+		h.answerProbes()
+		h.advance(250 * time.Millisecond)
+	}
+	h.everywhere()
+	assert.Equal(t, len(h.starts), 1)
+}
+
+// Guards against tasks that never start because a request names a part of the workers only: those had reached the
+// step's limit, and nobody was asked about the rest.
+func TestAdvisedStepThatNeedsSeveralRequestsStartsWhole(t *testing.T) {
+	h := newHarness(t)
+	const count = 2*maxAdviceWorkers + 20
+	h.core.SetWorkers(h.clock(), h.fleet(count, whole))
+	h.add(lastingAdvised(count, 1))
+	for _, n := range []int{maxAdviceWorkers, maxAdviceWorkers, 20} {
+		h.everywhere()
+		assert.Equal(t, len(h.accept()), n)
+	}
+}
+
+// Guards against requests that name, again and again, workers whose tickets have expired and that have reached the
+// step's limit, and never those that could run its task.
+func TestWorkersAtTheLimitOfTheStepAreNotNamedForExpiredTickets(t *testing.T) {
+	h := newHarness(t)
+	const count = maxAdviceWorkers + 5
+	h.core.SetWorkers(h.clock(), h.fleet(count, whole))
+	j := lastingAdvised(count, 1)
+	j.TicketValidity = 4 * time.Second
+	h.add(j)
+	h.everywhere()
+	h.everywhere()
+	assert.Equal(t, len(h.accept()), count)
+	h.answerProbes()
+	h.advance(5 * time.Second)
+	list := h.fleet(count+1, whole)
+	list[1].Incarnation = 2
+	h.core.SetWorkers(h.clock(), list)
+	h.flush()
+	assert.Equal(t, len(h.everywhere().Workers), 2)
+	assert.Equal(t, len(h.starts), 1)
+}
