Advice: only workers on which a waiting task may be placed now count

Cause: workersToAsk went by free capacity alone. Workers whose capacity is reserved for a gang or left to urgent work, or on which the task has failed, counted, so that nobody was asked about others; and the question was decided before the cycle made its reservations. Change: slotsNow applies the checks of bestWorker and of the gangs; steps that still wait at the end of a cycle ask again. The reservation test needs the second request: without askFurther the reservation is made after the decision. Ruled out: an endless wait of a task that has failed on its only worker with a ticket; without an alternative it returns there at once, as before. Measured: tests of dispatch and sim pass.

--- a/internal/core/dispatch/advice.go
+++ b/internal/core/dispatch/advice.go
@@ -100,12 +100,23 @@
 	c.pendingActions.AdviceRequests = append(c.pendingActions.AdviceRequests, req)
 }
 
+// askFurther requests advice for the steps that still wait at the end of a cycle: other work and new
+// reservations may have taken the workers with tickets.
+func (c *Core) askFurther(now Now, steps []*step) {
+	for _, s := range steps {
+		if s.plan == nil {
+			c.requestAdvice(now, s)
+		}
+	}
+}
+
 // workersToAsk returns the workers to ask about: those with free capacity or, if there are
 // none, those without. Workers without free capacity are named only while the total capacity
 // of the eligible workers is too small for the step; reservations and preemption use them. why describes
 // what the choice was based on; it is empty if no task waits.
 func (c *Core) workersToAsk(now Now, s *step) (named []*worker, why string) {
-	waiting := len(c.waiting(now, s))
+	tasks := c.waiting(now, s)
+	waiting := len(tasks)
 	if waiting == 0 {
 		return nil, ""
 	}
@@ -119,7 +130,7 @@
 		if total == 0 {
 			continue
 		}
-		fit := s.slotsNow(w)
+		fit := c.slotsNow(now, s, w, tasks)
 		_, allowed := s.ticketFor(now, w)
 		v, known := s.verdictFor(w)
 		switch {
@@ -144,8 +155,30 @@
 	return named, why
 }
 
-// slotsNow returns how many more tasks of s w can take now.
-func (s *step) slotsNow(w *worker) int { return s.slotsWithin(w, w.free()) }
+// slotsNow returns how many of the waiting tasks of s may be placed on w now.
+func (c *Core) slotsNow(now Now, s *step, w *worker, tasks []*task) int {
+	if !c.mayPlaceOn(now, s, w) {
+		return 0
+	}
+	return min(c.willing(now, tasks, w), s.slotsWithin(w, w.free()))
+}
+
+// willing returns how many of some tasks of a step do not avoid w. A gang avoids workers as a whole.
+func (c *Core) willing(now Now, tasks []*task, w *worker) int {
+	if tasks[0].step.spec.Gang {
+		if c.avoids(now, tasks[0], w) {
+			return 0
+		}
+		return len(tasks)
+	}
+	n := 0
+	for _, t := range tasks {
+		if !c.avoids(now, t, w) {
+			n++
+		}
+	}
+	return n
+}
 
 // slotsLater returns how many more tasks of s w could take if nothing ran on it but the long-running tasks of
 // s, which keep counting against its limit per worker.
--- a/internal/core/dispatch/advice_test.go
+++ b/internal/core/dispatch/advice_test.go
@@ -249,3 +249,43 @@
 	assert.Equal(t, len(h.everywhere().Workers), 2)
 	assert.Equal(t, len(h.starts), 1)
 }
+
+// Guards against a task that waits for a worker with a ticket whose free capacity is reserved for a gang, while
+// nobody is asked about another worker that is free.
+func TestAdvisedTaskBesideAReservationAsksAboutOtherWorkers(t *testing.T) {
+	h := newHarness(t)
+	list := h.fleet(3, whole)
+	list[2].Capacity.Accelerators = 4
+	h.core.SetWorkers(h.clock(), list[:2])
+	h.add(single("busy", 1, 2, whole))
+	busy := h.accept()
+	j := advised(single("j", 2, 1, one))
+	j.TicketValidity, j.Steps[0].Estimate = time.Hour, time.Minute
+	h.add(j)
+	h.everywhere()
+	h.core.AddJob(h.clock(), gang("g", 1, 2, whole), nil)
+	h.core.SetWorkers(h.clock(), list)
+	h.endRun(busy[0], job.EndDone)
+	assert.Equal(t, len(h.starts), 0)
+	assert.DeepEqual(t, h.everywhere().Workers, []string{"w2"})
+	assert.Equal(t, len(h.starts), 1)
+}
+
+// Guards against a task that avoids the worker on which it has failed and waits for work on the only other one with
+// a ticket to end, while nobody is asked about a third, which is free.
+func TestAdvisedTaskThatAvoidsAWorkerAsksAboutOthers(t *testing.T) {
+	h := newHarness(t)
+	h.core.SetWorkers(h.clock(), h.fleet(2, whole))
+	j := advised(single("j", 1, 1, one))
+	j.TicketValidity = time.Hour
+	h.add(j)
+	h.everywhere()
+	failing := h.accept()[0]
+	h.add(single("busy", 1, 1, whole))
+	h.accept()
+	h.core.SetWorkers(h.clock(), h.fleet(3, whole))
+	h.endRun(failing, job.EndFailed)
+	assert.Equal(t, len(h.starts), 0)
+	assert.DeepEqual(t, h.everywhere().Workers, []string{"w2"})
+	assert.Equal(t, len(h.starts), 1)
+}
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -208,6 +208,15 @@
 	return true
 }
 
+// avoids reports whether t, or its gang, still avoids w because it has failed there.
+func (c *Core) avoids(now Now, t *task, w *worker) bool {
+	s := t.step
+	if s.spec.Gang {
+		return s.hasFailedOn(w) && c.avoidsFailedWorkers(now, s, s.failures, s.lastFailedAt())
+	}
+	return t.hasFailedOn(w) && c.avoidsFailedWorkers(now, s, len(t.failedOn), t.failedAt)
+}
+
 // mayPlaceOn reports whether tasks of s may use w: it is not on a rack that s leaves free for
 // urgent work and, unless the fleet is quiet, not reserved for a gang. Urgent work may use every
 // worker.
--- a/internal/core/dispatch/schedule.go
+++ b/internal/core/dispatch/schedule.go
@@ -112,6 +112,7 @@
 			c.placeTasks(now, s, full)
 		}
 	}
+	c.askFurther(now, steps)
 	if kind == fullCycle {
 		c.reviewStragglers(now, steps)
 	}
