Advice: the end of a ticket wakes a step that waits

Cause: no cycle was asked for when a ticket expires, and a quiet system has no other event. Change: askFurther asks for a cycle when the first ticket of a step that still waits expires. Test: failed before (no wake-up at all). Ruled out: a wake-up for each step with tickets; those that do not wait need none.

--- a/internal/core/dispatch/advice.go
+++ b/internal/core/dispatch/advice.go
@@ -101,11 +101,21 @@
 }
 
 // askFurther requests advice for the steps that still wait at the end of a cycle: other work and new
-// reservations may have taken the workers with tickets.
+// reservations may have taken the workers with tickets. It schedules a wake-up for when the tickets expire.
 func (c *Core) askFurther(now Now, steps []*step) {
 	for _, s := range steps {
-		if s.plan == nil {
+		if s.job.spec.Advised && s.plan == nil && s.hasWaiting() {
 			c.requestAdvice(now, s)
+			c.wakeForTickets(now, s)
+		}
+	}
+}
+
+// wakeForTickets schedules a cycle for when the first of the tickets of s expires.
+func (c *Core) wakeForTickets(now Now, s *step) {
+	for w, v := range s.advice.verdicts {
+		if _, allowed := s.ticketFor(now, w); allowed {
+			c.wakeAt(now, v.expiresAt)
 		}
 	}
 }
--- a/internal/core/dispatch/advice_test.go
+++ b/internal/core/dispatch/advice_test.go
@@ -324,3 +324,18 @@
 	h.add(lastingAdvised(1, 0))
 	assert.DeepEqual(t, h.everywhere().Workers, []string{started[maxAdviceWorkers].Worker})
 }
+
+// Guards against a step that waits while its tickets expire and that asks again only after some other event: on a
+// quiet system there is none.
+func TestWaitingStepAsksAgainOnceItsTicketsHaveExpired(t *testing.T) {
+	h := newHarness(t)
+	h.core.SetWorkers(h.clock(), h.fleet(1, whole))
+	h.add(advised(single("j", 1, 2, whole)))
+	h.everywhere()
+	h.accept()
+	wake := h.core.Wake()
+	assert.Assert(t, wake > h.now && wake <= h.now+4*time.Second, "%v", wake)
+	h.now = wake
+	h.flush()
+	assert.DeepEqual(t, h.everywhere().Workers, []string{"w0"})
+}
