The tasks that a worker has count against the step's limit when its slots are forecast

Cause: freeSlots forecast slots up to the step's limit per worker without the tasks of the step that run there, so that soonestFree named fast workers at the limit as free now. Change: these tasks count until they are expected to end. Evidence: the new test failed on (one start instead of two). Ruled out: long-running steps, which do not wait for speed, and gangs, which have no running members when they wait. The other users of timesFit are bounds that only skip work early (slotsFor, newEvictionSearch) or count their own tasks (findEviction, bestWorker, moves).

--- a/internal/core/dispatch/reserve.go
+++ b/internal/core/dispatch/reserve.go
@@ -103,15 +103,18 @@
 	return all[:len(s.tasks)]
 }
 
-// freeSlots returns when each further task of s would fit on w if no other work were placed
-// there.
+// freeSlots returns when each further task of s would fit on w, beside those that run there, if no other work
+// were placed there.
 func (w *worker) freeSlots(now Now, s *step) []freeSlot {
 	need := s.spec.Charge()
-	free := w.free()
+	free, own := w.free(), s.countOnWorker(w)
 	var out []freeSlot
-	found := 0
 	add := func(at time.Duration) {
-		for n := timesFit(free, need, s.spec.MaxPerWorker); found < n && found < len(s.tasks); found++ {
+		n := timesFit(free, need, 0)
+		if s.spec.MaxPerWorker > 0 {
+			n = min(n, s.spec.MaxPerWorker-own)
+		}
+		for len(out) < min(n, len(s.tasks)) {
 			out = append(out, freeSlot{w, at})
 		}
 	}
@@ -121,6 +124,9 @@
 			break
 		}
 		free = free.Plus(r.need)
+		if r.task.step == s {
+			own--
+		}
 		add(max(now.Mono, r.expectedEnd()))
 	}
 	return out
--- a/internal/core/dispatch/speed_test.go
+++ b/internal/core/dispatch/speed_test.go
@@ -151,6 +151,23 @@
 	}
 }
 
+// Guards against a task that waits for fast workers with free capacity on which its step has reached its limit of
+// tasks per worker, while a slow one, on which it would end sooner, is idle.
+func TestWorkDoesNotWaitForFastWorkersOnWhichItsStepIsAtItsLimit(t *testing.T) {
+	h := newHarness(t)
+	h.core.SetWorkers(h.clock(), h.fleet(2, whole))
+	for i, ran := range []time.Duration{5 * time.Second, 13 * time.Second} {
+		for range 50 {
+			h.core.estimates.ObserveEnd(h.now, estimate.Kind{Org: "org"}, fmt.Sprintf("w%d", i), 5*time.Second, ran)
+		}
+	}
+	h.now += speedRefresh
+	j := single("j", 1, 2, one)
+	j.Steps[0].MaxPerWorker = 1
+	h.add(j)
+	assert.DeepEqual(t, h.startedOn(), []string{"w0", "w1"})
+}
+
 func TestRunThatHasOutlivedItsKindsMedianIsExpectedToGoOn(t *testing.T) {
 	h := speedHarness(t, func(int) bool { return false })
 	h.add(single("j", 1, 1, whole))
