Waves: a worker that cannot be emptied does not drain

Cause: a drain began without a look at whether the worker's long-running tasks fit anywhere else or may be unavailable together, and nothing but the upkeep ended it. Change: canEmpty decides on a drain, at its beginning and until the order; tasks that fit nowhere else are stopped last and together. The choice of machines moves to drain.go. Ruled out: stopping one of several tasks and waiting for its return. Its own worker is the only one with room, and drains.

--- a/internal/core/dispatch/upkeep.go
+++ b/internal/core/dispatch/upkeep.go
@@ -193,41 +193,17 @@
 	if c.machines == nil {
 		return
 	}
+	open := filter(c.sortedWorkers, func(w *worker) bool { return c.takesWork(now, w) })
 	for _, v := range c.waves {
-		for _, u := range c.nextToDrain(now, v) {
-			u.phase = upkeepDraining
-			c.note(Note{Kind: "worker draining for upkeep", Worker: c.machines[u.machine].Worker})
-		}
 		stopAll := c.mustStopRuns(now, v)
+		open = c.drainNext(now, v, open)
 		for _, u := range v.upkeeps {
-			c.advanceUpkeep(now, v, u, stopAll)
+			c.advanceUpkeep(now, v, u, open, stopAll)
 		}
 		c.reportWave(now, v)
 	}
 }
 
-// nextToDrain returns the machines to drain now, in increasing order of the work that
-// stopping their runs would lose.
-func (c *Core) nextToDrain(now Now, v *wave) []*upkeep {
-	var waiting []*upkeep
-	for _, u := range v.upkeeps {
-		if u.phase == upkeepWaiting && c.machines[u.machine].Up {
-			waiting = append(waiting, u)
-		}
-	}
-	loss := map[*upkeep]float64{}
-	for _, u := range waiting {
-		if w := c.upkeepWorker(u); w != nil {
-			for r := range w.runs {
-				loss[u] += c.lossOf(now, r)
-			}
-		}
-	}
-	slices.SortStableFunc(waiting, func(a, b *upkeep) int { return cmp.Compare(loss[a], loss[b]) })
-	busy := v.count(func(u *upkeep) bool { return u.down() || u.phase == upkeepDraining })
-	return waiting[:min(len(waiting), max(0, v.MaxUnavailable-busy))]
-}
-
 // mustStopRuns reports whether the runs on draining machines have to be stopped for the
 // remaining rounds of the wave to meet its deadline.
 func (c *Core) mustStopRuns(now Now, v *wave) bool {
@@ -240,15 +216,18 @@
 func (c *Core) upkeepWorker(u *upkeep) *worker { return c.workers[c.machines[u.machine].Worker] }
 
 // advanceUpkeep drains a machine and orders its upkeep as soon as nothing runs on it and the wave's
-// limit of unavailable machines allows it. It also repeats orders that may not have been executed.
-// stopAll is set if the wave would otherwise miss its deadline.
-func (c *Core) advanceUpkeep(now Now, v *wave, u *upkeep, stopAll bool) {
+// limit of unavailable machines allows it. It also repeats orders that may not have been executed. open are
+// the workers that take work. stopAll is set if the wave would otherwise miss its deadline.
+func (c *Core) advanceUpkeep(now Now, v *wave, u *upkeep, open []*worker, stopAll bool) {
 	if u.phase != upkeepDraining && u.phase != upkeepOrdered || u.orderInFlight || now.Mono < u.retryAt {
 		return
 	}
 	if w := c.upkeepWorker(u); w != nil {
+		if c.putOff(now, u, w, open) {
+			return
+		}
 		u.worker, u.incarnation = w.ID, w.Incarnation
-		c.drainWorker(now, w, stopAll)
+		c.drainWorker(now, w, open, stopAll)
 		if len(w.runs) > 0 {
 			return
 		}
@@ -271,20 +250,6 @@
 	c.pendingActions.Upkeeps = append(c.pendingActions.Upkeeps, Upkeep{Wave: v.Number, Machine: u.machine})
 }
 
-// drainWorker stops the long-running runs on w, which do not end by themselves, or all runs if
-// stopAll is set, as far as the steps' limits of unavailable tasks allow.
-func (c *Core) drainWorker(now Now, w *worker, stopAll bool) {
-	for _, r := range c.runsOf(w) {
-		if r.phase == stopping || !stopAll && !r.task.step.spec.LongRunning || !mayBeUnavailable(now, r, nil) {
-			continue
-		}
-		c.stop(now, r, "upkeep")
-		if r.task.step.spec.Gang {
-			c.breakGang(now, r.task.step, r.number)
-		}
-	}
-}
-
 // mayBeUnavailable reports whether r may be stopped without exceeding its step's limit of
 // unavailable tasks. Runs for which stops, if not nil, returns true count as unavailable.
 func mayBeUnavailable(now Now, r *run, stops func(*run) bool) bool {
