Waves: half of the workers of a service take work while others drain beside their tasks

Cause: workers that still run something drained up to the wave's limit. Change: while the wave has time, no more than half of a service's workers drain beside runs, and one always may. Evidence: TestDrainingLeavesHalfOfTheWorkersToOtherWork failed before (no start). Ruled out: a bound by free capacity, which changes with each task; a wave that is short of time drains as before.

--- a/internal/core/dispatch/drain.go
+++ b/internal/core/dispatch/drain.go
@@ -12,15 +12,15 @@
 // nowhere else, on a worker that takes no work and cannot be emptied.
 
 // drainNext drains machines of v as far as its limit allows, in increasing order of the work that stopping
-// their runs would lose. It removes the drained workers from open, the workers that take work, and returns the
-// rest.
-func (c *Core) drainNext(now Now, v *wave, open []*worker) []*worker {
+// their runs would lose. late is set if the wave would otherwise miss its deadline. It removes the drained
+// workers from open, the workers that take work, and returns the rest.
+func (c *Core) drainNext(now Now, v *wave, open []*worker, late bool) []*worker {
 	for _, u := range c.byDrainLoss(now, v) {
 		if v.count(func(u *upkeep) bool { return u.down() || u.phase == upkeepDraining }) >= v.MaxUnavailable {
 			break
 		}
 		w := c.upkeepWorker(u)
-		if w != nil && len(w.runs) > 0 && !c.canEmpty(now, w, open) {
+		if w != nil && len(w.runs) > 0 && (!late && !c.leavesHalf(w) || !c.canEmpty(now, w, open)) {
 			continue
 		}
 		u.phase = upkeepDraining
@@ -54,6 +54,25 @@
 	return waiting
 }
 
+// leavesHalf reports whether half of the workers of a service still take work if w drains as well. Draining
+// workers may run long tasks, and stay idle otherwise, until the wave's time is short. One worker may
+// always drain.
+func (c *Core) leavesHalf(w *worker) bool {
+	draining, all := 0, 0
+	for _, v := range c.waves {
+		draining += v.count(func(u *upkeep) bool {
+			o := c.workers[u.worker]
+			return u.phase == upkeepDraining && o != nil && o.listed && o.Service == w.Service
+		})
+	}
+	for _, o := range c.sortedWorkers {
+		if o.listed && o.Service == w.Service {
+			all++
+		}
+	}
+	return draining == 0 || 2*(draining+1) <= all
+}
+
 // canEmpty reports whether the long-running tasks on w can be moved to open workers, or can all be stopped at
 // once: then they are away for one upkeep only.
 func (c *Core) canEmpty(now Now, w *worker, open []*worker) bool {
--- a/internal/core/dispatch/drain_test.go
+++ b/internal/core/dispatch/drain_test.go
@@ -86,3 +86,16 @@
 	assert.Equal(t, len(h.started), 1)
 	assert.Equal(t, h.away("lasting"), 0)
 }
+
+// Guards against a wave with a high limit whose draining workers are idle beside long tasks while other jobs wait.
+func TestDrainingLeavesHalfOfTheWorkersToOtherWork(t *testing.T) {
+	h := newUpkeepHarness(t, 4)
+	long := single("long", 1, 4, one)
+	long.Steps[0].MaxPerWorker = 1
+	h.add(long)
+	h.run(time.Second)
+	h.addWave(4, 10*time.Minute, "m0", "m1", "m2", "m3")
+	h.run(time.Second)
+	h.add(single("j", 1, 1, one))
+	assert.Equal(t, len(h.starts), 1)
+}
--- a/internal/core/dispatch/upkeep.go
+++ b/internal/core/dispatch/upkeep.go
@@ -196,7 +196,7 @@
 	open := filter(c.sortedWorkers, func(w *worker) bool { return c.takesWork(now, w) })
 	for _, v := range c.waves {
 		stopAll := c.mustStopRuns(now, v)
-		open = c.drainNext(now, v, open)
+		open = c.drainNext(now, v, open, stopAll)
 		for _, u := range v.upkeeps {
 			c.advanceUpkeep(now, v, u, open, stopAll)
 		}
