Long-running tasks that have run before may use reserved capacity

Cause: reserved capacity is open to work that ends before the gang starts; a long-running task never does, and its wait had no bound. Change: tasks that run again may use it, after all other capacity; first runs leave it to the gang. Ruled out: an exception for all long-running work, with which a stream of new jobs would keep a gang from its start.

--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -15,11 +15,12 @@
 	rack         string
 	need         job.Resources
 	maxPerWorker int
-	// priority, avoidsUrgentRacks and estimate determine which racks and which reserved capacity
-	// the task may use.
+	// priority, avoidsUrgentRacks, estimate and restarts determine which racks and which reserved
+	// capacity the task may use.
 	priority          int
 	avoidsUrgentRacks bool
 	estimate          time.Duration
+	restarts          bool
 }
 
 // fullShapes is the set of shapes for which no worker had capacity in this cycle.
@@ -29,6 +30,7 @@
 	return shape{
 		pool: s.pool(), rack: s.spec.DataRack, need: s.spec.Charge(), maxPerWorker: s.spec.MaxPerWorker,
 		priority: s.job.spec.Priority, avoidsUrgentRacks: c.avoidsUrgentRacks(now, s), estimate: c.expectedRunTime(now, s, nil),
+		restarts: s.restartsLongRunning(),
 	}
 }
 
@@ -147,6 +149,9 @@
 		if !inDataRack {
 			score += offRackScore
 		}
+		if s.spec.LongRunning && !c.mayBackfill(now, s, w) {
+			score += reservedScore
+		}
 		if best == nil || score < bestScore {
 			best, bestScore = w, score
 		}
@@ -219,7 +224,8 @@
 
 // mayPlaceOn reports whether tasks of s may use w: it is not on a rack that s leaves free for
 // urgent work and, unless the fleet is quiet, not reserved for a gang. Urgent work may use every
-// worker.
+// worker, and so may long-running tasks that have run before: a gang waits for the start of its work, but they
+// are missed at their work.
 func (c *Core) mayPlaceOn(now Now, s *step, w *worker) bool {
 	if s.job.spec.Priority == urgentPriority {
 		return true
@@ -227,7 +233,12 @@
 	if w.rackPosition < urgentRackShare && c.avoidsUrgentRacks(now, s) {
 		return false
 	}
-	return c.mayBackfill(now, s, w) || c.quiet(now)
+	return c.mayBackfill(now, s, w) || s.restartsLongRunning() || c.quiet(now)
+}
+
+// restartsLongRunning reports whether s has long-running tasks that have run before and wait to run again.
+func (s *step) restartsLongRunning() bool {
+	return s.spec.LongRunning && slices.ContainsFunc(s.tasks, func(t *task) bool { return t.current == nil && t.started })
 }
 
 const (
--- a/internal/core/dispatch/reserve_test.go
+++ b/internal/core/dispatch/reserve_test.go
@@ -69,3 +69,57 @@
 	h.add(single("other", 1, 15, one))
 	assert.Equal(t, len(h.starts), 15)
 }
+
+// reservedHarness returns a harness with a worker that is full for a minute and an idle one, which is reserved for a
+// gang that waits for the first.
+func reservedHarness(t *testing.T) (h *harness, reserved string) {
+	h = newHarness(t)
+	h.core.SetWorkers(h.clock(), h.fleet(2, whole))
+	batch := single("batch", 2, 1, whole)
+	batch.Steps[0].Estimate = time.Minute
+	h.add(batch)
+	reserved = "w0"
+	if h.accept()[0].Worker == reserved {
+		reserved = "w1"
+	}
+	h.add(gang("gang", 1, 2, whole))
+	return h, reserved
+}
+
+// lowLasting returns a job of one long-running task with a lower priority than the gang.
+func lowLasting(id string) *job.Job {
+	j := lastingJob(id, 1, one)
+	j.Priority, j.Steps[0].Estimate = 2, time.Hour
+	return j
+}
+
+// hasRun is the record of a job's only task, which has run before.
+func hasRun(j *job.Job) map[string]job.TaskRecord {
+	return map[string]job.TaskRecord{job.TaskID{Job: j.ID}.String(): {Run: 1, Started: true}}
+}
+
+// Guards against a long-running task of a lost worker that waits, beside an idle worker, for as long as that one is
+// reserved for a gang; and against other work of its shape that keeps it waiting.
+func TestLongRunningTaskRunsAgainOnReservedCapacity(t *testing.T) {
+	h, reserved := reservedHarness(t)
+	h.add(lowLasting("first"))
+	assert.Equal(t, len(h.starts), 0, "the other worker is reserved for the gang")
+	again := lowLasting("again")
+	h.core.AddJob(h.clock(), again, hasRun(again))
+	h.flush()
+	assert.Equal(t, len(h.starts), 1)
+	assert.Equal(t, h.starts[0].Task.Job, "again")
+	assert.Equal(t, h.starts[0].Worker, reserved)
+}
+
+func TestLongRunningTaskPrefersCapacityThatIsNotReserved(t *testing.T) {
+	h, _ := reservedHarness(t)
+	list := h.fleet(3, whole)
+	list[2].Capacity = job.Resources{CPU: 64000, MemMB: whole.MemMB - 1, Accelerators: 64} // too small for the gang, and the worst fit
+	h.core.SetWorkers(h.clock(), list)
+	again := lowLasting("again")
+	h.core.AddJob(h.clock(), again, hasRun(again))
+	h.flush()
+	assert.Equal(t, len(h.starts), 1)
+	assert.Equal(t, h.starts[0].Worker, "w2")
+}
--- a/internal/core/dispatch/score.go
+++ b/internal/core/dispatch/score.go
@@ -8,6 +8,10 @@
 // workers in it.
 const offRackScore = 100
 
+// reservedScore is added for workers whose capacity is reserved for a gang, which ranks them behind all
+// others.
+const reservedScore = 2 * offRackScore
+
 // acceleratorWeight is the weight of the share of a worker's accelerators that stays unused.
 const acceleratorWeight = 4.0
 
