A preemption's plan is dropped when its worker comes back as another kind

Cause: runPlan checked the ticket, the worker's state and its capacity again, but not service and labels. Change: plans and placements share mayRunOn. Ruled out: other choices that outlive an event. Runs whose start is not sent end with their incarnation, and moves, copies and gangs are placed in the cycle that chooses their workers.

--- a/internal/core/dispatch/cycle.go
+++ b/internal/core/dispatch/cycle.go
@@ -72,6 +72,13 @@
 	return p
 }
 
+// mayRunOn reports whether w takes work, is of the kind that s requires and, for a job that needs advice, has a
+// ticket.
+func (c *Core) mayRunOn(now Now, s *step, w *worker) bool {
+	_, allowed := s.ticketFor(now, w)
+	return allowed && w.fits(s) && c.takesWork(now, w)
+}
+
 // poolOf returns the workers that may run s now, as a list and by rack.
 func (c *Core) poolOf(now Now, s *step) *poolWorkers {
 	key := s.pool()
@@ -79,7 +86,7 @@
 	if p == nil {
 		p = &poolWorkers{}
 		for _, w := range c.sortedWorkers {
-			if _, allowed := s.ticketFor(now, w); allowed && w.fits(s) && c.takesWork(now, w) {
+			if c.mayRunOn(now, s, w) {
 				p.usable = append(p.usable, w)
 			}
 		}
--- a/internal/core/dispatch/preempt.go
+++ b/internal/core/dispatch/preempt.go
@@ -29,12 +29,12 @@
 }
 
 // runPlan places a planned step once its capacity is free. It drops a plan that has expired or
-// can no longer be executed.
+// can no longer be executed: a worker may have restarted as another kind since.
 func (c *Core) runPlan(now Now, s *step) {
 	need := s.spec.Charge()
 	taken := map[*worker]job.Resources{}
 	for t, w := range s.plan.workerOf {
-		if _, allowed := s.ticketFor(now, w); !allowed || t.current != nil || t.done || !c.takesWork(now, w) || now.Mono > s.plan.until {
+		if t.current != nil || t.done || !c.mayRunOn(now, s, w) || now.Mono > s.plan.until {
 			c.dropPlan(s)
 			return
 		}
--- a/internal/core/dispatch/preempt_test.go
+++ b/internal/core/dispatch/preempt_test.go
@@ -157,3 +157,23 @@
 	h.advance(time.Second)
 	assert.Equal(t, h.stoppedTasks(), 0)
 }
+
+// Guards against a task that starts on a worker which has restarted as another kind, without the label that the task
+// requires, while a preemption was freeing capacity for the task there.
+func TestPlanIsDroppedWhenItsWorkerRestartsAsAnotherKind(t *testing.T) {
+	h := newHarness(t)
+	h.core.SetWorkers(h.clock(), h.fleet(1, whole))
+	h.add(single("low", 2, 1, whole))
+	h.reportRuns("w0", h.accept()...)
+	urgent := single("urgent", 0, 1, whole)
+	urgent.Steps[0].Label = "a"
+	h.add(urgent)
+	assert.Equal(t, len(h.stops), 1)
+	list := h.fleet(1, whole)
+	list[0].Incarnation, list[0].Labels = 2, []string{"b"}
+	h.core.SetWorkers(h.clock(), list)
+	h.flush()
+	for _, s := range h.starts {
+		assert.Assert(t, s.Task.Job != "urgent", "started without its label")
+	}
+}
