The lower bound of a worker's clock falls when an entry or an answer disproves it

Cause: the bound never fell, so that one entry raised it for good, and the leader took the longest lease that the worker grants for a short one. Change: an entry with a lower clock, or an answer that the bound exceeds, takes it back and makes the leases by it count as the longest. Ruled out: a check of the clock against the start, since clocks do not begin at zero, and a lower upper limit, which no setting gives.

--- a/internal/core/dispatch/lease.go
+++ b/internal/core/dispatch/lease.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"time"
 
 	"agatewinch/internal/core/job"
@@ -36,6 +37,14 @@
 	return w.leaseUntilMs
 }
 
+// resetClock replaces the lower bound of w's clock, which has proved too high, with a time that its clock has
+// reached, in milliseconds. Leases by the former bound last for as long as the worker grants any.
+func (c *Core) resetClock(now Now, w *worker, clockMs int64) {
+	c.note(Note{Kind: "worker clock reset", Worker: w.ID, Why: fmt.Sprintf("at least %d ms was assumed, %d ms is known", w.clockAtLeast(now.Mono), clockMs)})
+	w.ClockMs, w.clockAt, w.leaseUntilMs = clockMs, now.Mono, 0
+	w.inheritedUntil = max(w.inheritedUntil, now.Mono+c.settings.longestLease())
+}
+
 // inheritLease sets how long the leases of former leaders may cover an adopted run. limited is set if the
 // run is known to be on the recorded incarnation, under leases with a limit, and ended if that incarnation
 // has ended.
--- a/internal/core/dispatch/lease_test.go
+++ b/internal/core/dispatch/lease_test.go
@@ -91,3 +91,30 @@
 	h.core.LimitLeases(h.now)
 	assert.Equal(t, time.Duration(h.core.extendLease(h.clock(), w, time.Minute)-w.ClockMs)*time.Millisecond, leased, "a lease never gets shorter")
 }
+
+// Guards against an odd entry with a clock that is far too high: later leases lasted for as long as the worker grants
+// any, and the leader expected them to end sooner and started the task twice.
+func TestClockOfAnOddEntryIsDroppedAfterTheNextEntryOrAnswer(t *testing.T) {
+	for name, correct := range map[string]func(*harness){
+		"entry": func(h *harness) { h.core.SetWorkers(h.clock(), h.fleet(1, whole)) },
+		"answer": func(h *harness) {
+			h.answerProbe("w0", WorkerReport{Incarnation: 1, ClockMs: h.now.Milliseconds() + 1})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.core.SetWorkers(h.clock(), h.fleet(1, whole))
+			odd := h.fleet(1, whole)
+			odd[0].ClockMs = 1e12
+			h.core.SetWorkers(h.clock(), odd)
+			h.add(single("before", 1, 1, one))
+			h.accept()
+			h.now += time.Second
+			correct(h)
+			w := h.core.workers["w0"]
+			assert.Assert(t, w.leasesExpireAt() >= h.now+h.core.settings.MaxLeaseTTL, "the lease may last as long as the worker grants any")
+			h.add(single("after", 1, 1, one))
+			assert.Assert(t, h.starts[0].LeaseUntilMs <= (h.now+h.core.settings.LeaseTTL).Milliseconds()+1, "%d", h.starts[0].LeaseUntilMs)
+		})
+	}
+}
--- a/internal/core/dispatch/probe.go
+++ b/internal/core/dispatch/probe.go
@@ -47,6 +47,9 @@
 		c.inputsChanged = true
 	}
 	c.markEpochAccepted(now, w)
+	if latest := rep.ClockMs + (now.Mono - p.sentAt).Milliseconds() + 1; w.clockAtLeast(now.Mono) > latest {
+		c.resetClock(now, w, rep.ClockMs)
+	}
 	if rep.ClockMs > w.clockAtLeast(now.Mono) {
 		w.ClockMs, w.clockAt = rep.ClockMs, now.Mono
 	}
--- a/internal/core/dispatch/runs.go
+++ b/internal/core/dispatch/runs.go
@@ -57,6 +57,9 @@
 	if w.listed && !w.Draining && info.Draining {
 		c.note(Note{Kind: "worker draining", Worker: w.ID})
 	}
+	if w.entryRead && info.ClockMs < w.entryClockMs {
+		c.resetClock(now, w, info.ClockMs) // a clock never goes back: the entry before was not the worker's
+	}
 	clockMs, clockAt := w.ClockMs, w.clockAt
 	if clockMs == 0 || info.ClockMs > w.clockAtLeast(now.Mono) {
 		clockMs, clockAt = info.ClockMs, now.Mono
