--- a/internal/core/dispatch/advice.go
+++ b/internal/core/dispatch/advice.go
@@ -73,8 +73,8 @@
 	return v.ticket, ok && v.eligible && now.Mono < v.expiresAt
 }
 
-// requestAdvice asks the advisory service which workers may run s, if the known eligible
-// workers have too little free capacity for it.
+// requestAdvice asks the advisory service which workers may run s, if those with a ticket cannot take all of
+// its waiting tasks.
 func (c *Core) requestAdvice(now Now, s *step) {
 	if !s.job.spec.Advised || s.advice.inFlight || c.openAdviceRequests >= maxOpenAdvice {
 		return
@@ -120,24 +120,45 @@
 	}
 }
 
-// workersToAsk returns the workers to ask about: those with free capacity or, if there are
-// none, those without. Workers without free capacity are named only while the total capacity
-// of the eligible workers is too small for the step; reservations and preemption use them. why describes
-// what the choice was based on; it is empty if no task waits.
+// workersToAsk returns the workers to ask about: those that can take tasks of s now or, if there are none,
+// those that could later. The latter are named only while the workers with tickets are too few for the step
+// also later; reservations and preemption use them. why describes what the choice was based on; it is empty
+// if no task waits.
 func (c *Core) workersToAsk(now Now, s *step) (named []*worker, why string) {
 	tasks := c.waiting(now, s)
-	waiting := len(tasks)
-	if waiting == 0 {
+	if len(tasks) == 0 {
 		return nil, ""
 	}
-	freeSlots, totalSlots := 0, 0
-	var free, full []*worker
+	v := c.surveyWorkers(now, s, tasks)
+	if v.slots < len(tasks) {
+		named = s.eligibleFirst(v.free)
+		if len(named) == 0 && v.slotsLater < len(tasks) {
+			named = s.eligibleFirst(v.full)
+		}
+		named = named[:min(len(named), maxAdviceWorkers)]
+	}
+	why = fmt.Sprintf("step %s: %d tasks wait, workers with a ticket have %d free slots of %d; without one: %d with free slots, %d without", s.name(), len(tasks), v.slots, v.slotsLater, len(v.free), len(v.full))
+	return named, why
+}
+
+// survey says what the workers offer to a step of a job that needs advice.
+type survey struct {
+	// slots is how many of its waiting tasks the workers with a ticket can take now, and slotsLater how
+	// many they could take later.
+	slots, slotsLater int
+	// free and full are the workers without a ticket that may be eligible and can take tasks now, or could
+	// later.
+	free, full []*worker
+}
+
+func (c *Core) surveyWorkers(now Now, s *step, tasks []*task) survey {
+	var out survey
 	for _, w := range c.sortedWorkers {
 		if !w.fits(s) || !c.takesWork(now, w) {
 			continue
 		}
-		total := s.slotsLater(w)
-		if total == 0 {
+		later := s.slotsLater(w)
+		if later == 0 {
 			continue
 		}
 		fit := c.slotsNow(now, s, w, tasks)
@@ -145,24 +166,16 @@
 		v, known := s.verdictFor(w)
 		switch {
 		case allowed:
-			freeSlots += fit
-			totalSlots += total
+			out.slots += fit
+			out.slotsLater += later
 		case known && !v.eligible:
 		case fit > 0:
-			free = append(free, w)
+			out.free = append(out.free, w)
 		default:
-			full = append(full, w)
-		}
-	}
-	if freeSlots < waiting {
-		named = s.eligibleFirst(free)
-		if len(named) == 0 && totalSlots < waiting {
-			named = s.eligibleFirst(full)
+			out.full = append(out.full, w)
 		}
-		named = named[:min(len(named), maxAdviceWorkers)]
 	}
-	why = fmt.Sprintf("step %s: %d tasks wait, workers with a ticket have %d free slots of %d; without one: %d with free slots, %d without", s.name(), waiting, freeSlots, totalSlots, len(free), len(full))
-	return named, why
+	return out
 }
 
 // slotsNow returns how many of the waiting tasks of s may be placed on w now.
@@ -190,8 +203,7 @@
 	return n
 }
 
-// slotsLater returns how many more tasks of s w could take beside the runs that are held against it. Tasks that
-// end by themselves do not count against the limit per worker.
+// slotsLater returns how many more tasks of s w could take once all runs have ended that s can count on to end.
 func (s *step) slotsLater(w *worker) int {
 	capacity := w.Capacity
 	for r := range w.runs {
@@ -205,8 +217,8 @@
 	return timesFit(capacity, s.spec.Charge(), s.spec.MaxPerWorker)
 }
 
-// heldAgainst reports whether s cannot count on the resources of r: it may not preempt r, and r never ends by
-// itself, or s is urgent and must not wait for that.
+// heldAgainst reports whether s cannot count on the end of r: it may not preempt r, and r never ends by itself, or
+// s is urgent and must not wait for that.
 func (r *run) heldAgainst(s *step) bool {
 	if r.phase == stopping || mayPreempt(s, r) {
 		return false
--- a/internal/core/dispatch/drain.go
+++ b/internal/core/dispatch/drain.go
@@ -8,8 +8,8 @@
 )
 
 // A worker drains before the upkeep of its machine: it gets no new work, and its long-running tasks, which never
-// end by themselves, are stopped. A drain must not end in a state in which nothing can go on: tasks that fit
-// nowhere else, on a worker that takes no work and cannot be emptied.
+// end by themselves, are stopped. It must not get stuck in that state, with a task that fits nowhere else and
+// others that may not be stopped while that one is away.
 
 // drainNext drains machines of v as far as its limit allows, in increasing order of the work that stopping
 // their runs would lose. late is set if the wave would otherwise miss its deadline. It removes the drained
--- a/internal/core/dispatch/place.go
+++ b/internal/core/dispatch/place.go
@@ -224,8 +224,8 @@
 
 // mayPlaceOn reports whether tasks of s may use w: it is not on a rack that s leaves free for
 // urgent work and, unless the fleet is quiet, not reserved for a gang. Urgent work may use every
-// worker, and so may long-running tasks that have run before: a gang waits for the start of its work, but they
-// are missed at their work.
+// worker, and so may long-running tasks that have run before: nothing bounds how long a gang keeps its
+// reservation.
 func (c *Core) mayPlaceOn(now Now, s *step, w *worker) bool {
 	if s.job.spec.Priority == urgentPriority {
 		return true
